--- /dev/null
+++ b/src/main/java/dillfront/Decide.java
@@ -0,0 +1,714 @@
+package dillfront;
+
+import dillfront.port.Effect;
+import dillfront.port.Handle;
+import dillfront.port.ListRole;
+import dillfront.port.NodeRow;
+import dillfront.port.Outlet;
+import dillfront.port.Read;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import dillfront.port.Settings;
+import dillfront.port.Standing;
+import dillfront.port.TxnType;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Every decision of the router, one object a router. Its interface is the package dillfront.port.
+ *
+ * <p>The caller sets the clock with at(), then makes one call an event: list(), take(), probed(), woken(),
+ * and, on the Handle that take() gave, ended() and left(). Decisions leave through the Outlet during the
+ * call. Times are spans since the zero of positions, so a position and a time compare directly.
+ *
+ * <p>The ordinary path: writes and fresh reads to the primary; bounded, any and session reads to the least
+ * busy replica known within bound, a bounded share of them to the primary while it is calm; replica errors
+ * back to the primary; time-outs surfaced. What cannot go anywhere is held, and answered before its time.
+ */
+public final class Decide {
+
+    /** Session indices run below this. Sessions may share one: they then see later writes than they need. */
+    public static final int SESSIONS = 1 << 13;
+
+    private static final Duration NEVER = Duration.ofSeconds(Long.MIN_VALUE / 4);
+    /** The time of what a list says of roles: older than all that a node says itself. */
+    private static final Duration LISTED = NEVER.plusSeconds(1);
+
+    // Ratios. Beats are in steps of the clock; gaps in dial time-outs, the site's own idea of a long wait.
+    private static final int BEAT = 4;
+    private static final double TRIAL_GAP = 4;
+    private static final double SEEK_GAP = 0.25;
+    /** An any read asks for this many times the bound of bounded reads: 1 s where that is 200 ms. */
+    private static final double ANY_BOUND = 5;
+    /** Of the reads that could be routed, the share that may go to a calm primary. */
+    private static final double SPILL = 0.3;
+    private static final double SPILL_BURST = 8;
+    /** A primary is calm while its answers take less than this many times the fleet's usual. */
+    private static final double CALM = 1.5;
+    /** How much busier a replica of this zone may be than one across zones. */
+    private static final double FAR = 1.5;
+    /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
+    private static final double PATIENCE = 5;
+    /** A node with n submissions out is silent after the larger of these, in usual times. */
+    private static final double SILENCE = 6;
+    private static final double SILENCE_LEAST = 1.5;
+    /** A node fails when its share of failures is this far above the fleet's median. */
+    private static final double FAILING = 0.5;
+    private static final double FAIL_GAIN = 0.2;
+    private static final double LOST_GAIN = 0.4;
+    private static final double GAIN = 0.1;
+    /** Answers slower than this part of the SLA time shrink the room at a node, faster ones widen it. */
+    private static final double STRAINED = 0.6;
+    private static final double ROOM_START = 16;
+    private static final double ROOM_LEAST = 2;
+    private static final double ROOM_CUT = 0.9;
+
+    /** One row a txn type. */
+    private static final class Type {
+        final Effect effect;
+        final boolean groupDrops;
+        final Duration window;
+        final Read read;
+        final Duration bound;
+        final Duration sla;
+        final double value;
+        final boolean lateEarns;
+        Duration usual;
+
+        Type(TxnType t, Duration anyBound) {
+            effect = t.effect();
+            groupDrops = t.groupDrops();
+            window = t.window();
+            read = t.read();
+            bound = read == Read.ANY ? anyBound : t.bound();
+            sla = t.sla();
+            value = t.value();
+            lateEarns = t.lateShare() > 0;
+            usual = times(sla, 0.25);
+        }
+
+        boolean routed() {
+            return read == Read.ANY || read == Read.BOUNDED || read == Read.SESSION;
+        }
+
+        double rank() {
+            return value / (usual.toNanos() + 1);
+        }
+    }
+
+    /** One row a machine that a list has named; bounded by the machines, not by txns. */
+    private static final class Node {
+        final int id;
+        Group group;
+        boolean far;
+        double size = 1;
+        Standing standing = Standing.GONE;
+        Duration started = NEVER;
+        Duration position = NEVER;
+        /** The latest time at which it is known to have been the primary, and to have been none. */
+        Duration claimed = NEVER;
+        Duration denied = NEVER;
+        int out;
+        /** While anything is out: since when nothing has been heard. */
+        Duration quiet = NEVER;
+        boolean silent;
+        boolean lost;
+        double failures;
+        double strain;
+        double pace = 1;
+        double room = ROOM_START;
+        Duration cutAt = NEVER;
+        Duration triedAt = NEVER;
+        Duration probedAt = NEVER;
+        boolean probing;
+        double coldCredit;
+
+        Node(int id) {
+            this.id = id;
+        }
+    }
+
+    private static final class Group {
+        /** Those in the list now, sorted. */
+        final List<Node> members = new ArrayList<>();
+        /** Txns waiting for a node, best value for its time first; each leaves at its give-up time. */
+        final List<Txn> held = new ArrayList<>();
+        double spill = SPILL_BURST;
+        /** The search for a primary by writes: whose turn, how many have missed, when to go on. */
+        int turn;
+        int misses;
+        Duration searchAt = NEVER;
+        boolean searching;
+    }
+
+    private final Settings set;
+    private final Outlet outlet;
+    private final RandomGenerator chance;
+    private final Type[] types;
+    private final List<Node> nodes = new ArrayList<>();
+    private final TreeMap<Integer, Group> groups = new TreeMap<>();
+    /** The last commit of each session index; of fixed size. */
+    private final Duration[] written = new Duration[SESSIONS];
+    private final Duration beat;
+    private final Duration anyBound;
+    private Duration now = Duration.ZERO;
+    private Duration beatAt = NEVER;
+    private boolean awake;
+    private int sent;
+    private double sendRate;
+    private double median;
+    private Duration askedAt = NEVER;
+    private boolean following;
+
+    public Decide(Settings set, Outlet outlet, RandomGenerator chance) {
+        this.set = set;
+        this.outlet = outlet;
+        this.chance = chance;
+        beat = set.step().multipliedBy(BEAT);
+        Duration bound = set.types().stream().filter(t -> t.read() == Read.BOUNDED).map(TxnType::bound)
+                .min(Duration::compareTo).orElse(times(set.dial(), 1));
+        anyBound = times(bound, ANY_BOUND);
+        types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
+        Arrays.fill(written, NEVER);
+    }
+
+    public void at(Duration clock) {
+        now = clock;
+        if (!awake) {
+            awake = true;
+            beatAt = now;
+            outlet.wake(beat);
+        }
+    }
+
+    // ---- the member list
+
+    public void list(boolean whole, List<NodeRow> rows) {
+        if (whole) {
+            nodes.forEach(n -> n.standing = n.standing == Standing.DRAINING ? n.standing : Standing.GONE);
+            groups.values().forEach(g -> g.members.clear());
+        }
+        following = true;
+        for (NodeRow row : rows) {
+            while (nodes.size() <= row.node()) {
+                nodes.add(new Node(nodes.size()));
+            }
+            Node n = nodes.get(row.node());
+            n.standing = row.standing();
+            n.far = row.zone() != set.zone();
+            n.size = row.size() > 0 ? row.size() : 1;
+            if (row.started() != null && row.started().compareTo(n.started) > 0) {
+                n.started = row.started();
+                n.coldCredit = 0;
+            }
+            if (n.group != null) {
+                n.group.members.remove(n);
+            }
+            n.group = groups.computeIfAbsent(row.group(), k -> new Group());
+            if (row.primary() && set.listRole() != ListRole.ABSENT) {
+                claim(n, LISTED);
+            }
+        }
+        for (Node n : nodes) {
+            boolean in = n.group != null && (n.standing != Standing.GONE || set.goneStaysOpen());
+            if (in && !n.group.members.contains(n)) {
+                n.group.members.add(n);
+                n.group.members.sort((a, b) -> Integer.compare(a.id, b.id));
+            }
+        }
+        lookAround();
+        groups.values().forEach(this::place);
+    }
+
+    public void listFailed() {
+        following = false;
+    }
+
+    // ---- txns
+
+    /**
+     * Takes a txn, and owes it a final answer.
+     *
+     * @param session its index below SESSIONS, or negative
+     * @param expiry how long the client waits
+     * @param token how long ago its session last wrote; null where txns carry none, zero where it wrote nothing
+     */
+    public Handle take(int id, int type, int tenant, int session, int group, Duration expiry, Duration token) {
+        Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session,
+                now.plus(expiry));
+        if (t.type.read == Read.SESSION) {
+            if (token == null) {
+                t.need = session < 0 ? NEVER : written[session];
+            } else if (!token.isZero()) {
+                // Fixed at arrival; a millisecond for the rounding of both figures.
+                t.need = now.minus(token).plusMillis(1);
+            }
+        }
+        if (t.type.routed()) {
+            t.group.spill = Math.min(SPILL_BURST, t.group.spill + SPILL);
+        }
+        if (!submit(t)) {
+            hold(t);
+        }
+        return t;
+    }
+
+    private final class Txn implements Handle {
+        final int id;
+        final Type type;
+        final Group group;
+        final int session;
+        final Duration expiry;
+        final Duration giveUp;
+        Duration need = NEVER;
+        int submissions;
+        boolean closed;
+        boolean fellBack;
+        Duration ranAt;
+        Duration sentAt;
+        boolean searches;
+
+        Txn(int id, Type type, Group group, int session, Duration expiry) {
+            this.id = id;
+            this.type = type;
+            this.group = group;
+            this.session = session;
+            this.expiry = expiry;
+            Duration last = expiry.minus(beat.multipliedBy(2));
+            Duration useful = now.plus(type.sla);
+            giveUp = (type.lateEarns ? last : earlier(last, useful)).minus(type.usual);
+        }
+
+        @Override
+        public void ended(int node, Result result, Duration took, boolean over, Report note, Report report) {
+            Node n = nodes.get(node);
+            n.out--;
+            if (searches) {
+                searches = false;
+                group.searching = false;
+            }
+            judge(n, type, result, took);
+            Report seen = note;
+            if (result == Result.COMMITTED && type.read == Read.WRITE && note.position() != null) {
+                // A commit is rounded up, a position down: what was applied is a millisecond less.
+                seen = new Report(note.position().minusMillis(1), note.role(), note.held());
+                if (session >= 0) {
+                    written[session] = later(written[session], note.position());
+                }
+            }
+            heard(node, seen, report);
+            if (result.mayHaveRun() && ranAt == null) {
+                ranAt = sentAt;
+            }
+            if (over || closed) {
+                closed = true;
+            } else {
+                goOn(this, n, result);
+            }
+            place(n.group);
+        }
+
+        @Override
+        public void left() {
+            closed = true;
+            group.held.remove(this);
+        }
+    }
+
+    /** After an ending that left the txn open. */
+    private void goOn(Txn t, Node n, Result result) {
+        if (result == Result.TIMED_OUT || result == Result.MOOT) {
+            // Surfaced, not re-run: the statement would be as slow elsewhere, and the client may ask again.
+            finish(t, Duration.ZERO);
+            return;
+        }
+        if (t.type.read == Read.WRITE && result == Result.MISS) {
+            t.group.misses++;
+            t.group.turn++;
+        }
+        t.fellBack = true;
+        if (!resendable(t) || !submit(t)) {
+            hold(t);
+        }
+    }
+
+    private boolean resendable(Txn t) {
+        if (t.submissions >= set.maxSubmissions()) {
+            return false;
+        }
+        if (t.ranAt == null || t.type.effect == Effect.REPEATABLE) {
+            return true;
+        }
+        return t.type.effect == Effect.REFERENCED
+                && now.plus(set.step()).compareTo(t.ranAt.plus(t.type.window)) < 0;
+    }
+
+    private void hold(Txn t) {
+        if (!resendable(t) || now.compareTo(t.giveUp) >= 0) {
+            finish(t, times(t.type.sla, 1));
+            return;
+        }
+        int at = t.group.held.size();
+        while (at > 0 && t.group.held.get(at - 1).type.rank() < t.type.rank()) {
+            at--;
+        }
+        t.group.held.add(at, t);
+        seek(t.group);
+    }
+
+    /** The final answer: declined where a retry is harmless, else rolled back. */
+    private void finish(Txn t, Duration pause) {
+        t.closed = true;
+        boolean harmless = t.ranAt == null || t.type.effect == Effect.REPEATABLE
+                || t.type.effect == Effect.REFERENCED && !t.type.groupDrops;
+        if (harmless) {
+            outlet.decline(t.id, earlier(pause, set.maxPause()));
+        } else {
+            outlet.rollBack(t.id);
+        }
+    }
+
+    /** Tries every held txn of a group again; ends those whose time is up. */
+    private void place(Group g) {
+        if (g.held.isEmpty()) {
+            return;
+        }
+        List<Txn> waiting = new ArrayList<>(g.held);
+        for (Txn t : waiting) {
+            if (!resendable(t) || now.compareTo(t.giveUp) >= 0) {
+                g.held.remove(t);
+                finish(t, times(t.type.sla, 1));
+            } else if (submit(t)) {
+                g.held.remove(t);
+            }
+        }
+        if (!g.held.isEmpty()) {
+            seek(g);
+        }
+    }
+
+    // ---- where a txn goes
+
+    private boolean submit(Txn t) {
+        Node n = t.type.routed() ? route(t) : primaryFor(t);
+        if (n == null) {
+            return false;
+        }
+        Duration left = t.expiry.minus(now).minus(beat);
+        if (left.isNegative() || left.isZero()) {
+            return false;
+        }
+        Duration limit = t.type.lateEarns || t.type.read == Read.WRITE ? left
+                : earlier(left, times(t.type.usual, PATIENCE));
+        t.submissions++;
+        t.sentAt = now;
+        if (!trusted(n)) {
+            n.triedAt = now;
+        }
+        if (n.out++ == 0) {
+            n.quiet = now;
+        }
+        n.coldCredit -= 1;
+        sent++;
+        outlet.submit(t.id, n.id, limit);
+        return true;
+    }
+
+    private Node primaryFor(Txn t) {
+        Node pri = primary(t.group);
+        if (pri != null && open(pri, 2 * pri.room)) {
+            return pri;
+        }
+        return t.type.read == Read.WRITE && (pri == null || !trusted(pri)) ? search(t) : null;
+    }
+
+    /** No primary to be trusted: one write at a time asks the members in turn, and waits after each round. */
+    private Node search(Txn t) {
+        Group g = t.group;
+        if (g.searching || now.compareTo(g.searchAt) < 0 || t.submissions >= set.maxSubmissions() / 2) {
+            return null;
+        }
+        if (g.misses >= g.members.size()) {
+            g.misses = 0;
+            g.searchAt = now.plus(times(set.dial(), TRIAL_GAP));
+            return null;
+        }
+        for (int i = 0; i < g.members.size(); i++) {
+            Node n = g.members.get((g.turn + i) % g.members.size());
+            if (open(n, n.room)) {
+                g.turn = (g.turn + i) % g.members.size();
+                g.searching = true;
+                t.searches = true;
+                return n;
+            }
+        }
+        return null;
+    }
+
+    private Node route(Txn t) {
+        Group g = t.group;
+        Node pri = primary(g);
+        Node best = null;
+        Node freshest = null;
+        Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
+        for (Node n : g.members) {
+            if (n == pri || !open(n, n.room)) {
+                continue;
+            }
+            if (n.position.compareTo(need) >= 0 && (best == null || busy(n) < busy(best))) {
+                best = n;
+            }
+            if (freshest == null || n.position.compareTo(freshest.position) > 0) {
+                freshest = n;
+            }
+        }
+        boolean spills = pri != null && pri.claimed.compareTo(LISTED) > 0 && open(pri, pri.room) && trusted(pri)
+                && pri.pace < CALM && !cold(pri);
+        if (best != null && !t.fellBack) {
+            if (spills && g.spill >= 1 && busy(pri) < busy(best)) {
+                g.spill--;
+                return pri;
+            }
+            return best;
+        }
+        if (spills && (t.fellBack || g.spill >= 1)) {
+            g.spill = Math.max(0, g.spill - 1);
+            return pri;
+        }
+        // Past the spill: another replica within bound, or for an any read whichever has the most.
+        return best != null ? best : t.type.read == Read.ANY ? freshest : null;
+    }
+
+    private double busy(Node n) {
+        return (n.out + 1) / n.size * n.pace * (n.far ? FAR : 1);
+    }
+
+    /** Whether a node may be sent one more txn now. */
+    private boolean open(Node n, double room) {
+        if (n.standing == Standing.DRAINING || n.standing == Standing.GONE && !set.goneStaysOpen()) {
+            return false;
+        }
+        if (cold(n) && n.coldCredit < 1) {
+            return false;
+        }
+        if (!trusted(n)) {
+            return n.out == 0 && now.compareTo(n.triedAt.plus(times(set.dial(), TRIAL_GAP))) >= 0;
+        }
+        return n.out < room;
+    }
+
+    // ---- who is the primary
+
+    private Node primary(Group g) {
+        Node pri = null;
+        for (Node n : g.members) {
+            if (n.claimed.compareTo(NEVER) > 0 && (pri == null || n.claimed.compareTo(pri.claimed) > 0)) {
+                pri = n;
+            }
+        }
+        return pri;
+    }
+
+    private void claim(Node n, Duration when) {
+        if (n.group == null || when.compareTo(n.denied) <= 0 || when.compareTo(n.claimed) < 0) {
+            return;
+        }
+        for (Node other : n.group.members) {
+            if (other != n && other.claimed.compareTo(when) >= 0) {
+                return;
+            }
+        }
+        for (Node other : n.group.members) {
+            if (other != n) {
+                other.claimed = NEVER;
+            }
+        }
+        n.claimed = when;
+        if (when.compareTo(LISTED) > 0) {
+            n.group.misses = 0;
+            n.group.turn = Math.max(0, n.group.members.indexOf(n));
+        }
+    }
+
+    private void deny(Node n, Duration when) {
+        n.denied = later(n.denied, when);
+        if (n.claimed.compareTo(when) <= 0) {
+            n.claimed = NEVER;
+        }
+    }
+
+    /** What a node says of itself: in a note, of this moment; in a report, of some time ago. */
+    public void heard(int node, Report note, Report report) {
+        Node n = nodes.get(node);
+        if (note.role() == Role.PRIMARY) {
+            claim(n, now);
+        } else if (note.role() == Role.REPLICA) {
+            deny(n, now);
+        }
+        // A primary stands at the present, so its position is the report's time; a replica's is older.
+        if (report.position() != null && report.role() == Role.PRIMARY) {
+            claim(n, report.position());
+        } else if (report.position() != null && report.role() == Role.REPLICA) {
+            deny(n, report.position());
+        }
+        n.position = note.position() == null ? n.position : later(n.position, note.position());
+        n.position = report.position() == null ? n.position : later(n.position, report.position());
+    }
+
+    // ---- health
+
+    private void judge(Node n, Type type, Result result, Duration took) {
+        if (result == Result.WITHDRAWN || result == Result.MOOT) {
+            return;
+        }
+        boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET
+                || result == Result.ERROR;
+        double gain = result == Result.UNREACHABLE || result == Result.RESET ? LOST_GAIN : FAIL_GAIN;
+        n.failures += gain * ((bad ? 1 : 0) - n.failures);
+        if (result != Result.TIMED_OUT && result != Result.UNREACHABLE && result != Result.RESET) {
+            n.quiet = now;
+            n.silent = false;
+        }
+        if (result == Result.UNREACHABLE && failing(n)) {
+            n.lost = true;
+        } else if (!bad && n.lost) {
+            // It was out of reach and is back: perhaps newly started, whatever the list says yet.
+            n.lost = false;
+            n.started = later(n.started, now);
+            n.coldCredit = 0;
+        }
+        if (result == Result.COMMITTED) {
+            double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
+            n.pace += GAIN * (ratio - n.pace);
+            type.usual = earlier(type.usual.plus(times(took.minus(type.usual), GAIN / 4)), times(type.sla, 0.5));
+        }
+        if (result == Result.COMMITTED || result == Result.TIMED_OUT) {
+            n.strain += GAIN * (Math.min(2, (double) took.toNanos() / type.sla.toNanos()) - n.strain);
+        }
+        if (result == Result.FULL || n.strain > STRAINED) {
+            if (now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
+                n.cutAt = now;
+                n.room = Math.max(ROOM_LEAST, Math.min(n.room, n.out + 1) * ROOM_CUT);
+            }
+        } else if (result == Result.COMMITTED && n.out + 1 >= n.room * 0.8) {
+            n.room += 1 / n.room;
+        }
+    }
+
+    private boolean failing(Node n) {
+        return n.failures > median + FAILING;
+    }
+
+    /** Silence is judged by how much is out: the more, the sooner an answer should have come. */
+    private boolean trusted(Node n) {
+        if (!n.silent && n.out > 0) {
+            double wait = Math.max(SILENCE_LEAST, SILENCE / n.out);
+            n.silent = now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
+        }
+        return !n.silent && !failing(n);
+    }
+
+    private Duration slowest() {
+        Duration most = Duration.ZERO;
+        for (Type t : types) {
+            most = later(most, t.usual);
+        }
+        return most;
+    }
+
+    /** Counted from its start: what it can do by then at the least, so the rule holds with room to spare. */
+    private boolean cold(Node n) {
+        return now.compareTo(n.started.plus(set.coldFor())) < 0;
+    }
+
+    // ---- the beat
+
+    public void woken() {
+        if (now.compareTo(beatAt.plus(beat)) < 0) {
+            return;
+        }
+        double seconds = now.minus(beatAt).toNanos() / 1e9;
+        beatAt = now;
+        outlet.wake(beat);
+        int warm = 0;
+        List<Double> shares = new ArrayList<>();
+        for (Node n : nodes) {
+            if (n.group != null && n.standing == Standing.READY) {
+                warm += cold(n) ? 0 : 1;
+                shares.add(n.failures);
+            }
+        }
+        shares.sort(null);
+        median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
+        sendRate += Math.min(1, seconds / 2) * (sent / seconds / Math.max(1, warm) - sendRate);
+        sent = 0;
+        for (Node n : nodes) {
+            if (cold(n)) {
+                double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
+                double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
+                n.coldCredit = Math.min(1, n.coldCredit + part * sendRate * seconds);
+            }
+        }
+        if (set.listAsked() && !following
+                && now.compareTo(askedAt.plus(times(set.askWithin(), 0.25))) > 0) {
+            askedAt = now;
+            outlet.follow();
+        }
+        lookAround();
+        groups.values().forEach(this::place);
+    }
+
+    /** A fresh router probes each node once, then those from which nothing has come for an any read's bound. */
+    private void lookAround() {
+        for (Node n : nodes) {
+            if (n.group != null && n.position.plus(anyBound).compareTo(now) < 0) {
+                probe(n, anyBound);
+            }
+        }
+    }
+
+    /** Txns wait in this group: look for a replica fresh enough, or for the primary. */
+    private void seek(Group g) {
+        for (Node n : g.members) {
+            probe(n, times(set.dial(), SEEK_GAP));
+        }
+    }
+
+    private void probe(Node n, Duration gap) {
+        if (!set.probes() || n.standing != Standing.READY || n.probing
+                || now.compareTo(n.probedAt.plus(gap)) < 0) {
+            return;
+        }
+        n.probing = true;
+        n.probedAt = now;
+        outlet.probe(n.id);
+    }
+
+    public void probed(int node, boolean answered, Report report) {
+        Node n = nodes.get(node);
+        n.probing = false;
+        if (answered) {
+            heard(node, Report.NOTHING, report);
+            place(n.group);
+        }
+    }
+
+    // ---- spans
+
+    private static Duration times(Duration span, double by) {
+        return Duration.ofNanos((long) (span.toNanos() * by));
+    }
+
+    private static Duration earlier(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
+
+    private static Duration later(Duration a, Duration b) {
+        return a.compareTo(b) >= 0 ? a : b;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/drill/Event.java
@@ -0,0 +1,145 @@
+package dillfront.drill;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The fields of the line being read; one object serves every line. */
+final class Event {
+
+    private static final Result[] RESULTS = {null, Result.COMMITTED, Result.ERROR, Result.FULL, Result.TIMED_OUT,
+        Result.UNREACHABLE, Result.RESET, Result.WITHDRAWN, Result.MOOT, Result.MISS};
+
+    int line;
+    String kind;
+    String qos;
+    String account;
+    String node;
+    int who;
+    long timeUs;
+    long corr;
+    long user;
+    long expiresInUs;
+    long durationUs;
+    long stand;
+    long seed;
+    double partitionNo;
+    double lastWriteMs;
+    int ending;
+    int buffer;
+    int scope;
+    boolean finished;
+    boolean hasUser;
+    Report report;
+    Tree setup;
+    List<Tree> rows;
+
+    /** Reads one line; false at the end of the input. */
+    boolean read(JsonParser json) throws IOException, BadInput {
+        clear();
+        JsonToken token = json.nextToken();
+        if (token == null) {
+            return false;
+        }
+        line = json.currentTokenLocation().getLineNr();
+        if (token != JsonToken.START_OBJECT) {
+            throw fault("not an object");
+        }
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String name = json.currentName();
+            json.nextToken();
+            field(name, json);
+        }
+        if (kind == null) {
+            throw fault("no kind");
+        }
+        return true;
+    }
+
+    private void clear() {
+        kind = qos = account = node = null;
+        who = buffer = scope = -1;
+        timeUs = corr = user = durationUs = stand = seed = ending = 0;
+        expiresInUs = -1;
+        corr = -1;
+        timeUs = Long.MIN_VALUE;
+        partitionNo = lastWriteMs = Double.NaN;
+        finished = hasUser = false;
+        report = Report.NOTHING;
+        setup = null;
+        rows = null;
+    }
+
+    private void field(String name, JsonParser json) throws IOException {
+        switch (name) {
+            case "kind" -> kind = json.getText();
+            case "who" -> who = json.getIntValue();
+            case "timeUs" -> timeUs = json.getLongValue();
+            case "corr" -> corr = json.getLongValue();
+            case "qos" -> qos = json.getText();
+            case "account" -> account = json.getText();
+            case "user" -> {
+                user = json.getLongValue();
+                hasUser = true;
+            }
+            case "expiresInUs" -> expiresInUs = json.getLongValue();
+            case "partitionNo" -> partitionNo = json.getDoubleValue();
+            case "lastWriteMs" -> lastWriteMs = json.getDoubleValue();
+            case "node" -> node = json.getText();
+            case "durationUs" -> durationUs = json.getLongValue();
+            case "ending" -> ending = json.getIntValue();
+            case "finished" -> finished = json.getBooleanValue();
+            case "stand" -> stand = json.getLongValue();
+            case "telemetry" -> report = telemetry(json);
+            case "buffer" -> buffer = json.getIntValue();
+            case "scope" -> scope = json.getIntValue();
+            case "seed" -> seed = json.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                    ? json.getBigIntegerValue().longValue() : json.getLongValue();
+            case "setup" -> setup = json.currentToken() == JsonToken.START_OBJECT ? Tree.read(json) : null;
+            case "rowsIn" -> {
+                if (json.currentToken() == JsonToken.START_ARRAY) {
+                    rows = new ArrayList<>();
+                    while (json.nextToken() == JsonToken.START_OBJECT) {
+                        rows.add(Tree.read(json));
+                    }
+                }
+            }
+            default -> json.skipChildren();
+        }
+    }
+
+    /** A reported position was rounded by its writer, to no more than a millisecond: the lower one counts. */
+    private static Report telemetry(JsonParser json) throws IOException {
+        if (json.currentToken() != JsonToken.START_OBJECT) {
+            json.skipChildren();
+            return Report.NOTHING;
+        }
+        Tree values = Tree.read(json);
+        double x0 = values.number("x0", Double.NaN);
+        double x1 = values.number("x1", Double.NaN);
+        return new Report(Double.isNaN(x0) ? null : Duration.ofMillis((long) Math.floor(x0 * 1000 - 1)),
+                Double.isNaN(x1) ? null : x1 == 1 ? Role.PRIMARY : Role.REPLICA,
+                values.number("concurrent", Double.NaN));
+    }
+
+    static Role role(long mark) {
+        return mark == 1 ? Role.PRIMARY : mark == 2 ? Role.REPLICA : null;
+    }
+
+    Result result() throws BadInput {
+        if (ending < 1 || ending >= RESULTS.length) {
+            throw fault("unknown ending " + ending);
+        }
+        return RESULTS[ending];
+    }
+
+    BadInput fault(String what) {
+        return new BadInput(line, (kind == null ? "" : kind + ": ") + what);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/port/Report.java
@@ -0,0 +1,15 @@
+package dillfront.port;
+
+import java.time.Duration;
+
+/**
+ * What a node told of itself: in the note of an answer, or in a load report, which is some time old.
+ *
+ * @param position up to where it has applied every commit; null where it did not say
+ * @param role null where it did not say
+ * @param held txns it holds; NaN where it did not say
+ */
+public record Report(Duration position, Role role, double held) {
+
+    public static final Report NOTHING = new Report(null, null, Double.NaN);
+}
--- /dev/null
+++ b/src/main/java/dillfront/port/Result.java
@@ -0,0 +1,18 @@
+package dillfront.port;
+
+/** How a submission ended. */
+public enum Result {
+    COMMITTED(true), ERROR(true), FULL(false), TIMED_OUT(true), UNREACHABLE(false), RESET(true),
+    WITHDRAWN(true), MOOT(false), MISS(false);
+
+    private final boolean mayHaveRun;
+
+    Result(boolean mayHaveRun) {
+        this.mayHaveRun = mayHaveRun;
+    }
+
+    /** False where the ending proves that the txn never ran there. */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/port/Role.java
@@ -0,0 +1,4 @@
+package dillfront.port;
+
+/** What a node said it was. */
+public enum Role { PRIMARY, REPLICA }
--- /dev/null
+++ b/src/test/java/dillfront/Scene.java
@@ -0,0 +1,191 @@
+package dillfront;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import dillfront.port.Effect;
+import dillfront.port.Handle;
+import dillfront.port.ListRole;
+import dillfront.port.NodeRow;
+import dillfront.port.Outlet;
+import dillfront.port.Read;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import dillfront.port.Settings;
+import dillfront.port.Standing;
+import dillfront.port.TxnType;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGeneratorFactory;
+
+/** One router and a clock; what the module does is written down, a line a decision, and compared. */
+final class Scene implements Outlet {
+
+    static final int VIEW = 0;
+    static final int OWN = 1;
+    static final int ANY = 2;
+    static final int FRESH = 3;
+    static final int MOVE = 4;
+    static final int ONCE = 5;
+    private static final String[] NAMES = {"view", "own", "any", "fresh", "move", "once"};
+
+    final StringBuilder trace = new StringBuilder();
+    final List<Handle> txns = new ArrayList<>();
+    private final List<String> names = new ArrayList<>();
+    private boolean showProbes;
+    private long wakeAt = -1;
+    final Decide decide;
+    long ms;
+    private final Map<Integer, Integer> at = new TreeMap<>();
+
+    Scene(boolean probes) {
+        List<TxnType> types = List.of(
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), 3, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), 2, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.ANY, ms(0), ms(300), 2, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), 2, 0),
+                new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3),
+                new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3));
+        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, probes, false, true, false, ms(10000),
+                ListRole.AS_AT_START, false, false, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
+                List.of()), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+        decide.at(ms(0));
+    }
+
+    static Duration ms(long n) {
+        return Duration.ofMillis(n);
+    }
+
+    /** Three members of one group, all in this zone; node 0 is listed as the primary. */
+    Scene three() {
+        decide.list(true, List.of(row(0, true, null, Standing.READY), row(1, false, null, Standing.READY),
+                row(2, false, null, Standing.READY)));
+        return this;
+    }
+
+    static NodeRow row(int node, boolean primary, Duration started, Standing standing) {
+        return new NodeRow(node, 7, 0, 1, primary, started, standing);
+    }
+
+    void change(NodeRow... rows) {
+        decide.list(false, List.of(rows));
+    }
+
+    /** Moves the clock on, with every wake on the way. */
+    void to(long then) {
+        while (wakeAt >= 0 && wakeAt <= then) {
+            ms = wakeAt;
+            wakeAt = -1;
+            decide.at(ms(ms));
+            decide.woken();
+        }
+        ms = then;
+        decide.at(ms(ms));
+    }
+
+    Scene showProbes() {
+        showProbes = true;
+        return this;
+    }
+
+    /** Ends the txn well after the time it took at its node, whatever that is. */
+    void well(int txn, long took) {
+        ended(txn, Result.COMMITTED, took, at.get(txn) == 0 ? Role.PRIMARY : Role.REPLICA, ms);
+    }
+
+    void note(String what) {
+        trace.append("# ").append(what).append('\n');
+    }
+
+    /** What a node says of itself by a probe's report. */
+    void report(int node, long position, Role role) {
+        decide.probed(node, true, new Report(ms(position), role, Double.NaN));
+    }
+
+    int take(int type) {
+        return take(type, 2000, null);
+    }
+
+    int take(int type, long expiry, Duration token) {
+        int id = txns.size();
+        names.add(NAMES[type] + id);
+        txns.add(null);
+        txns.set(id, decide.take(id, type, -1, type == OWN || type == MOVE ? 3 : -1, 7, ms(expiry), token));
+        return id;
+    }
+
+    void ended(int txn, Result result, long took, Role role, long position) {
+        int node = at.get(txn);
+        boolean closed = result == Result.COMMITTED;
+        trace.append(String.format("%5d   %s at node %d: %s\n", ms, names.get(txn), node, result));
+        txns.get(txn).ended(node, result, ms(took), closed,
+                new Report(role == null ? null : ms(position), role, Double.NaN), Report.NOTHING);
+    }
+
+    /** What was seen is also left in target/traces, to be read and kept where a change was meant. */
+    void compare(String name) throws IOException {
+        Path seen = Path.of("target", "traces", name + ".txt");
+        Files.createDirectories(seen.getParent());
+        Files.writeString(seen, trace);
+        try (InputStream kept = Scene.class.getResourceAsStream("/traces/" + name + ".txt")) {
+            assertNotNull(kept, () -> "no trace kept for " + name);
+            assertEquals(new String(kept.readAllBytes(), StandardCharsets.UTF_8), trace.toString());
+        }
+    }
+
+    private void say(String what, Object... args) {
+        trace.append(String.format("%5d ", ms)).append(String.format(what, args)).append('\n');
+    }
+
+    @Override
+    public void submit(int txn, int node, Duration limit) {
+        at.put(txn, node);
+        say("%s -> node %d, limit %d", names.get(txn), node, limit.toMillis());
+    }
+
+    @Override
+    public void decline(int txn, Duration pause) {
+        say("%s declined, back in %d", names.get(txn), pause.toMillis());
+    }
+
+    @Override
+    public void rollBack(int txn) {
+        say("%s rolled back", names.get(txn));
+    }
+
+    @Override
+    public void cancel(int txn, int submission) {
+        say("%s withdraws submission %d", names.get(txn), submission);
+    }
+
+    @Override
+    public void probe(int node) {
+        if (showProbes) {
+            say("probe node %d", node);
+        }
+    }
+
+    @Override
+    public void follow() {
+        say("asks for the list");
+    }
+
+    @Override
+    public void wake(Duration in) {
+        wakeAt = ms + in.toMillis();
+    }
+
+    @Override
+    public void log(String line) {
+        say("log: %s", line);
+    }
+}
