Room at a node may fall below one and follows slow answers sooner

Room now starts as a share of one fleet-wide figure, may fall to a pace of one in several usual times, and a time-out narrows it only where answers are slow too, so lost answers do not.

Could harm where one slow statement type alone fills its SLA time.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -61,12 +61,13 @@
     private static final double FAILING = 0.5;
     private static final double FAIL_GAIN = 0.2;
     private static final double LOST_GAIN = 0.4;
-    private static final double GAIN = 0.1;
+    private static final double GAIN = 0.2;
     /** Answers slower than this part of the SLA time shrink the room at a node, faster ones widen it. */
     private static final double STRAINED = 0.6;
-    private static final double ROOM_START = 16;
-    private static final double ROOM_LEAST = 2;
-    private static final double ROOM_CUT = 0.9;
+    /** Room for submissions at a node, over all routers; below one it is a pace: one in so many usual times. */
+    private static final double ROOM_START = 24;
+    private static final double ROOM_LEAST = 0.1;
+    private static final double ROOM_CUT = 0.85;
 
     /** One row a txn type. */
     private static final class Type {
@@ -121,15 +122,17 @@
         double failures;
         double strain;
         double pace = 1;
-        double room = ROOM_START;
+        double room;
+        Duration sentAt = NEVER;
         Duration cutAt = NEVER;
         Duration triedAt = NEVER;
         Duration probedAt = NEVER;
         boolean probing;
         double coldCredit;
 
-        Node(int id) {
+        Node(int id, double room) {
             this.id = id;
+            this.room = room;
         }
     }
 
@@ -196,7 +199,7 @@
         following = true;
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
-                nodes.add(new Node(nodes.size()));
+                nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers())));
             }
             Node n = nodes.get(row.node());
             n.standing = row.standing();
@@ -413,6 +416,7 @@
         if (n.out++ == 0) {
             n.quiet = now;
         }
+        n.sentAt = now;
         n.coldCredit -= 1;
         sent++;
         outlet.submit(t.id, n.id, limit);
@@ -499,7 +503,8 @@
         if (!trusted(n)) {
             return n.out == 0 && now.compareTo(n.triedAt.plus(times(set.dial(), TRIAL_GAP))) >= 0;
         }
-        return n.out < room;
+        return n.out < room && (room >= 1
+                || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, ROOM_LEAST)))) >= 0);
     }
 
     // ---- who is the primary
@@ -585,9 +590,10 @@
         if (result == Result.COMMITTED) {
             double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
             n.pace += GAIN * (ratio - n.pace);
-            type.usual = earlier(type.usual.plus(times(took.minus(type.usual), GAIN / 4)), times(type.sla, 0.5));
+            type.usual = earlier(type.usual.plus(times(took.minus(type.usual), GAIN / 10)), times(type.sla, 0.5));
         }
-        if (result == Result.COMMITTED || result == Result.TIMED_OUT) {
+        // A time-out at a node that is slow anyway tells of work waiting there; else it tells of a loss.
+        if (result == Result.COMMITTED || result == Result.TIMED_OUT && n.strain > STRAINED / 2) {
             n.strain += GAIN * (Math.min(2, (double) took.toNanos() / type.sla.toNanos()) - n.strain);
         }
         if (result == Result.FULL || n.strain > STRAINED) {
@@ -596,7 +602,7 @@
                 n.room = Math.max(ROOM_LEAST, Math.min(n.room, n.out + 1) * ROOM_CUT);
             }
         } else if (result == Result.COMMITTED && n.out + 1 >= n.room * 0.8) {
-            n.room += 1 / n.room;
+            n.room += Math.min(n.room, 1 / n.room) * GAIN;
         }
     }
 
