Where nodes refuse stale reads, a replica that keeps up is tried until it refuses

Now a replica known within an any read's bound is tried for any read until it refuses one, and its answers prove a position. Acts only where the settings say that nodes refuse; costs a miss where a replica has just begun to lag.

Other deployments' nodes answer regardless and are not touched.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -126,6 +126,7 @@
         Duration sentAt = NEVER;
         Duration cutAt = NEVER;
         Duration triedAt = NEVER;
+        Duration refusedAt = NEVER;
         Duration probedAt = NEVER;
         boolean probing;
         double coldCredit;
@@ -305,6 +306,9 @@
                 }
             }
             heard(node, seen, report);
+            if (set.nodesRefuse() && type.routed()) {
+                guarded(n, result);
+            }
             if (result.mayHaveRun() && ranAt == null) {
                 ranAt = sentAt;
             }
@@ -316,6 +320,17 @@
             place(n.group);
         }
 
+        /** A node that refuses what it is too far behind for tells by its answer how far it has come. */
+        private void guarded(Node n, Result result) {
+            if (result == Result.COMMITTED) {
+                Duration shown = type.read == Read.BOUNDED ? sentAt.minus(type.bound)
+                        : type.read == Read.SESSION ? need : NEVER;
+                n.position = later(n.position, shown);
+            } else if (result == Result.MISS) {
+                n.refusedAt = now;
+            }
+        }
+
         @Override
         public void left() {
             closed = true;
@@ -464,7 +479,7 @@
             if (n == pri || !open(n, n.room)) {
                 continue;
             }
-            if (n.position.compareTo(need) >= 0 && (best == null || busy(n) < busy(best))) {
+            if ((n.position.compareTo(need) >= 0 || keepsUp(n)) && (best == null || busy(n) < busy(best))) {
                 best = n;
             }
             if (freshest == null || n.position.compareTo(freshest.position) > 0) {
@@ -488,6 +503,17 @@
         return best != null ? best : t.type.read == Read.ANY ? freshest : null;
     }
 
+    /**
+     * Where nodes refuse reads that they are too far behind for, untouched, a replica known to an any read's
+     * bound may be tried for any read, until it refuses one: then only what is known counts, until it has come
+     * past that moment. Guards against positions that are dear or late to learn; it costs a miss where a replica
+     * has just begun to lag, and could harm where many begin at once.
+     */
+    private boolean keepsUp(Node n) {
+        return set.nodesRefuse() && n.position.plus(anyBound).compareTo(now) >= 0
+                && n.position.compareTo(n.refusedAt) > 0;
+    }
+
     private double busy(Node n) {
         return (n.out + 1) / n.size * n.pace * (n.far ? FAR : 1);
     }
