Probes are paid from a credit that txns fill, by their price

Each txn now pays for at most a hundredth of service in probes, up to one; the primary's own answers count as hearing of it.

Could harm a router with hardly any txns, which learns of positions late; its held txns still get the nodes' answers.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -43,6 +43,8 @@
     private static final int BEAT = 4;
     private static final double TRIAL_GAP = 4;
     private static final double SEEK_GAP = 0.25;
+    /** What probing may cost of the service, as the settings price it: so many probes a txn at the most. */
+    private static final double PROBE_COST = 0.01;
     /** An any read asks for this many times the bound of bounded reads: 1 s where that is 200 ms. */
     private static final double ANY_BOUND = 5;
     /** Of the reads that could be routed, the share that may go to a calm primary. */
@@ -163,6 +165,8 @@
     private Duration now = Duration.ZERO;
     private Duration beatAt = NEVER;
     private boolean awake;
+    /** Probes that may be sent: filled by txns, at most one for each node. */
+    private double probeCredit;
     private int sent;
     private double sendRate;
     private double median;
@@ -200,6 +204,7 @@
         following = true;
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
+                probeCredit++;
                 nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers())));
             }
             Node n = nodes.get(row.node());
@@ -253,6 +258,7 @@
                 t.need = now.minus(token).plusMillis(1);
             }
         }
+        probeCredit = Math.min(nodes.size(), probeCredit + PROBE_COST / Math.max(PROBE_COST, set.probePrice()));
         if (t.type.routed()) {
             t.group.spill = Math.min(SPILL_BURST, t.group.spill + SPILL);
         }
@@ -698,7 +704,7 @@
     /** A fresh router probes each node once, then those from which nothing has come for an any read's bound. */
     private void lookAround() {
         for (Node n : nodes) {
-            if (n.group != null && n.position.plus(anyBound).compareTo(now) < 0) {
+            if (n.group != null && later(n.position, n.claimed).plus(anyBound).compareTo(now) < 0) {
                 probe(n, anyBound);
             }
         }
@@ -712,10 +718,11 @@
     }
 
     private void probe(Node n, Duration gap) {
-        if (!set.probes() || n.standing != Standing.READY || n.probing
+        if (!set.probes() || n.standing != Standing.READY || n.probing || probeCredit < 1
                 || now.compareTo(n.probedAt.plus(gap)) < 0) {
             return;
         }
+        probeCredit--;
         n.probing = true;
         n.probedAt = now;
         outlet.probe(n.id);
