A failing node is held against a median that is capped

The median counts up to half the margin now.

Could harm where all nodes fail three quarters of their txns and still are the best there is.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -638,8 +638,9 @@
         }
     }
 
+    /** Against the median, but where most of the fleet fails the median excuses nobody. */
     private boolean failing(Node n) {
-        return n.failures > median + FAILING;
+        return n.failures > Math.min(median, FAILING / 2) + FAILING;
     }
 
     /** Silence is judged by how much is out: the more, the sooner an answer should have come. */
