--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -55,7 +55,7 @@
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
-    private static final double PATIENCE = 5;
+    private static final double PATIENCE = 8;
     /** A node with n submissions out is silent after the larger of these, in usual times. */
     private static final double SILENCE = 6;
     private static final double SILENCE_LEAST = 1.5;
