--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -19,7 +19,7 @@
 /** Each test plays a short scene; its decisions are kept, to be read, in src/test/resources/traces. */
 class DecideTest {
 
-    private final Scene s = new Scene(true).three();
+    private final Scene s = new Scene(false).three();
 
     private void known(long position) {
         s.report(0, position, PRIMARY);
@@ -146,12 +146,86 @@
         s.to(10);
         known(5);
         s.change(row(1, false, ms(10), Standing.READY));
-        for (int i = 0; i < 40; i++) {
-            s.to(50 + i * 80);
-            s.report(1, s.ms, REPLICA);
-            s.report(2, s.ms, REPLICA);
-            s.well(s.take(VIEW), 75);
+        for (int quarter = 0; quarter < 4; quarter++) {
+            int[] went = new int[3];
+            s.mute(() -> {
+                for (int i = 0; i < 100; i++) {
+                    s.to(s.ms + 40);
+                    known(s.ms);
+                    int txn = s.take(VIEW);
+                    went[s.whereIs(txn)]++;
+                    s.well(txn, 80);
+                }
+            });
+            s.note(went[1] + " of 100 to the cold node 1, " + went[2] + " to node 2, " + went[0] + " to the primary");
         }
         s.compare("cold-node");
     }
+
+    @Test
+    void aSlowNodeGetsLessRoom() throws IOException {
+        s.to(10);
+        known(5);
+        s.mute(() -> {
+            for (int i = 0; i < 40; i++) {
+                s.to(s.ms + 100);
+                known(s.ms);
+                s.well(s.take(FRESH), 700);
+            }
+        });
+        s.note("answers took 700 of an SLA time of 400: how many are let out now, before and after a second");
+        for (int i = 0; i < 4; i++) {
+            s.take(FRESH, 1500, null);
+        }
+        s.to(s.ms + 1000);
+        s.compare("slow-node");
+    }
+
+    @Test
+    void refusingNodesAreTriedUntilTheyRefuse() throws IOException {
+        Scene r = new Scene(true).three();
+        r.to(10);
+        r.report(0, 5, PRIMARY);
+        r.report(1, 5, REPLICA);
+        r.to(600);
+        r.note("node 1 is known to 5 only, and it is 600: it may be tried, as it turns away what it cannot answer");
+        int view = r.take(VIEW);
+        r.to(605);
+        r.ended(view, Result.MISS, 5, REPLICA, 0);
+        r.note("it has refused one: no more until it is known past that");
+        r.take(OWN, 2000, ms(100));
+        r.report(1, 606, REPLICA);
+        r.to(900);
+        r.take(VIEW);
+        r.compare("refusing-nodes");
+    }
+
+    @Test
+    void probesArePaidFor() throws IOException {
+        Scene r = new Scene(false).showProbes().three();
+        r.note("a fresh router probes each once, then only as its txns pay for");
+        r.to(3000);
+        r.take(ANY);
+        r.to(3020);
+        r.compare("probes");
+    }
+
+    @Test
+    void whereMostNodesFailTheyAreStillLeftAlone() throws IOException {
+        s.to(10);
+        known(5);
+        s.mute(() -> {
+            for (int i = 0; i < 12; i++) {
+                s.to(s.ms + 50);
+                known(s.ms);
+                s.ended(s.take(ANY), Result.UNREACHABLE, 1, null, 0);
+            }
+        });
+        s.note("all three are out of reach: one trial each a second, the rest is held and declined");
+        for (int i = 0; i < 6; i++) {
+            s.take(ANY);
+        }
+        s.to(s.ms + 400);
+        s.compare("most-nodes-fail");
+    }
 }
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -47,7 +47,8 @@
     long ms;
     private final Map<Integer, Integer> at = new TreeMap<>();
 
-    Scene(boolean probes) {
+    /** @param nodesRefuse nodes turn away reads that they are too far behind for */
+    Scene(boolean nodesRefuse) {
         List<TxnType> types = List.of(
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), 3, 0),
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), 2, 0),
@@ -55,8 +56,8 @@
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), 2, 0),
                 new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3),
                 new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3));
-        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, probes, false, true, false, ms(10000),
-                ListRole.AS_AT_START, false, false, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
+        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, false, true, false, ms(10000),
+                ListRole.AS_AT_START, nodesRefuse, false, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
                 List.of()), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
         decide.at(ms(0));
     }
@@ -99,7 +100,12 @@
 
     /** Ends the txn well after the time it took at its node, whatever that is. */
     void well(int txn, long took) {
-        ended(txn, Result.COMMITTED, took, at.get(txn) == 0 ? Role.PRIMARY : Role.REPLICA, ms);
+        ended(txn, Result.COMMITTED, took, at.getOrDefault(txn, 0) == 0 ? Role.PRIMARY : Role.REPLICA, ms);
+    }
+
+    /** Where the txn is out to; -1 where nowhere. */
+    int whereIs(int txn) {
+        return at.getOrDefault(txn, -1);
     }
 
     void note(String what) {
@@ -111,6 +117,13 @@
         decide.probed(node, true, new Report(ms(position), role, Double.NaN));
     }
 
+    /** A few lines that say nothing new are left out of the trace. */
+    void mute(Runnable scene) {
+        int length = trace.length();
+        scene.run();
+        trace.setLength(length);
+    }
+
     int take(int type) {
         return take(type, 2000, null);
     }
@@ -123,8 +136,12 @@
         return id;
     }
 
+    /** Nothing happens where the txn is not out. */
     void ended(int txn, Result result, long took, Role role, long position) {
-        int node = at.get(txn);
+        if (!at.containsKey(txn)) {
+            return;
+        }
+        int node = at.remove(txn);
         boolean closed = result == Result.COMMITTED;
         trace.append(String.format("%5d   %s at node %d: %s\n", ms, names.get(txn), node, result));
         txns.get(txn).ended(node, result, ms(took), closed,
