What earns next to nothing takes only plenty of room, and is never held

Such a txn is spare now: it is sent only where a node has half its room free, and else declined at once with the longest come-back time. A repeat is told by a try of another length than the first; a tenant may send the larger of its quota's part and its share of what this router sees. Should also guard against any retry storm and hot customer; could harm a tenant whose clients all come to one router.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -54,6 +54,10 @@
     private static final double CALM = 1.5;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
+    /** A try is a repeat where it is this far off the first try's length, as a part of all the client's time. */
+    private static final double OFF = 0.04;
+    /** The part of a node's room that is open to what earns next to nothing. */
+    private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
     private static final double PATIENCE = 8;
     /** A node with n submissions out is silent after the larger of these, in usual times. */
@@ -81,6 +85,9 @@
         final Duration sla;
         final double value;
         final boolean lateEarns;
+        final Duration longest;
+        /** How long a client's first try is given, by the running median of all tries. */
+        Duration firstTry;
         Duration usual;
 
         Type(TxnType t, Duration anyBound) {
@@ -92,9 +99,16 @@
             sla = t.sla();
             value = t.value();
             lateEarns = t.lateShare() > 0;
+            longest = t.longest();
             usual = times(sla, 0.25);
         }
 
+        boolean repeated(Duration patience) {
+            Duration off = patience.minus(firstTry == null ? patience : firstTry);
+            firstTry = patience.minus(off).plus(times(longest, Math.signum(off.toNanos()) * OFF / 8));
+            return off.abs().compareTo(times(longest, OFF)) > 0;
+        }
+
         boolean routed() {
             return read == Read.ANY || read == Read.BOUNDED || read == Read.SESSION;
         }
@@ -139,6 +153,16 @@
         }
     }
 
+    /** One row a tenant of the settings. */
+    private static final class Tenant {
+        final double quota;
+        double allowance;
+
+        Tenant(double quota) {
+            this.quota = quota;
+        }
+    }
+
     private static final class Group {
         /** Those in the list now, sorted. */
         final List<Node> members = new ArrayList<>();
@@ -156,6 +180,8 @@
     private final Outlet outlet;
     private final RandomGenerator chance;
     private final Type[] types;
+    private final List<Tenant> tenants;
+    private final double allQuotas;
     private final List<Node> nodes = new ArrayList<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     /** The last commit of each session index; of fixed size. */
@@ -167,6 +193,8 @@
     private boolean awake;
     /** Probes that may be sent: filled by txns, at most one for each node. */
     private double probeCredit;
+    private int taken;
+    private double takeRate;
     private int sent;
     private double sendRate;
     private double median;
@@ -182,6 +210,8 @@
                 .min(Duration::compareTo).orElse(times(set.dial(), 1));
         anyBound = times(bound, ANY_BOUND);
         types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
+        tenants = set.quotas().stream().map(Tenant::new).toList();
+        allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
         Arrays.fill(written, NEVER);
     }
 
@@ -248,8 +278,12 @@
      * @param token how long ago its session last wrote; null where txns carry none, zero where it wrote nothing
      */
     public Handle take(int id, int type, int tenant, int session, int group, Duration expiry, Duration token) {
-        Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session,
-                now.plus(expiry));
+        Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry);
+        taken++;
+        if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
+            tenants.get(tenant).allowance++;
+            t.spare = true;
+        }
         if (t.type.read == Read.SESSION) {
             if (token == null) {
                 t.need = session < 0 ? NEVER : written[session];
@@ -279,19 +313,24 @@
         int submissions;
         boolean closed;
         boolean fellBack;
+        /** Earns next to nothing: past its SLA time already, or beyond its tenant's share. */
+        boolean spare;
         Duration ranAt;
         Duration sentAt;
         boolean searches;
 
-        Txn(int id, Type type, Group group, int session, Duration expiry) {
+        Txn(int id, Type type, Group group, int session, Duration patience) {
             this.id = id;
             this.type = type;
             this.group = group;
             this.session = session;
-            this.expiry = expiry;
+            expiry = now.plus(patience);
+            // A try of another length than the first has all that is left to the client: that tells its age.
+            Duration age = type.repeated(patience) ? type.longest.minus(patience) : Duration.ZERO;
+            Duration useful = now.plus(type.sla).minus(age);
             Duration last = expiry.minus(beat.multipliedBy(2));
-            Duration useful = now.plus(type.sla);
             giveUp = (type.lateEarns ? last : earlier(last, useful)).minus(type.usual);
+            spare = giveUp.compareTo(now) <= 0;
         }
 
         @Override
@@ -372,7 +411,16 @@
                 && now.plus(set.step()).compareTo(t.ranAt.plus(t.type.window)) < 0;
     }
 
+    /** What is spare takes room only where there is plenty, and is never held. */
+    private double room(Node n, Txn t) {
+        return t.spare ? n.room * SPARE_ROOM : n.room;
+    }
+
     private void hold(Txn t) {
+        if (t.spare && resendable(t)) {
+            finish(t, set.maxPause());
+            return;
+        }
         if (!resendable(t) || now.compareTo(t.giveUp) >= 0) {
             finish(t, times(t.type.sla, 1));
             return;
@@ -446,7 +494,7 @@
 
     private Node primaryFor(Txn t) {
         Node pri = primary(t.group);
-        if (pri != null && open(pri, 2 * pri.room)) {
+        if (pri != null && open(pri, 2 * room(pri, t))) {
             return pri;
         }
         return t.type.read == Read.WRITE && (pri == null || !trusted(pri)) ? search(t) : null;
@@ -482,7 +530,7 @@
         Node freshest = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
-            if (n == pri || !open(n, n.room)) {
+            if (n == pri || !open(n, room(n, t))) {
                 continue;
             }
             if ((n.position.compareTo(need) >= 0 || keepsUp(n)) && (best == null || busy(n) < busy(best))) {
@@ -492,7 +540,7 @@
                 freshest = n;
             }
         }
-        boolean spills = pri != null && pri.claimed.compareTo(LISTED) > 0 && open(pri, pri.room) && trusted(pri)
+        boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0 && open(pri, pri.room) && trusted(pri)
                 && pri.pace < CALM && !cold(pri);
         if (best != null && !t.fellBack) {
             if (spills && g.spill >= 1 && busy(pri) < busy(best)) {
@@ -686,6 +734,12 @@
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
         sendRate += Math.min(1, seconds / 2) * (sent / seconds / Math.max(1, warm) - sendRate);
         sent = 0;
+        takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
+        taken = 0;
+        for (Tenant tenant : tenants) {
+            double entitled = Math.max(tenant.quota / set.routers(), takeRate * tenant.quota / allQuotas);
+            tenant.allowance = Math.min(Math.max(1, entitled), tenant.allowance + entitled * seconds);
+        }
         for (Node n : nodes) {
             if (cold(n)) {
                 double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
--- a/src/main/java/dillfront/drill/Instance.java
+++ b/src/main/java/dillfront/drill/Instance.java
@@ -88,7 +88,7 @@
                     read(family.list("classRead"), i),
                     i < family.list("classBoundUs").size()
                             ? micros(family.list("classBoundUs").get(i)) : Duration.ZERO,
-                    type.span("targetUs"), type.number("worth", 1), type.number("lateShare", 0)));
+                    type.span("targetUs"), type.span("deadlineUs"), type.number("worth", 1), type.number("lateShare", 0)));
         }
         return new Settings(setup.span("stepUs"), zones.getOrDefault(setup.text("az"), -1),
                 bounds.span("dialTimeoutUs"),
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -50,12 +50,12 @@
     /** @param nodesRefuse nodes turn away reads that they are too far behind for */
     Scene(boolean nodesRefuse) {
         List<TxnType> types = List.of(
-                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), 3, 0),
-                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), 2, 0),
-                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.ANY, ms(0), ms(300), 2, 0),
-                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), 2, 0),
-                new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3),
-                new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), 6, 0.3));
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), ms(2000), 3, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), ms(2000), 2, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.ANY, ms(0), ms(300), ms(2000), 2, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), ms(2000), 2, 0),
+                new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3),
+                new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3));
         decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, false, true, false, ms(10000),
                 ListRole.AS_AT_START, nodesRefuse, false, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
                 List.of()), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
