--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -69,7 +69,7 @@
     private static final double LOST_GAIN = 0.4;
     private static final double GAIN = 0.2;
     /** Answers slower than this part of the SLA time shrink the room at a node, faster ones widen it. */
-    private static final double STRAINED = 0.6;
+    private static final double STRAINED = 0.45;
     /** Room for submissions at a node, over all routers; below one it is a pace: one in so many usual times. */
     private static final double ROOM_START = 24;
     private static final double ROOM_LEAST = 0.1;
