A node out of reach answers a probe before it gets a txn; trials at growing gaps

Told from a hang by failed connects. Should also guard against a node that accepts no connections; could harm where probes are refused longer than txns.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -42,6 +42,7 @@
     // Ratios. Beats are in steps of the clock; gaps in dial time-outs, the site's own idea of a long wait.
     private static final int BEAT = 4;
     private static final double TRIAL_GAP = 4;
+    private static final int TRIALS = 4;
     private static final double SEEK_GAP = 0.25;
     /** What probing may cost of the service, as the settings price it: so many probes a txn at the most. */
     private static final double PROBE_COST = 0.01;
@@ -142,6 +143,7 @@
         Duration sentAt = NEVER;
         Duration cutAt = NEVER;
         Duration triedAt = NEVER;
+        int trials = 1;
         Duration refusedAt = NEVER;
         Duration probedAt = NEVER;
         boolean probing;
@@ -479,7 +481,10 @@
                 : earlier(left, times(t.type.usual, PATIENCE));
         t.submissions++;
         t.sentAt = now;
-        if (!trusted(n)) {
+        if (trusted(n)) {
+            n.trials = 1;
+        } else {
+            n.trials++;
             n.triedAt = now;
         }
         if (n.out++ == 0) {
@@ -572,16 +577,24 @@
         return (n.out + 1) / n.size * n.pace * (n.far ? FAR : 1);
     }
 
-    /** Whether a node may be sent one more txn now. */
+    private boolean listed(Node n) {
+        return n.standing == Standing.READY || n.standing == Standing.GONE && set.goneStaysOpen();
+    }
+
+    /**
+     * Whether a node may be sent one more txn now. One out of reach must first answer a probe, which costs no txn
+     * its time; one that is reached but answers nothing gets a txn to try, at growing gaps.
+     */
     private boolean open(Node n, double room) {
-        if (n.standing == Standing.DRAINING || n.standing == Standing.GONE && !set.goneStaysOpen()) {
+        if (!listed(n)) {
             return false;
         }
         if (cold(n) && n.coldCredit < 1) {
             return false;
         }
         if (!trusted(n)) {
-            return n.out == 0 && now.compareTo(n.triedAt.plus(times(set.dial(), TRIAL_GAP))) >= 0;
+            return n.out == 0 && !(n.lost && set.probes())
+                    && now.compareTo(n.triedAt.plus(times(set.dial(), TRIAL_GAP * Math.min(n.trials, TRIALS)))) >= 0;
         }
         return n.out < room && (room >= 1
                 || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, ROOM_LEAST)))) >= 0);
@@ -662,10 +675,7 @@
         if (result == Result.UNREACHABLE && failing(n)) {
             n.lost = true;
         } else if (!bad && n.lost) {
-            // It was out of reach and is back: perhaps newly started, whatever the list says yet.
-            n.lost = false;
-            n.started = later(n.started, now);
-            n.coldCredit = 0;
+            back(n);
         }
         if (result == Result.COMMITTED) {
             double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
@@ -686,6 +696,15 @@
         }
     }
 
+    /** It was out of reach and is back: perhaps newly started, whatever the list says yet. */
+    private void back(Node n) {
+        n.lost = false;
+        n.triedAt = NEVER;
+        n.trials = 1;
+        n.started = later(n.started, now);
+        n.coldCredit = 0;
+    }
+
     /** Against the median, but where most of the fleet fails the median excuses nobody. */
     private boolean failing(Node n) {
         return n.failures > Math.min(median, FAILING / 2) + FAILING;
@@ -773,7 +792,7 @@
     }
 
     private void probe(Node n, Duration gap) {
-        if (!set.probes() || n.standing != Standing.READY || n.probing || probeCredit < 1
+        if (!set.probes() || !listed(n) || n.probing || probeCredit < 1
                 || now.compareTo(n.probedAt.plus(gap)) < 0) {
             return;
         }
@@ -787,6 +806,9 @@
         Node n = nodes.get(node);
         n.probing = false;
         if (answered) {
+            if (n.lost) {
+                back(n);
+            }
             heard(node, Report.NOTHING, report);
             place(n.group);
         }
