Cold nodes are ramped by the rate before the trouble, up to 0.6 of what tips them

The rate now rises in 2 s and falls over the warm-up, and the share is 0.6 of the stated multiple. Should also guard against a slow return after a lost zone; could harm where a burst just before left the rate too high.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -57,6 +57,8 @@
     private static final double FAR = 1.5;
     /** A try is a repeat where it is this far off the first try's length, as a part of all the client's time. */
     private static final double OFF = 0.04;
+    /** Of the load that would push a cold node over, the share that is sent there: warm nodes are seldom full. */
+    private static final double COLD_SHARE = 0.6;
     /** The part of a node's room that is open to what earns next to nothing. */
     private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
@@ -751,7 +753,9 @@
         }
         shares.sort(null);
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
-        sendRate += Math.min(1, seconds / 2) * (sent / seconds / Math.max(1, warm) - sendRate);
+        double rate = sent / seconds / Math.max(1, warm);
+        double span = rate > sendRate ? 2 : set.coldFor().toNanos() / 1e9 + 2;
+        sendRate += Math.min(1, seconds / span) * (rate - sendRate);
         sent = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
@@ -763,7 +767,7 @@
             if (cold(n)) {
                 double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
                 double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                n.coldCredit = Math.min(1, n.coldCredit + part * sendRate * seconds);
+                n.coldCredit = Math.min(1, n.coldCredit + part * sendRate * COLD_SHARE * set.tipMultiple() * seconds);
             }
         }
         if (set.listAsked() && !following
