Asked lists are followed, drained stays closed where only draining binds

Found on reading the settings that these deployments do not use: a router whose list comes only when asked never asked, as its first cached list counted as a subscription; a node that drained and then went was open again where gone binds nobody; a trailing list could not replace its own earlier word on the primary.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -55,10 +55,10 @@
     private static final double CALM = 1.5;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
-    /** A try is a repeat where it is this far off the first try's length, as a part of all the client's time. */
+    /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
-    /** Of the load that would push a cold node over, the share that is sent there: warm nodes are seldom full. */
-    private static final double COLD_SHARE = 0.6;
+    /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
+    private static final double COLD_SHARE = 0.5;
     /** The part of a node's room that is open to what earns next to nothing. */
     private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
@@ -73,7 +73,7 @@
     private static final double GAIN = 0.2;
     /** Answers slower than this part of the SLA time shrink the room at a node, faster ones widen it. */
     private static final double STRAINED = 0.45;
-    /** Room for submissions at a node, over all routers; below one it is a pace: one in so many usual times. */
+    /** Room for submissions at a node, over all routers; below one it is one in so many usual times. */
     private static final double ROOM_START = 24;
     private static final double ROOM_LEAST = 0.1;
     private static final double ROOM_CUT = 0.85;
@@ -162,8 +162,9 @@
         final double quota;
         double allowance;
 
-        Tenant(double quota) {
+        Tenant(double quota, double allowance) {
             this.quota = quota;
+            this.allowance = allowance;
         }
     }
 
@@ -214,7 +215,7 @@
                 .min(Duration::compareTo).orElse(times(set.dial(), 1));
         anyBound = times(bound, ANY_BOUND);
         types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
-        tenants = set.quotas().stream().map(Tenant::new).toList();
+        tenants = set.quotas().stream().map(q -> new Tenant(q, Math.max(1, q / set.routers()))).toList();
         allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
         Arrays.fill(written, NEVER);
     }
@@ -235,14 +236,22 @@
             nodes.forEach(n -> n.standing = n.standing == Standing.DRAINING ? n.standing : Standing.GONE);
             groups.values().forEach(g -> g.members.clear());
         }
-        following = true;
+        following = askedAt.compareTo(NEVER) > 0;
+        for (NodeRow row : rows) {
+            if (!row.primary() && row.node() < nodes.size() && nodes.get(row.node()).claimed.equals(LISTED)) {
+                nodes.get(row.node()).claimed = NEVER;
+            }
+        }
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
                 probeCredit++;
                 nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers())));
             }
             Node n = nodes.get(row.node());
-            n.standing = row.standing();
+            // Where only draining binds, it binds until the node is listed as ready again.
+            if (!set.goneStaysOpen() || n.standing != Standing.DRAINING || row.standing() != Standing.GONE) {
+                n.standing = row.standing();
+            }
             n.far = row.zone() != set.zone();
             n.size = row.size() > 0 ? row.size() : 1;
             if (row.started() != null && row.started().compareTo(n.started) > 0) {
@@ -279,9 +288,10 @@
      *
      * @param session its index below SESSIONS, or negative
      * @param expiry how long the client waits
-     * @param token how long ago its session last wrote; null where txns carry none, zero where it wrote nothing
+     * @param token how long ago its session last wrote; null where txns carry none, zero where it has not
      */
-    public Handle take(int id, int type, int tenant, int session, int group, Duration expiry, Duration token) {
+    public Handle take(int id, int type, int tenant, int session, int group, Duration expiry,
+            Duration token) {
         Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry);
         taken++;
         if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
@@ -296,7 +306,8 @@
                 t.need = now.minus(token).plusMillis(1);
             }
         }
-        probeCredit = Math.min(nodes.size(), probeCredit + PROBE_COST / Math.max(PROBE_COST, set.probePrice()));
+        probeCredit += PROBE_COST / Math.max(PROBE_COST, set.probePrice());
+        probeCredit = Math.min(nodes.size(), probeCredit);
         if (t.type.routed()) {
             t.group.spill = Math.min(SPILL_BURST, t.group.spill + SPILL);
         }
@@ -547,8 +558,8 @@
                 freshest = n;
             }
         }
-        boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0 && open(pri, pri.room) && trusted(pri)
-                && pri.pace < CALM && !cold(pri);
+        boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0
+                && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && !cold(pri);
         if (best != null && !t.fellBack) {
             if (spills && g.spill >= 1 && busy(pri) < busy(best)) {
                 g.spill--;
@@ -565,10 +576,10 @@
     }
 
     /**
-     * Where nodes refuse reads that they are too far behind for, untouched, a replica known to an any read's
-     * bound may be tried for any read, until it refuses one: then only what is known counts, until it has come
-     * past that moment. Guards against positions that are dear or late to learn; it costs a miss where a replica
-     * has just begun to lag, and could harm where many begin at once.
+     * Where nodes refuse reads that they are too far behind for, untouched, a replica known to an any
+     * read's bound may be tried for any read, until it refuses one: then only what is known counts, until
+     * it has come past that moment. Guards against positions that are dear or late to learn; it costs a
+     * miss where a replica has just begun to lag, and could harm where many begin at once.
      */
     private boolean keepsUp(Node n) {
         return set.nodesRefuse() && n.position.plus(anyBound).compareTo(now) >= 0
@@ -584,8 +595,8 @@
     }
 
     /**
-     * Whether a node may be sent one more txn now. One out of reach must first answer a probe, which costs no txn
-     * its time; one that is reached but answers nothing gets a txn to try, at growing gaps.
+     * Whether a node may be sent one more txn now. One out of reach must first answer a probe, which costs
+     * no txn its time; one that is reached but answers nothing gets a txn to try, at growing gaps.
      */
     private boolean open(Node n, double room) {
         if (!listed(n)) {
@@ -595,8 +606,8 @@
             return false;
         }
         if (!trusted(n)) {
-            return n.out == 0 && !(n.lost && set.probes())
-                    && now.compareTo(n.triedAt.plus(times(set.dial(), TRIAL_GAP * Math.min(n.trials, TRIALS)))) >= 0;
+            Duration gap = times(set.dial(), TRIAL_GAP * Math.min(n.trials, TRIALS));
+            return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.triedAt.plus(gap)) >= 0;
         }
         return n.out < room && (room >= 1
                 || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, ROOM_LEAST)))) >= 0);
@@ -682,7 +693,8 @@
         if (result == Result.COMMITTED) {
             double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
             n.pace += GAIN * (ratio - n.pace);
-            type.usual = earlier(type.usual.plus(times(took.minus(type.usual), GAIN / 10)), times(type.sla, 0.5));
+            Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
+            type.usual = earlier(usual, times(type.sla, 0.5));
         }
         // A time-out at a node that is slow anyway tells of work waiting there; else it tells of a loss.
         if (result == Result.COMMITTED || result == Result.TIMED_OUT && n.strain > STRAINED / 2) {
@@ -767,7 +779,8 @@
             if (cold(n)) {
                 double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
                 double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                n.coldCredit = Math.min(1, n.coldCredit + part * sendRate * COLD_SHARE * set.tipMultiple() * seconds);
+                double safe = part * sendRate * COLD_SHARE * set.tipMultiple();
+                n.coldCredit = Math.min(1, n.coldCredit + safe * seconds);
             }
         }
         if (set.listAsked() && !following
@@ -779,7 +792,7 @@
         groups.values().forEach(this::place);
     }
 
-    /** A fresh router probes each node once, then those from which nothing has come for an any read's bound. */
+    /** A fresh router probes each node once, then those unheard for an any read's bound. */
     private void lookAround() {
         for (Node n : nodes) {
             if (n.group != null && later(n.position, n.claimed).plus(anyBound).compareTo(now) < 0) {
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -228,4 +228,53 @@
         s.to(s.ms + 400);
         s.compare("most-nodes-fail");
     }
+
+    @Test
+    void spareTxnsTakeOnlyPlentyOfRoom() throws IOException {
+        s.to(10);
+        known(5);
+        s.note("of two tenants with 50 a second each over three routers, one sends 30 at once");
+        int[] went = new int[2];
+        s.mute(() -> {
+            for (int i = 0; i < 30; i++) {
+                went[s.whereIs(s.take(FRESH, 0, 2000, null)) < 0 ? 1 : 0]++;
+            }
+        });
+        s.note(went[0] + " were sent, " + went[1] + " declined; the other tenant, and a repeat past its SLA time:");
+        s.take(FRESH, 1, 2000, null);
+        s.take(FRESH, 1, 1500, null);
+        s.compare("spare");
+    }
+
+    @Test
+    void whereTheListIsAskedForAndGoneStaysOpen() throws IOException {
+        Scene r = new Scene(false, true, true).three();
+        r.to(30);
+        r.note("node 1 is gone from the list, which proves nothing here; node 2 drains first, and stays closed");
+        r.change(row(1, false, null, Standing.GONE), row(2, false, null, Standing.DRAINING));
+        r.change(row(2, false, null, Standing.GONE));
+        r.report(1, 25, REPLICA);
+        r.report(2, 25, REPLICA);
+        r.take(VIEW);
+        r.take(VIEW);
+        r.decide.listFailed();
+        r.to(3000);
+        r.compare("asked-list");
+    }
+
+    @Test
+    void aNodeOutOfReachAnswersAProbeFirst() throws IOException {
+        s.to(10);
+        known(5);
+        s.change(row(1, false, null, Standing.GONE));
+        for (int i = 0; i < 6; i++) {
+            s.to(s.ms + 500);
+            s.report(0, s.ms, PRIMARY);
+            s.mute(() -> s.report(2, s.ms, REPLICA));
+            int txn = s.take(ONCE, 1500, null);
+            s.ended(txn, i < 3 ? Result.UNREACHABLE : Result.COMMITTED, 1, PRIMARY, s.ms);
+        }
+        s.to(6000);
+        s.compare("out-of-reach");
+    }
 }
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -49,6 +49,10 @@
 
     /** @param nodesRefuse nodes turn away reads that they are too far behind for */
     Scene(boolean nodesRefuse) {
+        this(nodesRefuse, false, false);
+    }
+
+    Scene(boolean nodesRefuse, boolean listAsked, boolean goneStaysOpen) {
         List<TxnType> types = List.of(
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), ms(2000), 3, 0),
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), ms(2000), 2, 0),
@@ -56,9 +60,9 @@
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), ms(2000), 2, 0),
                 new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3),
                 new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3));
-        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, false, true, false, ms(10000),
-                ListRole.AS_AT_START, nodesRefuse, false, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
-                List.of()), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, false, true, listAsked, ms(10000),
+                ListRole.AS_AT_START, nodesRefuse, goneStaysOpen, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
+                List.of(50.0, 50.0)), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
         decide.at(ms(0));
     }
 
@@ -129,10 +133,14 @@
     }
 
     int take(int type, long expiry, Duration token) {
+        return take(type, -1, expiry, token);
+    }
+
+    int take(int type, int tenant, long expiry, Duration token) {
         int id = txns.size();
         names.add(NAMES[type] + id);
         txns.add(null);
-        txns.set(id, decide.take(id, type, -1, type == OWN || type == MOVE ? 3 : -1, 7, ms(expiry), token));
+        txns.set(id, decide.take(id, type, tenant, type == OWN || type == MOVE ? 3 : -1, 7, ms(expiry), token));
         return id;
     }
 
