--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -144,7 +144,7 @@
         double room;
         Duration sentAt = NEVER;
         Duration cutAt = NEVER;
-        Duration triedAt = NEVER;
+        Duration tryAt = NEVER;
         int trials = 1;
         Duration refusedAt = NEVER;
         Duration probedAt = NEVER;
@@ -497,8 +497,9 @@
         if (trusted(n)) {
             n.trials = 1;
         } else {
-            n.trials++;
-            n.triedAt = now;
+            // By chance, so that routers do not all try a node that comes back at the same moment.
+            double gap = TRIAL_GAP * Math.min(n.trials++, TRIALS) * (1 + chance.nextDouble() / 2);
+            n.tryAt = now.plus(times(set.dial(), gap));
         }
         if (n.out++ == 0) {
             n.quiet = now;
@@ -606,8 +607,7 @@
             return false;
         }
         if (!trusted(n)) {
-            Duration gap = times(set.dial(), TRIAL_GAP * Math.min(n.trials, TRIALS));
-            return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.triedAt.plus(gap)) >= 0;
+            return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
                 || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, ROOM_LEAST)))) >= 0);
@@ -713,7 +713,7 @@
     /** It was out of reach and is back: perhaps newly started, whatever the list says yet. */
     private void back(Node n) {
         n.lost = false;
-        n.triedAt = NEVER;
+        n.tryAt = NEVER;
         n.trials = 1;
         n.started = later(n.started, now);
         n.coldCredit = 0;
