--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -49,7 +49,7 @@
     /** An any read asks for this many times the bound of bounded reads: 1 s where that is 200 ms. */
     private static final double ANY_BOUND = 5;
     /** Of the reads that could be routed, the share that may go to a calm primary. */
-    private static final double SPILL = 0.3;
+    private static final double SPILL = 0.5;
     private static final double SPILL_BURST = 8;
     /** A primary is calm while its answers take less than this many times the fleet's usual. */
     private static final double CALM = 1.5;
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -149,15 +149,17 @@
         for (int quarter = 0; quarter < 4; quarter++) {
             int[] went = new int[3];
             s.mute(() -> {
-                for (int i = 0; i < 100; i++) {
-                    s.to(s.ms + 40);
+                for (int i = 0; i < 50; i++) {
+                    s.to(s.ms + 80);
                     known(s.ms);
-                    int txn = s.take(VIEW);
-                    went[s.whereIs(txn)]++;
-                    s.well(txn, 80);
+                    int[] txns = {s.take(VIEW), s.take(VIEW), s.take(VIEW), s.take(VIEW)};
+                    for (int txn : txns) {
+                        went[s.whereIs(txn)]++;
+                        s.well(txn, 80);
+                    }
                 }
             });
-            s.note(went[1] + " of 100 to the cold node 1, " + went[2] + " to node 2, " + went[0] + " to the primary");
+            s.note(went[1] + " of 200 to the cold node 1, " + went[2] + " to node 2, " + went[0] + " to the primary");
         }
         s.compare("cold-node");
     }
