--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -200,8 +200,9 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    private int sent;
-    private double sendRate;
+    /** What nodes did, not what was sent: sends that nodes turn away tell nothing of what one can do. */
+    private int done;
+    private double doneRate;
     private double median;
     private Duration askedAt = NEVER;
     private boolean following;
@@ -506,7 +507,6 @@
         }
         n.sentAt = now;
         n.coldCredit -= 1;
-        sent++;
         outlet.submit(t.id, n.id, limit);
         return true;
     }
@@ -691,6 +691,7 @@
             back(n);
         }
         if (result == Result.COMMITTED) {
+            done++;
             double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
             n.pace += GAIN * (ratio - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
@@ -765,10 +766,10 @@
         }
         shares.sort(null);
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
-        double rate = sent / seconds / Math.max(1, warm);
-        double span = rate > sendRate ? 2 : set.coldFor().toNanos() / 1e9 + 2;
-        sendRate += Math.min(1, seconds / span) * (rate - sendRate);
-        sent = 0;
+        double rate = done / seconds / Math.max(1, warm);
+        double span = rate > doneRate ? 2 : set.coldFor().toNanos() / 1e9 + 2;
+        doneRate += Math.min(1, seconds / span) * (rate - doneRate);
+        done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
         for (Tenant tenant : tenants) {
@@ -779,7 +780,7 @@
             if (cold(n)) {
                 double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
                 double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                double safe = part * sendRate * COLD_SHARE * set.tipMultiple();
+                double safe = part * doneRate * COLD_SHARE * set.tipMultiple();
                 n.coldCredit = Math.min(1, n.coldCredit + safe * seconds);
             }
         }
