Cold budget dealt out in quarter windows by chance; what is unspent lapses

Cause sought: a stock of one credit at each of 160 routers is a burst of 160 sends the moment a cold node is wanted, e.g. as the new primary. The mean per window is as before. Guards against any first rush on a node that is back. Harm: a busy moment after a quiet one finds no credit saved, so a cold node is used a little less.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -59,6 +59,8 @@
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
     private static final double COLD_SHARE = 0.5;
+    /** The budget is dealt out for this part of the time in which too much load pushes a cold node over. */
+    private static final double COLD_WINDOW = 0.25;
     /** The part of a node's room that is open to what earns next to nothing. */
     private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
@@ -203,6 +205,7 @@
     /** What nodes did, not what was sent: sends that nodes turn away tell nothing of what one can do. */
     private int done;
     private double doneRate;
+    private Duration coldAt = NEVER;
     private double median;
     private Duration askedAt = NEVER;
     private boolean following;
@@ -776,12 +779,17 @@
             double entitled = Math.max(tenant.quota / set.routers(), takeRate * tenant.quota / allQuotas);
             tenant.allowance = Math.min(Math.max(1, entitled), tenant.allowance + entitled * seconds);
         }
-        for (Node n : nodes) {
-            if (cold(n)) {
-                double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
-                double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                double safe = part * doneRate * COLD_SHARE * set.tipMultiple();
-                n.coldCredit = Math.min(1, n.coldCredit + safe * seconds);
+        if (now.compareTo(coldAt) >= 0) {
+            Duration window = times(set.tipAfter(), COLD_WINDOW);
+            coldAt = now.plus(window);
+            for (Node n : nodes) {
+                if (cold(n)) {
+                    double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
+                    double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
+                    double safe = part * doneRate * COLD_SHARE * set.tipMultiple();
+                    // What is over from the last window lapses: stocks of one at many routers are a burst.
+                    n.coldCredit = Math.floor(safe * window.toNanos() / 1e9 + chance.nextDouble());
+                }
             }
         }
         if (set.listAsked() && !following
