An error that comes at a second node too is the txn's own and is surfaced

Cause: txns that err at any node were sent up to six times, mostly to the primary, and each error counted against the node, so primaries lost their standing. Told by this: the same txn erred at two members, with quick answers, while others committed at both. A node is now blamed only where another commits what it erred on; once most errors have come twice, the first is surfaced, but for one in five that still falls back. Guards also against a poisoned statement or a tenant's bad batch. Harm: a replica's own errors are surfaced unretried in the first moments after such a time.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -207,6 +207,8 @@
     private double doneRate;
     private Duration coldAt = NEVER;
     private double median;
+    /** Of the errors that were tried at a second node, the share that came there too. */
+    private double ownFault;
     private Duration askedAt = NEVER;
     private boolean following;
 
@@ -337,6 +339,9 @@
         Duration ranAt;
         Duration sentAt;
         boolean searches;
+        /** Where it last ended in an error, and how often. */
+        Node errs;
+        int errors;
 
         Txn(int id, Type type, Group group, int session, Duration patience) {
             this.id = id;
@@ -361,6 +366,9 @@
                 group.searching = false;
             }
             judge(n, type, result, took);
+            if (result == Result.ERROR || result == Result.COMMITTED) {
+                blame(n, result == Result.ERROR);
+            }
             Report seen = note;
             if (result == Result.COMMITTED && type.read == Read.WRITE && note.position() != null) {
                 // A commit is rounded up, a position down: what was applied is a millisecond less.
@@ -384,6 +392,20 @@
             place(n.group);
         }
 
+        /**
+         * An error is a node's when another node then commits the txn, and the txn's own when that errs too.
+         * Guards against errors that come at any node alike: they cost no node its standing. A node that
+         * errs on writes alone is never found out by this; only its group's next primary would help there.
+         */
+        private void blame(Node n, boolean erred) {
+            if (errs != null && errs != n) {
+                ownFault += FAIL_GAIN * ((erred ? 1 : 0) - ownFault);
+                errs.failures += erred ? 0 : FAIL_GAIN * (1 - errs.failures);
+            }
+            errors += erred ? 1 : 0;
+            errs = erred ? n : null;
+        }
+
         /** A node that refuses what it is too far behind for tells by its answer how far it has come. */
         private void guarded(Node n, Result result) {
             if (result == Result.COMMITTED) {
@@ -409,6 +431,13 @@
             finish(t, Duration.ZERO);
             return;
         }
+        // While errors are the txns' own, falling back would double what the primary gets; some still try.
+        boolean own = ownFault > 0.5 && chance.nextDouble() > FAIL_GAIN;
+        boolean lostRole = t.type.read == Read.WRITE && n.denied.equals(now);
+        if (result == Result.ERROR && (t.errors > 1 || own && !lostRole)) {
+            finish(t, times(t.type.sla, 1));
+            return;
+        }
         if (t.type.read == Read.WRITE && result == Result.MISS) {
             t.group.misses++;
             t.group.turn++;
@@ -680,11 +709,12 @@
         if (result == Result.WITHDRAWN || result == Result.MOOT) {
             return;
         }
-        boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET
-                || result == Result.ERROR;
+        boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
         double gain = result == Result.UNREACHABLE || result == Result.RESET ? LOST_GAIN : FAIL_GAIN;
-        n.failures += gain * ((bad ? 1 : 0) - n.failures);
-        if (result != Result.TIMED_OUT && result != Result.UNREACHABLE && result != Result.RESET) {
+        if (result != Result.ERROR) {
+            n.failures += gain * ((bad ? 1 : 0) - n.failures);
+        }
+        if (!bad) {
             n.quiet = now;
             n.silent = false;
         }
