Least busy counts other routers' load by chance, one in the mean

Expected: many routers with nothing out all choose the same replica; a race by chance spreads them by speed. Kept for now, as no order among idle replicas is known to such a router.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -578,14 +578,19 @@
         Group g = t.group;
         Node pri = primary(g);
         Node best = null;
+        double least = Double.MAX_VALUE;
         Node freshest = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
             if (n == pri || !open(n, room(n, t))) {
                 continue;
             }
-            if ((n.position.compareTo(need) >= 0 || keepsUp(n)) && (best == null || busy(n) < busy(best))) {
-                best = n;
+            if (n.position.compareTo(need) >= 0 || keepsUp(n)) {
+                double load = busy(n, -Math.log(1 - chance.nextDouble()));
+                if (load < least) {
+                    best = n;
+                    least = load;
+                }
             }
             if (freshest == null || n.position.compareTo(freshest.position) > 0) {
                 freshest = n;
@@ -594,7 +599,7 @@
         boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0
                 && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && !cold(pri);
         if (best != null && !t.fellBack) {
-            if (spills && g.spill >= 1 && busy(pri) < busy(best)) {
+            if (spills && g.spill >= 1 && busy(pri, 1) < least) {
                 g.spill--;
                 return pri;
             }
@@ -619,8 +624,12 @@
                 && n.position.compareTo(n.refusedAt) > 0;
     }
 
-    private double busy(Node n) {
-        return (n.out + 1) / n.size * n.pace * (n.far ? FAR : 1);
+    /**
+     * What waits at a node, with more for what other routers have there: by chance, one in the mean. A router
+     * that has nothing out knows no order among its replicas, and many such must not all choose the same.
+     */
+    private double busy(Node n, double others) {
+        return (n.out + others) / n.size * n.pace * (n.far ? FAR : 1);
     }
 
     private boolean listed(Node n) {
