--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -840,10 +840,14 @@
         groups.values().forEach(this::place);
     }
 
-    /** A fresh router probes each node once, then those unheard for an any read's bound. */
+    /**
+     * A fresh router probes each node once, then those unheard for an any read's bound, while half its credit
+     * is there: a router with few txns keeps the rest for the reads that wait for a position.
+     */
     private void lookAround() {
         for (Node n : nodes) {
-            if (n.group != null && later(n.position, n.claimed).plus(anyBound).compareTo(now) < 0) {
+            boolean may = n.probedAt.equals(NEVER) || probeCredit > nodes.size() / 2.0;
+            if (n.group != null && may && later(n.position, n.claimed).plus(anyBound).compareTo(now) < 0) {
                 probe(n, anyBound);
             }
         }
