--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -44,6 +44,7 @@
     private static final double TRIAL_GAP = 4;
     private static final int TRIALS = 4;
     private static final double SEEK_GAP = 0.25;
+    private static final int SOUGHT = 2;
     /** What probing may cost of the service, as the settings price it: so many probes a txn at the most. */
     private static final double PROBE_COST = 0.01;
     /** An any read asks for this many times the bound of bounded reads: 1 s where that is 200 ms. */
@@ -180,6 +181,7 @@
         int turn;
         int misses;
         Duration searchAt = NEVER;
+        Duration soughtAt = NEVER;
         boolean searching;
     }
 
@@ -853,22 +855,38 @@
         }
     }
 
-    /** Txns wait in this group: look for a replica fresh enough, or for the primary. */
+    /**
+     * Txns wait in this group. No primary to be trusted: all are asked. Else two replicas that could take a
+     * txn, by chance: asking all would spend at once what a router with few txns can pay.
+     */
     private void seek(Group g) {
-        for (Node n : g.members) {
-            probe(n, times(set.dial(), SEEK_GAP));
+        Node pri = primary(g);
+        Duration gap = times(set.dial(), SEEK_GAP);
+        if (pri == null || !trusted(pri)) {
+            g.members.forEach(n -> probe(n, gap));
+        } else if (now.compareTo(g.soughtAt.plus(gap)) >= 0) {
+            g.soughtAt = now;
+            int first = chance.nextInt(g.members.size());
+            int asked = 0;
+            for (int i = 0; i < g.members.size() && asked < SOUGHT; i++) {
+                Node n = g.members.get((first + i) % g.members.size());
+                if (n != pri && (n.lost || open(n, n.room)) && probe(n, gap)) {
+                    asked++;
+                }
+            }
         }
     }
 
-    private void probe(Node n, Duration gap) {
+    private boolean probe(Node n, Duration gap) {
         if (!set.probes() || !listed(n) || n.probing || probeCredit < 1
                 || now.compareTo(n.probedAt.plus(gap)) < 0) {
-            return;
+            return false;
         }
         probeCredit--;
         n.probing = true;
         n.probedAt = now;
         outlet.probe(n.id);
+        return true;
     }
 
     public void probed(int node, boolean answered, Report report) {
