--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -204,7 +204,7 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    /** What nodes did, not what was sent: sends that nodes turn away tell nothing of what one can do. */
+    /** What warm nodes did, not what all were sent: work turned away or done cold tells not what one can do. */
     private int done;
     private double doneRate;
     private Duration coldAt = NEVER;
@@ -735,7 +735,7 @@
             back(n);
         }
         if (result == Result.COMMITTED) {
-            done++;
+            done += cold(n) ? 0 : 1;
             double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
             n.pace += GAIN * (ratio - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
