Room is cut from what was used, rare answers weigh more, full halves it

Cause: a router of 470 has one txn out to a node now and then, so its room of one never binds and a full primary was asked again at once, up to eight times a txn. Room is now cut below the rate in use and comes back by time. Guards against any node that many small routers strain together. Harm: after one slow answer a sparse router declines for a second or two.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -78,8 +78,11 @@
     private static final double STRAINED = 0.45;
     /** Room for submissions at a node, over all routers; below one it is one in so many usual times. */
     private static final double ROOM_START = 24;
-    private static final double ROOM_LEAST = 0.1;
+    private static final double ROOM_LEAST = 0.3;
     private static final double ROOM_CUT = 0.85;
+    private static final double FULL_CUT = 0.5;
+    /** Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. */
+    private static final double ROOM_BACK = 8;
 
     /** One row a txn type. */
     private static final class Type {
@@ -146,6 +149,9 @@
         double pace = 1;
         double room;
         Duration sentAt = NEVER;
+        /** Between its last two sends. */
+        Duration gap = Duration.ZERO;
+        Duration answeredAt = Duration.ZERO;
         Duration cutAt = NEVER;
         Duration tryAt = NEVER;
         int trials = 1;
@@ -197,6 +203,7 @@
     private final Duration[] written = new Duration[SESSIONS];
     private final Duration beat;
     private final Duration anyBound;
+    private final double roomLeast;
     private Duration now = Duration.ZERO;
     private Duration beatAt = NEVER;
     private boolean awake;
@@ -225,6 +232,7 @@
         types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
         tenants = set.quotas().stream().map(q -> new Tenant(q, Math.max(1, q / set.routers()))).toList();
         allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
+        roomLeast = ROOM_LEAST / set.routers();
         Arrays.fill(written, NEVER);
     }
 
@@ -539,6 +547,7 @@
         if (n.out++ == 0) {
             n.quiet = now;
         }
+        n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
         n.coldCredit -= 1;
         outlet.submit(t.id, n.id, limit);
@@ -653,7 +662,7 @@
             return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
-                || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, ROOM_LEAST)))) >= 0);
+                || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, roomLeast)))) >= 0);
     }
 
     // ---- who is the primary
@@ -734,21 +743,26 @@
         } else if (!bad && n.lost) {
             back(n);
         }
+        // Where answers are rare, each tells of all the time since the last.
+        double weight = Math.max(GAIN, Math.min(1, ratio(now.minus(n.answeredAt), times(slowest(), PATIENCE))));
         if (result == Result.COMMITTED) {
             done += cold(n) ? 0 : 1;
-            double ratio = Math.min(4, (double) took.toNanos() / (type.usual.toNanos() + 1));
-            n.pace += GAIN * (ratio - n.pace);
+            n.pace += weight * (Math.min(4, ratio(took, type.usual)) - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
             type.usual = earlier(usual, times(type.sla, 0.5));
         }
         // A time-out at a node that is slow anyway tells of work waiting there; else it tells of a loss.
         if (result == Result.COMMITTED || result == Result.TIMED_OUT && n.strain > STRAINED / 2) {
-            n.strain += GAIN * (Math.min(2, (double) took.toNanos() / type.sla.toNanos()) - n.strain);
+            n.strain += weight * (Math.min(2, ratio(took, type.sla)) - n.strain);
+            n.answeredAt = now;
         }
+        // Room is cut from what was used: by what is out or, where that is nothing, by how often one is sent.
         if (result == Result.FULL || n.strain > STRAINED) {
-            if (now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
+            if (result == Result.FULL || now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
                 n.cutAt = now;
-                n.room = Math.max(ROOM_LEAST, Math.min(n.room, n.out + 1) * ROOM_CUT);
+                double used = Math.max(n.out, ratio(slowest(), n.gap));
+                double cut = result == Result.FULL ? FULL_CUT : ROOM_CUT;
+                n.room = Math.max(roomLeast, Math.min(n.room, used) * cut);
             }
         } else if (result == Result.COMMITTED && n.out + 1 >= n.room * 0.8) {
             n.room += Math.min(n.room, 1 / n.room) * GAIN;
@@ -807,6 +821,9 @@
                 warm += cold(n) ? 0 : 1;
                 shares.add(n.failures);
             }
+            if (n.room < 1) {
+                n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * ROOM_BACK));
+            }
         }
         shares.sort(null);
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
@@ -907,6 +924,10 @@
         return Duration.ofNanos((long) (span.toNanos() * by));
     }
 
+    private static double ratio(Duration a, Duration b) {
+        return (double) a.toNanos() / (b.toNanos() + 1);
+    }
+
     private static Duration earlier(Duration a, Duration b) {
         return a.compareTo(b) <= 0 ? a : b;
     }
