Cold budget from a plain mean rate, unbiased at routers of few txns

Cause: the rate rose in 2 s and fell in 19. At a router that sees one commit a second this stands at several times the true mean, and all routers err the same way. A plain mean is right in the sum over all routers.

The ramp is now slower than it need be.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -214,6 +214,7 @@
     /** What warm nodes did, not what all were sent: work turned away or done cold tells not what one can do. */
     private int done;
     private double doneRate;
+    private double doneWeight;
     private Duration coldAt = NEVER;
     private double median;
     /** Of the errors that were tried at a second node, the share that came there too. */
@@ -827,9 +828,10 @@
         }
         shares.sort(null);
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
-        double rate = done / seconds / Math.max(1, warm);
-        double span = rate > doneRate ? 2 : set.coldFor().toNanos() / 1e9 + 2;
-        doneRate += Math.min(1, seconds / span) * (rate - doneRate);
+        // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
+        double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+        doneWeight = doneWeight * kept + seconds;
+        doneRate += (done / (double) Math.max(1, warm) - doneRate * seconds) / doneWeight;
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
