Cold budget by size and frozen while none is warm; unspent credit lapses by chance

Cause: dealt for a quarter of the tipping time, most credit lapsed before a sparse router had a txn for the node. It now lapses within that time in the mean, which bounds what many routers can spend at once to what they are dealt in it; with the share at one half both together stay under what tips. By size, since a small node does less.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -815,11 +815,11 @@
         double seconds = now.minus(beatAt).toNanos() / 1e9;
         beatAt = now;
         outlet.wake(beat);
-        int warm = 0;
+        double warm = 0;
         List<Double> shares = new ArrayList<>();
         for (Node n : nodes) {
             if (n.group != null && n.standing == Standing.READY) {
-                warm += cold(n) ? 0 : 1;
+                warm += cold(n) ? 0 : n.size;
                 shares.add(n.failures);
             }
             if (n.room < 1) {
@@ -829,9 +829,11 @@
         shares.sort(null);
         median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
         // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
-        double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
-        doneWeight = doneWeight * kept + seconds;
-        doneRate += (done / (double) Math.max(1, warm) - doneRate * seconds) / doneWeight;
+        if (warm > 0) {
+            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            doneWeight = doneWeight * kept + seconds;
+            doneRate += (done / warm - doneRate * seconds) / doneWeight;
+        }
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
@@ -846,9 +848,11 @@
                 if (cold(n)) {
                     double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
                     double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                    double safe = part * doneRate * COLD_SHARE * set.tipMultiple();
-                    // What is over from the last window lapses: stocks of one at many routers are a burst.
-                    n.coldCredit = Math.floor(safe * window.toNanos() / 1e9 + chance.nextDouble());
+                    double safe = part * doneRate * n.size * COLD_SHARE * set.tipMultiple();
+                    // What is over lapses by chance, within that time in the mean: what many routers hold
+                    // and might spend at once is then no more than they are dealt in it.
+                    double over = chance.nextDouble() < COLD_WINDOW ? 0 : Math.max(0, n.coldCredit);
+                    n.coldCredit = over + Math.floor(safe * window.toNanos() / 1e9 + chance.nextDouble());
                 }
             }
         }
