A node out of reach that was not down, by its first probe or its position, is not cold

What the router concluded was not so; evidence: the very first probe answered, the list showed no new start, and the position had followed the present all the while. Likewise a node that only this router cannot reach. Guards also against partial routes. Harm: a node that restarts unseen and catches up at once counts as warm until the list tells.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -71,6 +71,8 @@
     private static final double SILENCE_LEAST = 1.5;
     /** A node fails when its share of failures is this far above the fleet's median. */
     private static final double FAILING = 0.5;
+    /** The part of its absence that a node's position may be behind if it was never down; of cold time. */
+    private static final double UP = 0.25;
     private static final double FAIL_GAIN = 0.2;
     private static final double LOST_GAIN = 0.4;
     private static final double GAIN = 0.2;
@@ -144,6 +146,9 @@
         Duration quiet = NEVER;
         boolean silent;
         boolean lost;
+        Duration lostAt = NEVER;
+        /** A probe was lost too. */
+        boolean unheard;
         double failures;
         double strain;
         double pace = 1;
@@ -740,6 +745,7 @@
             n.silent = false;
         }
         if (result == Result.UNREACHABLE && failing(n)) {
+            n.lostAt = n.lost ? n.lostAt : now;
             n.lost = true;
         } else if (!bad && n.lost) {
             back(n);
@@ -770,13 +776,24 @@
         }
     }
 
-    /** It was out of reach and is back: perhaps newly started, whatever the list says yet. */
+    /**
+     * It was out of reach and answers again. Perhaps it is newly started, whatever the list says yet; but not
+     * one that answered its first probe (it takes no more connections), nor one that applied the log all the
+     * while or is still the primary after so long (others reached it). Harm: one that restarts unseen and
+     * catches up at once counts as warm until the list tells.
+     */
     private void back(Node n) {
         n.lost = false;
-        n.tryAt = NEVER;
-        n.trials = 1;
-        n.started = later(n.started, now);
-        n.coldCredit = 0;
+        Duration away = now.minus(n.lostAt);
+        boolean followed = n.claimed.compareTo(LISTED) > 0 ? away.compareTo(times(set.coldFor(), UP)) > 0
+                : n.position.compareTo(now.minus(times(away, UP))) > 0;
+        if (n.unheard && !followed) {
+            n.tryAt = NEVER;
+            n.trials = 1;
+            n.started = later(n.started, now);
+            n.coldCredit = 0;
+        }
+        n.unheard = false;
     }
 
     /** Against the median, but where most of the fleet fails the median excuses nobody. */
@@ -915,11 +932,12 @@
     public void probed(int node, boolean answered, Report report) {
         Node n = nodes.get(node);
         n.probing = false;
+        n.unheard |= n.lost && !answered;
         if (answered) {
+            heard(node, Report.NOTHING, report);
             if (n.lost) {
                 back(n);
             }
-            heard(node, Report.NOTHING, report);
             place(n.group);
         }
     }
