--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -56,8 +56,6 @@
     private static final double CALM = 1.5;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
-    /** How much busier one with a free connection may be: a new one costs both sides, and may be refused. */
-    private static final double DIAL = 3;
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
@@ -144,8 +142,6 @@
         Duration claimed = NEVER;
         Duration denied = NEVER;
         int out;
-        /** Connections that stand open with nothing on them, as far as can be told. */
-        int idle;
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
@@ -554,7 +550,6 @@
             double gap = TRIAL_GAP * Math.min(n.trials++, TRIALS) * (1 + chance.nextDouble() / 2);
             n.tryAt = now.plus(times(set.dial(), gap));
         }
-        n.idle = Math.max(0, n.idle - 1);
         if (n.out++ == 0) {
             n.quiet = now;
         }
@@ -601,7 +596,6 @@
         Node pri = primary(g);
         Node best = null;
         double least = Double.MAX_VALUE;
-        double cheapest = Double.MAX_VALUE;
         Node freshest = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
@@ -610,10 +604,8 @@
             }
             if (n.position.compareTo(need) >= 0 || keepsUp(n)) {
                 double load = busy(n, -Math.log(1 - chance.nextDouble()));
-                double cost = n.idle > 0 ? load : load * DIAL;
-                if (cost < cheapest) {
+                if (load < least) {
                     best = n;
-                    cheapest = cost;
                     least = load;
                 }
             }
@@ -745,7 +737,6 @@
         }
         boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
         double gain = result == Result.UNREACHABLE || result == Result.RESET ? LOST_GAIN : FAIL_GAIN;
-        n.idle = result == Result.TIMED_OUT ? n.idle : bad ? 0 : n.idle + 1;
         if (result != Result.ERROR) {
             n.failures += gain * ((bad ? 1 : 0) - n.failures);
         }
