While nodes that are up refuse connections, free ones are closed after each answer

Cause: where nodes take few connections, each of 147 routers kept free ones open for 30 s and used them for a hundredth of that; the others found none, and primaries took no writes. Told by: connections failed at once at nearly all nodes, first probes there were answered, the list was quiet, and reads on open connections took their usual time. So the failure showed at the nodes, its cause was at the routers. Guards also against any cap on connections. Harm: each txn then pays a handshake, dear where those are slow. The unused calls to withdraw and to log leave the interface.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -56,6 +56,8 @@
     private static final double CALM = 1.5;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
+    /** For so many dial time-outs after a refused connection no free one is kept. */
+    private static final double SCARCE = 16;
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
@@ -226,6 +228,8 @@
     private double ownFault;
     private Duration askedAt = NEVER;
     private boolean following;
+    /** When a node that gave this router no connection last showed that it was up. */
+    private Duration scarceAt = NEVER;
 
     public Decide(Settings set, Outlet outlet, RandomGenerator chance) {
         this.set = set;
@@ -406,6 +410,10 @@
                 goOn(this, n, result);
             }
             place(n.group);
+            // Nodes that are up take no more connections: what this router keeps open, others wait for.
+            if (n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0) {
+                outlet.release(n.id);
+            }
         }
 
         /**
@@ -793,6 +801,7 @@
             n.started = later(n.started, now);
             n.coldCredit = 0;
         }
+        scarceAt = n.unheard ? scarceAt : now;
         n.unheard = false;
     }
 
--- a/src/main/java/dillfront/drill/Instance.java
+++ b/src/main/java/dillfront/drill/Instance.java
@@ -277,11 +277,8 @@
     }
 
     @Override
-    public void cancel(int txn, int submission) {
-        write("AbortAttempt", () -> {
-            reply.writeNumberField("corr", slots.get(txn).corr);
-            reply.writeNumberField("hop", submission);
-        });
+    public void release(int node) {
+        write("DropConns", () -> reply.writeStringField("node", nodeIds.get(node)));
     }
 
     @Override
@@ -301,9 +298,4 @@
             reply.writeNumberField("ctx", 0);
         });
     }
-
-    @Override
-    public void log(String line) {
-        write("JournalLine", () -> reply.writeStringField("noteText", line));
-    }
 }
--- a/src/main/java/dillfront/port/Outlet.java
+++ b/src/main/java/dillfront/port/Outlet.java
@@ -13,8 +13,8 @@
     /** The final answer that promises nothing. */
     void rollBack(int txn);
 
-    /** Ceases to wait for the submission of this number, counted from 0 for each txn. */
-    void cancel(int txn, int submission);
+    /** Closes the connections to a node that carry nothing. */
+    void release(int node);
 
     void probe(int node);
 
@@ -22,6 +22,4 @@
     void follow();
 
     void wake(Duration in);
-
-    void log(String line);
 }
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -279,4 +279,63 @@
         s.to(6000);
         s.compare("out-of-reach");
     }
+
+    /** Keeps the node out of reach, then lets it answer a probe; the trace shows whether it is ramped up. */
+    private void returns(int lostProbes, long position) {
+        int fresh = s.take(ONCE);
+        s.mute(() -> {
+            for (int i = 0; i < 4; i++) {
+                s.ended(fresh, Result.UNREACHABLE, 1, null, 0);
+                s.to(s.ms + 1500);
+                s.report(0, s.ms, PRIMARY);
+                s.ended(s.take(ONCE), Result.UNREACHABLE, 1, null, 0);
+            }
+            for (int i = 0; i < lostProbes; i++) {
+                s.decide.probed(0, false, dillfront.port.Report.NOTHING);
+            }
+            s.to(s.ms + 200);
+        });
+        s.report(0, position < 0 ? s.ms : position, position < 0 ? PRIMARY : REPLICA);
+    }
+
+    @Test
+    void refusedConnectionsAreNoDeath() throws IOException {
+        s.to(10);
+        known(5);
+        s.note("node 0 gives no connection but answers its first probe: it is up, and free ones are closed");
+        returns(0, -1);
+        known(s.ms);
+        for (int i = 0; i < 2; i++) {
+            int view = s.take(VIEW);
+            s.to(s.ms + 40);
+            s.well(view, 40);
+        }
+        s.to(s.ms + 4000);
+        known(s.ms);
+        s.note("four seconds later they are kept again");
+        int later = s.take(VIEW);
+        s.to(s.ms + 40);
+        s.well(later, 40);
+        s.compare("refused-connections");
+    }
+
+    @Test
+    void errorsAtAnyNodeAreTheTxns() throws IOException {
+        s.to(10);
+        known(5);
+        s.note("each read errs at a second node too: that is surfaced, then the first error is");
+        for (int i = 0; i < 8; i++) {
+            known(s.ms);
+            int bad = s.take(VIEW);
+            s.to(s.ms + 20);
+            s.ended(bad, Result.ERROR, 5, null, 0);
+            s.ended(bad, Result.ERROR, 5, null, 0);
+        }
+        s.note("no node has lost its standing");
+        known(s.ms);
+        s.take(VIEW);
+        s.take(FRESH);
+        s.take(ANY);
+        s.compare("errors-anywhere");
+    }
 }
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -188,8 +188,8 @@
     }
 
     @Override
-    public void cancel(int txn, int submission) {
-        say("%s withdraws submission %d", names.get(txn), submission);
+    public void release(int node) {
+        say("free connections to node %d closed", node);
     }
 
     @Override
@@ -208,9 +208,4 @@
     public void wake(Duration in) {
         wakeAt = ms + in.toMillis();
     }
-
-    @Override
-    public void log(String line) {
-        say("log: %s", line);
-    }
 }
