A node that only turns work away counts as silent

Cause: a hung node whose waiting room is full turns all away at once; each such answer cleared its silence, so it drew its share of sends for the whole hang. Guards also against a jam that stands still. Harm: one overloaded node is tried at gaps of a second and more until it commits.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -748,9 +748,13 @@
         if (result != Result.ERROR) {
             n.failures += gain * ((bad ? 1 : 0) - n.failures);
         }
-        if (!bad) {
+        // One that only turns work away does none: it has hung with its queue full, or might as well have.
+        boolean idle = result == Result.FULL && now.compareTo(n.answeredAt.plus(times(slowest(), PATIENCE))) > 0;
+        if (!bad && result != Result.FULL) {
             n.quiet = now;
             n.silent = false;
+        } else if (idle) {
+            n.silent = true;
         }
         if (result == Result.UNREACHABLE && failing(n)) {
             n.lostAt = n.lost ? n.lostAt : now;
