--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -814,10 +814,10 @@
         return n.failures > Math.min(median, FAILING / 2) + FAILING;
     }
 
-    /** Silence is judged by how much is out, the more, the sooner an answer should come; by the node's own pace. */
+    /** Silence is judged by how much is out: the more, the sooner an answer should have come. */
     private boolean trusted(Node n) {
         if (!n.silent && n.out > 0) {
-            double wait = Math.max(SILENCE_LEAST, SILENCE / n.out) * Math.max(1, n.pace);
+            double wait = Math.max(SILENCE_LEAST, SILENCE / n.out);
             n.silent = now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
         }
         return !n.silent && !failing(n);
