Where nodes refuse stale reads, a replica is tried unless it refused within a second

The nodes still guard the bound themselves. Guards also against late reports. Harm: a miss for each read when a replica begins to lag, then one a second.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -639,14 +639,14 @@
     }
 
     /**
-     * Where nodes refuse reads that they are too far behind for, untouched, a replica known to an any
-     * read's bound may be tried for any read, until it refuses one: then only what is known counts, until
-     * it has come past that moment. Guards against positions that are dear or late to learn; it costs a
-     * miss where a replica has just begun to lag, and could harm where many begin at once.
+     * Where nodes refuse reads that they are too far behind for, untouched, a replica may be tried for any
+     * read until it refuses one: then only what is known counts, until it has come past that moment or an
+     * any read's bound has gone by. Guards against positions that are dear or late to learn, as they are for
+     * a router with few txns; it costs a miss where a replica has just begun to lag.
      */
     private boolean keepsUp(Node n) {
-        return set.nodesRefuse() && n.position.plus(anyBound).compareTo(now) >= 0
-                && n.position.compareTo(n.refusedAt) > 0;
+        return set.nodesRefuse() && (n.position.compareTo(n.refusedAt) > 0
+                || n.refusedAt.plus(anyBound).compareTo(now) < 0);
     }
 
     /**
