A primary is calm only well below what strains it by its txns' SLA times

Cause: calm compared a primary's answers with the usual of each type; what only primaries take sets its own usual, so a primary at half a second a txn passed for calm and took spill. Guards also against a fleet that slowed as a whole. Harm: in a long slow spell no read spills, though the primary could take some.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -54,6 +54,8 @@
     private static final double SPILL_BURST = 8;
     /** A primary is calm while its answers take less than this many times the fleet's usual. */
     private static final double CALM = 1.5;
+    /** And while they take less than this part of what strains a node. */
+    private static final double CALM_PART = 0.75;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
@@ -622,7 +624,8 @@
             }
         }
         boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0
-                && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && !cold(pri);
+                && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && pri.strain < STRAINED * CALM_PART
+                && !cold(pri);
         if (best != null && !t.fellBack) {
             if (spills && g.spill >= 1 && busy(pri, 1) < least) {
                 g.spill--;
