Time-outs at one node above the fleet's median cut its room by half

Told by the sends of each node: 383 in 5 s at one that committed none, queue full, started long ago. Guards also against any jam. Harm: losses on the way to one node cut its room too; losses at all nodes alike do not, as the median goes along.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -773,8 +773,10 @@
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
             type.usual = earlier(usual, times(type.sla, 0.5));
         }
-        // A time-out at a node that is slow anyway tells of work waiting there; else it tells of a loss.
-        if (result == Result.COMMITTED || result == Result.TIMED_OUT && n.strain > STRAINED / 2) {
+        // Time-outs at one node more than at most tell of work waiting there; else they tell of losses.
+        boolean jammed = result == Result.TIMED_OUT
+                && (n.strain > STRAINED / 2 || n.failures > median + FAIL_GAIN / 2);
+        if (result == Result.COMMITTED || jammed) {
             n.strain += weight * (Math.min(2, ratio(took, type.sla)) - n.strain);
             n.answeredAt = now;
         }
@@ -783,7 +785,7 @@
             if (result == Result.FULL || now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
                 n.cutAt = now;
                 double used = Math.max(n.out, ratio(slowest(), n.gap));
-                double cut = result == Result.FULL ? FULL_CUT : ROOM_CUT;
+                double cut = result == Result.FULL || jammed ? FULL_CUT : ROOM_CUT;
                 n.room = Math.max(roomLeast, Math.min(n.room, used) * cut);
             }
         } else if (result == Result.COMMITTED && n.out + 1 >= n.room * 0.8) {
