Room below one doubles in 32 dial time-outs, not 8

Cause: a router that sends to a jammed node every two seconds doubled its room in that time, so its halving at each time-out came to nothing: equilibrium by arithmetic is one send a doubling time.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -88,7 +88,7 @@
     private static final double ROOM_CUT = 0.85;
     private static final double FULL_CUT = 0.5;
     /** Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. */
-    private static final double ROOM_BACK = 8;
+    private static final double ROOM_BACK = 32;
 
     /** One row a txn type. */
     private static final class Type {
