A tenant may be eight txns ahead at a router of few, not one

Cause: with one and a half txns a second of a tenant, a stock of one flags a third of an even stream as beyond its share; such reads that had to wait for a position were declined at once. Guards also against uneven streams. Harm: a tenant far beyond its share is found out eight txns later at each router.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -66,6 +66,8 @@
     private static final double COLD_SHARE = 0.5;
     /** The budget is dealt out for this part of the time in which too much load pushes a cold node over. */
     private static final double COLD_WINDOW = 0.25;
+    /** A tenant may be ahead by so many txns, or by its second's worth: few come, and never evenly. */
+    private static final double QUOTA_BURST = 8;
     /** The part of a node's room that is open to what earns next to nothing. */
     private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
@@ -242,7 +244,7 @@
                 .min(Duration::compareTo).orElse(times(set.dial(), 1));
         anyBound = times(bound, ANY_BOUND);
         types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
-        tenants = set.quotas().stream().map(q -> new Tenant(q, Math.max(1, q / set.routers()))).toList();
+        tenants = set.quotas().stream().map(q -> new Tenant(q, Math.max(QUOTA_BURST, q / set.routers()))).toList();
         allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
         roomLeast = ROOM_LEAST / set.routers();
         Arrays.fill(written, NEVER);
@@ -874,7 +876,7 @@
         taken = 0;
         for (Tenant tenant : tenants) {
             double entitled = Math.max(tenant.quota / set.routers(), takeRate * tenant.quota / allQuotas);
-            tenant.allowance = Math.min(Math.max(1, entitled), tenant.allowance + entitled * seconds);
+            tenant.allowance = Math.min(Math.max(QUOTA_BURST, entitled), tenant.allowance + entitled * seconds);
         }
         if (now.compareTo(coldAt) >= 0) {
             Duration window = times(set.tipAfter(), COLD_WINDOW);
