--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -67,7 +67,7 @@
     /** The budget is dealt out for this part of the time in which too much load pushes a cold node over. */
     private static final double COLD_WINDOW = 0.25;
     /** A tenant may be ahead by so many txns, or by its second's worth: few come, and never evenly. */
-    private static final double QUOTA_BURST = 4;
+    private static final double QUOTA_BURST = 8;
     /** The part of a node's room that is open to what earns next to nothing. */
     private static final double SPARE_ROOM = 0.5;
     /** A submission waits this many times what its type usually takes, where late answers earn nothing. */
