--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -43,8 +43,6 @@
     private static final int BEAT = 4;
     private static final double TRIAL_GAP = 4;
     private static final int TRIALS = 4;
-    /** Of a router's txns, the share that may be tried at nodes that fail, where others could take them. */
-    private static final double TRIAL_SHARE = 0.03;
     private static final double SEEK_GAP = 0.25;
     private static final int SOUGHT = 2;
     /** What probing may cost of the service, as the settings price it: so many probes a txn at the most. */
@@ -222,7 +220,6 @@
     private boolean awake;
     /** Probes that may be sent: filled by txns, at most one for each node. */
     private double probeCredit;
-    private double trialCredit = TRIALS;
     private int taken;
     private double takeRate;
     /** What warm nodes did, not what all were sent: work turned away or done cold tells not what one can do. */
@@ -341,7 +338,6 @@
         }
         probeCredit += PROBE_COST / Math.max(PROBE_COST, set.probePrice());
         probeCredit = Math.min(nodes.size(), probeCredit);
-        trialCredit = Math.min(TRIALS, trialCredit + TRIAL_SHARE);
         if (t.type.routed()) {
             t.group.spill = Math.min(SPILL_BURST, t.group.spill + SPILL);
         }
@@ -562,7 +558,6 @@
         if (trusted(n)) {
             n.trials = 1;
         } else {
-            trialCredit = Math.max(0, trialCredit - 1);
             // By chance, so that routers do not all try a node that comes back at the same moment.
             double gap = TRIAL_GAP * Math.min(n.trials++, TRIALS) * (1 + chance.nextDouble() / 2);
             n.tryAt = now.plus(times(set.dial(), gap));
@@ -614,16 +609,12 @@
         Node best = null;
         double least = Double.MAX_VALUE;
         Node freshest = null;
-        Node resort = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
             if (n == pri || !open(n, room(n, t))) {
                 continue;
             }
-            boolean fresh = n.position.compareTo(need) >= 0 || keepsUp(n);
-            if (fresh && !trusted(n) && trialCredit < 1) {
-                resort = n;
-            } else if (fresh) {
+            if (n.position.compareTo(need) >= 0 || keepsUp(n)) {
                 double load = busy(n, -Math.log(1 - chance.nextDouble()));
                 if (load < least) {
                     best = n;
@@ -649,7 +640,6 @@
             return pri;
         }
         // Past the spill: another replica within bound, or for an any read whichever has the most.
-        best = best == null ? resort : best;
         return best != null ? best : t.type.read == Read.ANY ? freshest : null;
     }
 
