--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -63,7 +63,7 @@
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
-    private static final double COLD_SHARE = 0.5;
+    private static final double COLD_SHARE = 0.65;
     /** The budget is dealt out for this part of the time in which too much load pushes a cold node over. */
     private static final double COLD_WINDOW = 0.25;
     /** A tenant may be ahead by so many txns, or by its second's worth: few come, and never evenly. */
