Time for room to double follows the number of routers

Cause: the 32 dial time-outs that hold 168 routers off a jammed node keep 15 from one that is back; the arithmetic of one send a doubling says it should go with their number.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -89,8 +89,12 @@
     private static final double ROOM_LEAST = 0.3;
     private static final double ROOM_CUT = 0.85;
     private static final double FULL_CUT = 0.5;
-    /** Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. */
-    private static final double ROOM_BACK = 32;
+    /**
+     * Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. At
+     * a jammed node each router ends at one send a doubling, so with more than five times as many it is longer.
+     */
+    private static final double ROOM_BACK = 8;
+    private static final double ROOM_BACK_ROUTERS = 5;
 
     /** One row a txn type. */
     private static final class Type {
@@ -854,6 +858,7 @@
         beatAt = now;
         outlet.wake(beat);
         double warm = 0;
+        double back = Math.max(ROOM_BACK, set.routers() / ROOM_BACK_ROUTERS);
         List<Double> shares = new ArrayList<>();
         for (Node n : nodes) {
             if (n.group != null && n.standing == Standing.READY) {
@@ -861,7 +866,7 @@
                 shares.add(n.failures);
             }
             if (n.room < 1) {
-                n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * ROOM_BACK));
+                n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * back));
             }
         }
         shares.sort(null);
