--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -91,10 +91,10 @@
     private static final double FULL_CUT = 0.5;
     /**
      * Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. At
-     * a jammed node each router ends at one send a doubling, so with more than five times as many it is longer.
+     * a jammed node each router ends at one send a doubling, so with many more it is longer.
      */
     private static final double ROOM_BACK = 8;
-    private static final double ROOM_BACK_ROUTERS = 5;
+    private static final double ROOM_BACK_ROUTERS = 3;
 
     /** One row a txn type. */
     private static final class Type {
@@ -401,7 +401,7 @@
             Report seen = note;
             if (result == Result.COMMITTED && type.read == Read.WRITE && note.position() != null) {
                 // A commit is rounded up, a position down: what was applied is a millisecond less.
-                seen = new Report(note.position().minusMillis(1), note.role(), note.held());
+                seen = new Report(note.position().minusMillis(1), note.role());
                 if (session >= 0) {
                     written[session] = later(written[session], note.position());
                 }
--- a/src/main/java/dillfront/drill/Event.java
+++ b/src/main/java/dillfront/drill/Event.java
@@ -124,8 +124,7 @@
         double x0 = values.number("x0", Double.NaN);
         double x1 = values.number("x1", Double.NaN);
         return new Report(Double.isNaN(x0) ? null : Duration.ofMillis((long) Math.floor(x0 * 1000 - 1)),
-                Double.isNaN(x1) ? null : x1 == 1 ? Role.PRIMARY : Role.REPLICA,
-                values.number("concurrent", Double.NaN));
+                Double.isNaN(x1) ? null : x1 == 1 ? Role.PRIMARY : Role.REPLICA);
     }
 
     static Role role(long mark) {
--- a/src/main/java/dillfront/drill/Instance.java
+++ b/src/main/java/dillfront/drill/Instance.java
@@ -93,8 +93,8 @@
         return new Settings(setup.span("stepUs"), zones.getOrDefault(setup.text("az"), -1),
                 bounds.span("dialTimeoutUs"),
                 bounds.flag("retryAfter") ? bounds.span("maxRetryAfterUs") : Duration.ZERO,
-                (int) bounds.number("maxAttempts", 1), bounds.flag("probes"), bounds.flag("secondCopies"),
-                bounds.flag("cancel"), setup.text("registryMode").equals("ask"), rules.span("askWithinUs"),
+                (int) bounds.number("maxAttempts", 1), bounds.flag("probes"),
+                setup.text("registryMode").equals("ask"), rules.span("askWithinUs"),
                 switch (family.text("listRole")) {
                     case "trailing" -> ListRole.TRAILING;
                     case "static" -> ListRole.AS_AT_START;
@@ -102,7 +102,7 @@
                 },
                 !family.text("guards").equals("off"), rules.flag("droppedStayOpen"),
                 rules.number("coldFrom", 1), rules.span("coldUs"), rules.number("tipMultiple", 1),
-                rules.span("tipAfterUs"), charges.number("crossZone", 0), charges.number("probe", 0),
+                rules.span("tipAfterUs"), charges.number("probe", 0),
                 (int) setup.number("groupSize", 1), rows,
                 setup.trees("tenants").stream().map(t -> t.number("quotaPerS", 0)).toList());
     }
@@ -199,7 +199,7 @@
             return Report.NOTHING;
         }
         long ms = note / 4;
-        return new Report(ms == 0 ? null : Duration.ofMillis(ms), Event.role(note % 4), Double.NaN);
+        return new Report(ms == 0 ? null : Duration.ofMillis(ms), Event.role(note % 4));
     }
 
     void left(Event e) {
--- a/src/main/java/dillfront/port/Report.java
+++ b/src/main/java/dillfront/port/Report.java
@@ -7,9 +7,8 @@
  *
  * @param position up to where it has applied every commit; null where it did not say
  * @param role null where it did not say
- * @param held txns it holds; NaN where it did not say
  */
-public record Report(Duration position, Role role, double held) {
+public record Report(Duration position, Role role) {
 
-    public static final Report NOTHING = new Report(null, null, Double.NaN);
+    public static final Report NOTHING = new Report(null, null);
 }
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -60,8 +60,8 @@
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), ms(2000), 2, 0),
                 new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3),
                 new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3));
-        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, false, true, listAsked, ms(10000),
-                ListRole.AS_AT_START, nodesRefuse, goneStaysOpen, 0.16, ms(16000), 2, ms(1000), 0.026, 0.012, 3, types,
+        decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, listAsked, ms(10000),
+                ListRole.AS_AT_START, nodesRefuse, goneStaysOpen, 0.16, ms(16000), 2, ms(1000), 0.012, 3, types,
                 List.of(50.0, 50.0)), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
         decide.at(ms(0));
     }
@@ -118,7 +118,7 @@
 
     /** What a node says of itself by a probe's report. */
     void report(int node, long position, Role role) {
-        decide.probed(node, true, new Report(ms(position), role, Double.NaN));
+        decide.probed(node, true, new Report(ms(position), role));
     }
 
     /** A few lines that say nothing new are left out of the trace. */
@@ -153,7 +153,7 @@
         boolean closed = result == Result.COMMITTED;
         trace.append(String.format("%5d   %s at node %d: %s\n", ms, names.get(txn), node, result));
         txns.get(txn).ended(node, result, ms(took), closed,
-                new Report(role == null ? null : ms(position), role, Double.NaN), Report.NOTHING);
+                new Report(role == null ? null : ms(position), role), Report.NOTHING);
     }
 
     /** What was seen is also left in target/traces, to be read and kept where a change was meant. */
