--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -55,7 +55,7 @@
     /** A primary is calm while its answers take less than this many times the fleet's usual. */
     private static final double CALM = 1.5;
     /** And while they take less than this part of what strains a node. */
-    private static final double CALM_PART = 0.75;
+    private static final double CALM_PART = 0.9;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
