Free connections are closed only where others were refused at once, not by time-out

Probes were answered, so the nodes passed for nodes that take few connections, and the open ones that still worked were closed. What was concluded was not so; evidence on the wire: where connections are capped nine of ten fail within a round trip, here all but a few took the full 250 ms. Guards also against loss on the way. Harm: a cap that hangs in place of refusing is met as before.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -159,6 +159,8 @@
         Duration lostAt = NEVER;
         /** A probe was lost too. */
         boolean unheard;
+        /** Its last connection that failed did so at once, not by the dial time-out. */
+        boolean atOnce;
         double failures;
         double strain;
         double pace = 1;
@@ -419,7 +421,8 @@
                 goOn(this, n, result);
             }
             place(n.group);
-            // Nodes that are up take no more connections: what this router keeps open, others wait for.
+            // Nodes that are up take no more connections: what this router keeps open, others wait for. Not
+            // where connections fail by time-out: those are slow to make, and what is open is worth keeping.
             if (n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0) {
                 outlet.release(n.id);
             }
@@ -766,6 +769,7 @@
         } else if (idle) {
             n.silent = true;
         }
+        n.atOnce = result == Result.UNREACHABLE ? took.compareTo(times(set.dial(), 0.5)) < 0 : n.atOnce;
         if (result == Result.UNREACHABLE && failing(n)) {
             n.lostAt = n.lost ? n.lostAt : now;
             n.lost = true;
@@ -817,7 +821,7 @@
             n.started = later(n.started, now);
             n.coldCredit = 0;
         }
-        scarceAt = n.unheard ? scarceAt : now;
+        scarceAt = n.unheard || !n.atOnce ? scarceAt : now;
         n.unheard = false;
     }
 
