--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -60,8 +60,6 @@
     private static final double FAR = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
     private static final double SCARCE = 16;
-    /** How much busier one with a free connection may be: a new one may be slow to come, or not come. */
-    private static final double DIAL = 8;
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
@@ -154,8 +152,6 @@
         Duration claimed = NEVER;
         Duration denied = NEVER;
         int out;
-        /** Connections that stand open with nothing on them, as far as can be told. */
-        int idle;
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
@@ -574,7 +570,6 @@
             double gap = TRIAL_GAP * Math.min(n.trials++, TRIALS) * (1 + chance.nextDouble() / 2);
             n.tryAt = now.plus(times(set.dial(), gap));
         }
-        n.idle = Math.max(0, n.idle - 1);
         if (n.out++ == 0) {
             n.quiet = now;
         }
@@ -628,7 +623,7 @@
                 continue;
             }
             if (n.position.compareTo(need) >= 0 || keepsUp(n)) {
-                double load = busy(n, -Math.log(1 - chance.nextDouble())) * (n.idle > 0 ? 1 : DIAL);
+                double load = busy(n, -Math.log(1 - chance.nextDouble()));
                 if (load < least) {
                     best = n;
                     least = load;
@@ -763,7 +758,6 @@
         }
         boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
         double gain = result == Result.UNREACHABLE || result == Result.RESET ? LOST_GAIN : FAIL_GAIN;
-        n.idle = result == Result.TIMED_OUT ? n.idle : bad ? 0 : n.idle + 1;
         if (result != Result.ERROR) {
             n.failures += gain * ((bad ? 1 : 0) - n.failures);
         }
