--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -94,7 +94,7 @@
      * a jammed node each router ends at one send a doubling, so with many more it is longer.
      */
     private static final double ROOM_BACK = 8;
-    private static final double ROOM_BACK_ROUTERS = 8;
+    private static final double ROOM_BACK_ROUTERS = 3;
 
     /** One row a txn type. */
     private static final class Type {
