--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -795,7 +795,7 @@
         if (result == Result.FULL || n.strain > STRAINED) {
             if (result == Result.FULL || now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
                 n.cutAt = now;
-                double used = Math.max(n.out, ratio(slowest(), n.gap));
+                double used = n.out > 0 ? n.out : Math.min(1, ratio(slowest(), n.gap));
                 double cut = result == Result.FULL || jammed ? FULL_CUT : ROOM_CUT;
                 n.room = Math.max(roomLeast, Math.min(n.room, used) * cut);
             }
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -280,42 +280,41 @@
         s.compare("out-of-reach");
     }
 
-    /** Keeps the node out of reach, then lets it answer a probe; the trace shows whether it is ramped up. */
-    private void returns(int lostProbes, long position) {
+    /** Gives no connection at node 0, each after that time; then it answers its first probe. */
+    private void returns(long took) {
         int fresh = s.take(ONCE);
         s.mute(() -> {
             for (int i = 0; i < 4; i++) {
-                s.ended(fresh, Result.UNREACHABLE, 1, null, 0);
+                s.ended(fresh, Result.UNREACHABLE, took, null, 0);
                 s.to(s.ms + 1500);
                 s.report(0, s.ms, PRIMARY);
-                s.ended(s.take(ONCE), Result.UNREACHABLE, 1, null, 0);
-            }
-            for (int i = 0; i < lostProbes; i++) {
-                s.decide.probed(0, false, dillfront.port.Report.NOTHING);
+                s.ended(s.take(ONCE), Result.UNREACHABLE, took, null, 0);
             }
             s.to(s.ms + 200);
         });
-        s.report(0, position < 0 ? s.ms : position, position < 0 ? PRIMARY : REPLICA);
+        known(s.ms);
+    }
+
+    private void oneView() {
+        int view = s.take(VIEW);
+        s.to(s.ms + 40);
+        s.well(view, 40);
     }
 
     @Test
     void refusedConnectionsAreNoDeath() throws IOException {
         s.to(10);
         known(5);
-        s.note("node 0 gives no connection but answers its first probe: it is up, and free ones are closed");
-        returns(0, -1);
-        known(s.ms);
-        for (int i = 0; i < 2; i++) {
-            int view = s.take(VIEW);
-            s.to(s.ms + 40);
-            s.well(view, 40);
-        }
+        s.note("node 0 refuses connections at once but answers its first probe: it is up, and free ones are closed");
+        returns(1);
+        oneView();
+        oneView();
         s.to(s.ms + 4000);
         known(s.ms);
-        s.note("four seconds later they are kept again");
-        int later = s.take(VIEW);
-        s.to(s.ms + 40);
-        s.well(later, 40);
+        s.note("four seconds later they are kept again, and also where connections fail by time-out");
+        oneView();
+        returns(250);
+        oneView();
         s.compare("refused-connections");
     }
 
@@ -338,4 +337,20 @@
         s.take(ANY);
         s.compare("errors-anywhere");
     }
+
+    @Test
+    void aNodeThatOnlyTurnsWorkAwayIsTriedAtGaps() throws IOException {
+        s.to(10);
+        known(5);
+        s.note("the primary has hung with its queue full: it answers at once, and its probes are well");
+        for (int i = 0; i < 12; i++) {
+            s.to(s.ms + 400);
+            s.mute(() -> known(s.ms));
+            int write = s.take(ONCE, 300, null);
+            while (s.whereIs(write) >= 0) {
+                s.ended(write, Result.FULL, 1, null, 0);
+            }
+        }
+        s.compare("only-full");
+    }
 }
