--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -453,6 +453,14 @@
             }
         }
 
+        @Override
+        public boolean stands(int node) {
+            Node n = nodes.get(node);
+            boolean old = type.read == Read.FRESH
+                    || type.read == Read.BOUNDED && n.position.compareTo(now.minus(type.bound)) < 0 && !keepsUp(n);
+            return !closed && listed(n) && (!old || n == primary(group));
+        }
+
         @Override
         public void left() {
             closed = true;
@@ -753,7 +761,7 @@
     // ---- health
 
     private void judge(Node n, Type type, Result result, Duration took) {
-        if (result == Result.WITHDRAWN || result == Result.MOOT) {
+        if (result == Result.WITHDRAWN || result == Result.MOOT || result == Result.UNSENT) {
             return;
         }
         boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
--- /dev/null
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -0,0 +1,244 @@
+package dillfront.clients;
+
+import dillfront.exchange.Answer;
+import dillfront.exchange.Asker;
+import dillfront.exchange.Exchange;
+import dillfront.pgwire.BadFrame;
+import dillfront.pgwire.BadStatement;
+import dillfront.pgwire.Frames;
+import dillfront.pgwire.Messages;
+import dillfront.pgwire.Statement;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.time.Duration;
+
+/** One client: queries taken one after another, each answered before the next is looked at. */
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Asker {
+
+    private final Clients clients;
+    private final Frames frames = new Frames(true);
+    private ChannelHandlerContext ctx;
+    private boolean started;
+    /** After a message of the extended protocol, until its Sync. */
+    private boolean skipping;
+    /** The txn that is out; the connection owes its answer. */
+    private Exchange exchange;
+    private boolean owes;
+    private boolean pumping;
+    private boolean closed;
+    /** Since when it has been waiting for a query; for choosing whom to close. */
+    long idleSince = System.nanoTime();
+
+    ClientConnection(Clients clients) {
+        this.clients = clients;
+    }
+
+    /** Nothing of a query is here, and no answer is owed. */
+    boolean idle() {
+        return !owes && frames.waiting() == 0;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        ctx = context;
+        clients.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object read) {
+        if (closed) {
+            ((ByteBuf) read).release();
+            return;
+        }
+        frames.add((ByteBuf) read);
+        pump();
+        // What is written ahead waits with the client once it is more than one query can be.
+        if (frames.waiting() > Frames.LONGEST && !closed) {
+            ctx.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        pump();
+    }
+
+    private void pump() {
+        if (pumping) {
+            return;
+        }
+        pumping = true;
+        try {
+            while (!closed && !owes && ctx.channel().isWritable()) {
+                ByteBuf message = frames.next();
+                if (message == null) {
+                    break;
+                }
+                if (started) {
+                    message(message);
+                } else {
+                    startup(message);
+                }
+            }
+        } catch (BadFrame bad) {
+            refuse(Messages.VIOLATION, bad.getMessage());
+        } finally {
+            pumping = false;
+        }
+        if (!closed && frames.waiting() <= Frames.LONGEST && !ctx.channel().config().isAutoRead()) {
+            ctx.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void startup(ByteBuf message) {
+        int code = message.getInt(message.readerIndex() + 4);
+        message.release();
+        switch (code) {
+            case Messages.SSL, Messages.GSS -> ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte('N'));
+            case Messages.CANCEL -> close();
+            case Messages.VERSION -> {
+                started = true;
+                frames.typed();
+                ctx.writeAndFlush(Messages.welcome(ctx.alloc().buffer(192)));
+            }
+            default -> refuse("0A000", "protocol version " + (code >>> 16) + "." + (code & 0xffff));
+        }
+    }
+
+    /** Takes one message over. */
+    private void message(ByteBuf message) {
+        char type = (char) message.getByte(message.readerIndex());
+        if (type == 'Q' && !skipping) {
+            query(message);
+            return;
+        }
+        message.release();
+        switch (type) {
+            case 'Q', 'H' -> { }
+            case 'X' -> close();
+            case 'S' -> {
+                skipping = false;
+                ctx.writeAndFlush(Messages.ready(ctx.alloc().buffer(6)));
+            }
+            case 'P', 'B', 'D', 'E', 'C' -> {
+                if (!skipping) {
+                    skipping = true;
+                    ctx.writeAndFlush(Messages.error(ctx.alloc().buffer(128), false, Messages.NOT_SUPPORTED,
+                            "only simple queries are served here", null));
+                }
+            }
+            case 'F' -> {
+                if (!skipping) {
+                    error(Messages.NOT_SUPPORTED, "no functions are served here", null);
+                }
+            }
+            default -> refuse(Messages.VIOLATION, "unknown message");
+        }
+    }
+
+    private void query(ByteBuf message) {
+        clients.counters.queries++;
+        if (Messages.empty(message)) {
+            message.release();
+            ctx.writeAndFlush(Messages.emptyQuery(ctx.alloc().buffer(11)));
+            return;
+        }
+        Statement statement;
+        try {
+            statement = Statement.read(message);
+        } catch (BadStatement bad) {
+            message.release();
+            clients.counters.outOfForm++;
+            clients.log.warn("query-out-of-form", "fault", bad.getMessage());
+            error(Messages.OUT_OF_FORM, bad.getMessage(), null);
+            return;
+        }
+        owes = true;
+        Exchange taken = clients.desk.take(statement, message, this);
+        if (taken == null) {
+            owes = false;
+            message.release();
+            clients.counters.outOfForm++;
+            clients.log.warn("query-of-unknown-type", "type", statement.type);
+            error(Messages.OUT_OF_FORM, "unknown type", null);
+        } else if (owes) {
+            exchange = taken;
+        }
+    }
+
+    private void error(String code, String text, String detail) {
+        ByteBuf out = ctx.alloc().buffer(160);
+        ctx.writeAndFlush(Messages.ready(Messages.error(out, false, code, text, detail)));
+    }
+
+    @Override
+    public void committed(Answer answer) {
+        clients.counters.committed++;
+        ctx.write(answer.description());
+        ctx.write(answer.row());
+        ctx.write(answer.completion());
+        ctx.writeAndFlush(Messages.ready(ctx.alloc().buffer(6)));
+        answered();
+    }
+
+    @Override
+    public void declined(Duration pause) {
+        clients.counters.declined++;
+        error(Messages.DECLINED, "declined, trying again is harmless",
+                pause.isZero() ? null : Long.toString(Math.max(1, pause.toMillis())));
+        answered();
+    }
+
+    @Override
+    public void rolledBack() {
+        clients.counters.rolledBack++;
+        error(Messages.ROLLED_BACK, "rolled back, whether it has run is not known", null);
+        answered();
+    }
+
+    /** What comes next is looked at once the module has returned. */
+    private void answered() {
+        exchange = null;
+        owes = false;
+        idleSince = System.nanoTime();
+        clients.free(this);
+        ctx.channel().eventLoop().execute(this::pump);
+    }
+
+    private void refuse(String code, String text) {
+        clients.log.warn("client-refused", "fault", text);
+        closed = true;
+        frames.release();
+        ctx.writeAndFlush(Messages.error(ctx.alloc().buffer(128), true, code, text, null))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closed = true;
+        frames.release();
+        clients.closed(this);
+        owes = false;
+        if (exchange != null) {
+            clients.counters.left++;
+            Exchange out = exchange;
+            exchange = null;
+            out.left();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            clients.log.warn("client-connection", "fault", cause);
+        }
+        context.close();
+    }
+
+    void close() {
+        closed = true;
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/config/Config.java
@@ -0,0 +1,61 @@
+package dillfront.config;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * What the platform tells one router at its start.
+ *
+ * @param sockets how many file descriptors it may hold
+ * @param known the member list as it last had it, in discovery's form
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Tree known, Setup setup) {
+
+    /** The variables go before what the file says of the same thing. */
+    public static Config read(Map<String, String> env) throws BadConfig {
+        String file = env.get("LB_CONFIG");
+        if (file == null) {
+            throw new BadConfig("LB_CONFIG is not set");
+        }
+        Tree tree;
+        try (InputStream text = Files.newInputStream(Path.of(file))) {
+            tree = Tree.parse(text);
+        } catch (IOException bad) {
+            String fault = bad.getMessage() == null ? bad.toString() : bad.getMessage();
+            throw new BadConfig("LB_CONFIG " + file + ": " + fault.lines().findFirst().orElse(""));
+        }
+        Setup setup = Setup.read(tree.tree("settings"));
+        if (setup.types().isEmpty()) {
+            throw new BadConfig("LB_CONFIG " + file + ": settings name no classes");
+        }
+        if (setup.settings().dial().isZero() || setup.settings().step().isZero()) {
+            throw new BadConfig("LB_CONFIG " + file + ": settings lack stepUs or bounds.dialTimeoutUs");
+        }
+        return new Config(env.getOrDefault("LB_NAME", tree.text("name")),
+                address(env, "LB_LISTEN", tree.text("listen")), address(env, "LB_DISCOVERY", tree.text("discovery")),
+                seed(tree.text("seed")), (int) tree.tree("limits").number("sockets", 1024), tree.tree("known"), setup);
+    }
+
+    private static InetSocketAddress address(Map<String, String> env, String name, String otherwise)
+            throws BadConfig {
+        String text = env.getOrDefault(name, otherwise);
+        InetSocketAddress address = Address.parse(text);
+        if (address == null) {
+            throw new BadConfig(name + " is no address: '" + text + "'");
+        }
+        return address;
+    }
+
+    private static long seed(String hex) throws BadConfig {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException bad) {
+            throw new BadConfig("seed is no hexadecimal number: '" + hex + "'");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/config/Setup.java
@@ -0,0 +1,102 @@
+package dillfront.config;
+
+import dillfront.Decide;
+import dillfront.port.Effect;
+import dillfront.port.ListRole;
+import dillfront.port.Read;
+import dillfront.port.Settings;
+import dillfront.port.TxnType;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The settings object as the simulator's first message and the configuration file both hold it.
+ *
+ * @param settings what the module reads of it
+ * @param types the names that stand for the indices of settings, as are tenants and zones
+ * @param tokensCarried session reads tell how long ago their session last wrote
+ * @param idle a connection that carried nothing for so long is closed by the node
+ * @param reports nodes tell of themselves: in answers and probes, or in probes alone
+ */
+public record Setup(Settings settings, Map<String, Integer> types, Map<String, Integer> tenants,
+        Map<String, Integer> zones, boolean tokensCarried, Duration idle, boolean reports) {
+
+    public static Setup read(Tree setup) {
+        Tree family = setup.tree("familyInfo");
+        Map<String, Integer> zones = index(setup.list("zones"));
+        return new Setup(settings(setup, family, zones),
+                index(setup.trees("classes").stream().map(t -> t.text("name")).toList()),
+                index(setup.trees("tenants").stream().map(t -> t.text("name")).toList()),
+                zones, family.text("tokens").equals("brought"), setup.tree("bounds").span("keepaliveUs"),
+                !setup.tree("stats").text("how").equals("off") && !setup.tree("stats").list("fields").isEmpty());
+    }
+
+    public int zone(String name) {
+        return zones.getOrDefault(name, -1);
+    }
+
+    /** Spreads the numbers that stand for sessions over the module's indices. */
+    public static int session(long number) {
+        return (int) Math.floorMod(number * 0x9E3779B97F4A7C15L >>> 20, Decide.SESSIONS);
+    }
+
+    private static Map<String, Integer> index(List<?> names) {
+        Map<String, Integer> into = new HashMap<>();
+        names.forEach(name -> into.put(String.valueOf(name), into.size()));
+        return into;
+    }
+
+    private static Settings settings(Tree setup, Tree family, Map<String, Integer> zones) {
+        Tree bounds = setup.tree("bounds");
+        Tree rules = setup.tree("rules");
+        Tree charges = setup.tree("charges");
+        List<Tree> classes = setup.trees("classes");
+        List<TxnType> rows = new ArrayList<>();
+        for (int i = 0; i < classes.size(); i++) {
+            Tree type = classes.get(i);
+            rows.add(new TxnType(
+                    switch (type.text("effect")) {
+                        case "retryable" -> Effect.REPEATABLE;
+                        case "dedup" -> Effect.REFERENCED;
+                        default -> Effect.ONCE_ONLY;
+                    },
+                    !type.text("dedupScope").equals("all"), type.span("dedupWindowUs"),
+                    read(family.list("classRead"), i),
+                    i < family.list("classBoundUs").size()
+                            ? micros(family.list("classBoundUs").get(i)) : Duration.ZERO,
+                    type.span("targetUs"), type.span("deadlineUs"), type.number("worth", 1), type.number("lateShare", 0)));
+        }
+        return new Settings(setup.span("stepUs"), zones.getOrDefault(setup.text("az"), -1),
+                bounds.span("dialTimeoutUs"),
+                bounds.flag("retryAfter") ? bounds.span("maxRetryAfterUs") : Duration.ZERO,
+                (int) bounds.number("maxAttempts", 1), bounds.flag("probes"),
+                setup.text("registryMode").equals("ask"), rules.span("askWithinUs"),
+                switch (family.text("listRole")) {
+                    case "trailing" -> ListRole.TRAILING;
+                    case "static" -> ListRole.AS_AT_START;
+                    default -> ListRole.ABSENT;
+                },
+                !family.text("guards").equals("off"), rules.flag("droppedStayOpen"),
+                rules.number("coldFrom", 1), rules.span("coldUs"), rules.number("tipMultiple", 1),
+                rules.span("tipAfterUs"), charges.number("probe", 0),
+                (int) setup.number("groupSize", 1), rows,
+                setup.trees("tenants").stream().map(t -> t.number("quotaPerS", 0)).toList());
+    }
+
+    private static Read read(List<?> reads, int i) {
+        return switch (i < reads.size() ? String.valueOf(reads.get(i)) : "") {
+            case "eventual" -> Read.ANY;
+            case "lag_bound" -> Read.BOUNDED;
+            case "causal" -> Read.SESSION;
+            case "mutate" -> Read.WRITE;
+            default -> Read.FRESH;
+        };
+    }
+
+    private static Duration micros(Object number) {
+        return Tree.micros(number instanceof Number n ? n.longValue() : 0);
+    }
+}
--- a/src/main/java/dillfront/drill/Tree.java
+++ b/src/main/java/dillfront/config/Tree.java
@@ -1,21 +1,39 @@
-package dillfront.drill;
+package dillfront.config;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.InputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** One JSON object read whole, for the rare messages: settings and member lists. */
-final class Tree {
+/** One JSON object read whole, for the rare messages: configuration, settings and member lists. */
+public final class Tree {
+
+    private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<String, Object> values = new HashMap<>();
 
+    /** A text that holds one object and nothing else. */
+    public static Tree parse(InputStream text) throws IOException {
+        try (JsonParser json = JSON.createParser(text)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not an object");
+            }
+            Tree tree = read(json);
+            if (json.nextToken() != null) {
+                throw new IOException("more than one object");
+            }
+            return tree;
+        }
+    }
+
     /** The parser stands at the object's opening brace, and is left at its closing one. */
-    static Tree read(JsonParser json) throws IOException {
+    public static Tree read(JsonParser json) throws IOException {
         Tree tree = new Tree();
         while (json.nextToken() != JsonToken.END_OBJECT) {
             String name = json.currentName();
@@ -43,35 +61,39 @@
         };
     }
 
-    Tree tree(String name) {
+    public Tree tree(String name) {
         return values.get(name) instanceof Tree tree ? tree : new Tree();
     }
 
-    List<Tree> trees(String name) {
+    public List<Tree> trees(String name) {
         return list(name).stream().filter(Tree.class::isInstance).map(Tree.class::cast).toList();
     }
 
-    List<?> list(String name) {
+    public List<?> list(String name) {
         return values.get(name) instanceof List<?> list ? list : List.of();
     }
 
-    String text(String name) {
+    public String text(String name) {
         return values.get(name) instanceof String text ? text : "";
     }
 
-    boolean flag(String name) {
+    public boolean flag(String name) {
         return Boolean.TRUE.equals(values.get(name));
     }
 
-    double number(String name, double otherwise) {
+    public double number(String name, double otherwise) {
         return values.get(name) instanceof Number number ? number.doubleValue() : otherwise;
     }
 
-    long whole(String name) {
+    public long whole(String name) {
         return values.get(name) instanceof Number number ? number.longValue() : 0;
     }
 
-    Duration span(String name) {
-        return Drill.micros(whole(name));
+    public Duration span(String name) {
+        return micros(whole(name));
+    }
+
+    public static Duration micros(long us) {
+        return Duration.ofSeconds(Math.floorDiv(us, 1_000_000L), Math.floorMod(us, 1_000_000L) * 1000);
     }
 }
--- /dev/null
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -0,0 +1,96 @@
+package dillfront.daemon;
+
+import dillfront.clients.Clients;
+import dillfront.config.BadConfig;
+import dillfront.config.Clock;
+import dillfront.config.Config;
+import dillfront.list.Watch;
+import dillfront.log.Counters;
+import dillfront.log.Log;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** Starts one router, keeps it going, and ends it. */
+public final class Daemon {
+
+    /** New clients may go on coming so long after the word to end. */
+    private static final Duration STILL_COMING = Duration.ofMillis(600);
+    /** Descriptors that are neither a client's nor a node's: files, the list, the door, the selector. */
+    private static final int OTHERS = 64;
+
+    private final Config config;
+    private final Log log;
+    private final Counters counters = new Counters();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private NioEventLoopGroup group;
+    private EventLoop loop;
+    private Router router;
+    private Clients clients;
+    private Watch watch;
+
+    public Daemon(Config config, Log log) {
+        this.config = config;
+        this.log = log;
+    }
+
+    /** Returns once clients can connect. */
+    public void start() throws BadConfig {
+        group = new NioEventLoopGroup(1, new DefaultThreadFactory("router"));
+        loop = group.next();
+        int share = Math.max(2, (config.sockets() - OTHERS) / 2);
+        try {
+            loop.submit(() -> {
+                router = new Router(config, new Clock(), counters, log, loop, share);
+                clients = new Clients(router, counters, log, loop, share);
+                boolean known = !config.known().list("instances").isEmpty();
+                if (known) {
+                    router.list(config.known());
+                }
+                watch = new Watch(config, counters, log, loop, known ? config.known().whole("generation") : -1, router);
+                watch.start();
+            }).sync();
+            clients.open(config.listen()).sync();
+        } catch (InterruptedException stopped) {
+            throw new BadConfig("interrupted");
+        } catch (Exception fault) {
+            throw new BadConfig("LB_LISTEN " + config.listen() + ": " + fault.getMessage());
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        log.info("serving", "name", config.name(), "listen", config.listen());
+    }
+
+    /** Goes on serving while clients still come, then finishes all that was taken. */
+    private void stop() {
+        log.info("stopping", "name", config.name());
+        loop.schedule(this::leave, STILL_COMING.toMillis(), TimeUnit.MILLISECONDS);
+        Duration longest = config.setup().settings().types().stream().map(t -> t.longest())
+                .max(Duration::compareTo).orElse(Duration.ZERO);
+        try {
+            if (!ended.await(longest.plus(STILL_COMING).toMillis(), TimeUnit.MILLISECONDS)) {
+                log.warn("stopped-with-work", "txns", counters.txns, "clients", counters.clientConnections);
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+        counters.print(log);
+    }
+
+    private void leave() {
+        clients.leave();
+        lookIfOver();
+    }
+
+    private void lookIfOver() {
+        if (clients.empty() && counters.txns == 0) {
+            watch.close();
+            router.close();
+            ended.countDown();
+        } else {
+            loop.schedule(this::lookIfOver, config.setup().settings().step().toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -0,0 +1,163 @@
+package dillfront.daemon;
+
+import dillfront.Decide;
+import dillfront.config.Clock;
+import dillfront.config.Config;
+import dillfront.config.Setup;
+import dillfront.config.Tree;
+import dillfront.exchange.Asker;
+import dillfront.exchange.Desk;
+import dillfront.exchange.Exchange;
+import dillfront.exchange.Submitter;
+import dillfront.list.Member;
+import dillfront.list.MemberList;
+import dillfront.list.Watch;
+import dillfront.log.Counters;
+import dillfront.log.Log;
+import dillfront.pgwire.Statement;
+import dillfront.port.Outlet;
+import dillfront.port.Report;
+import dillfront.servers.Fleet;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGeneratorFactory;
+
+/** The module and what it drives: words of the network become its calls, its results go out again. */
+final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener {
+
+    private final Setup setup;
+    private final Clock clock;
+    private final Counters counters;
+    private final EventLoop loop;
+    private final MemberList members;
+    private final Decide decide;
+    private final Fleet fleet;
+    /** A slot is used again once its txn is over. */
+    private final List<Exchange> slots = new ArrayList<>();
+    private final List<Integer> free = new ArrayList<>();
+
+    Router(Config config, Clock clock, Counters counters, Log log, EventLoop loop, int nodeConnections) {
+        this.setup = config.setup();
+        this.clock = clock;
+        this.counters = counters;
+        this.loop = loop;
+        members = new MemberList(setup, clock, log);
+        fleet = new Fleet(setup, clock, counters, log, loop, nodeConnections, this);
+        decide = new Decide(setup.settings(), this,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()));
+    }
+
+    Submitter servers() {
+        return fleet;
+    }
+
+    int held() {
+        return slots.size() - free.size();
+    }
+
+    void close() {
+        fleet.close();
+    }
+
+    // ---- words of the network
+
+    @Override
+    public void tick() {
+        decide.at(clock.now());
+    }
+
+    @Override
+    public void list(Tree list) {
+        List<Member> read = members.read(list);
+        read.forEach(m -> fleet.known(m.row().node(), m.address(), m.startedMs()));
+        tick();
+        decide.list(list.flag("reset"), read.stream().map(Member::row).toList());
+    }
+
+    @Override
+    public void listFailed() {
+        tick();
+        decide.listFailed();
+    }
+
+    @Override
+    public Exchange take(Statement statement, ByteBuf message, Asker asker) {
+        Integer type = setup.types().get(statement.type);
+        if (type == null) {
+            return null;
+        }
+        tick();
+        int slot = free.isEmpty() ? slots.size() : free.remove(free.size() - 1);
+        Exchange exchange = new Exchange(this, slot, statement, message, asker);
+        if (slot == slots.size()) {
+            slots.add(exchange);
+        } else {
+            slots.set(slot, exchange);
+        }
+        counters.taken++;
+        counters.txns++;
+        Duration now = clock.now();
+        Duration token = !setup.tokensCarried() ? null
+                : statement.afterMs == 0 ? Duration.ZERO : now.minus(clock.since(statement.afterMs));
+        exchange.taken(decide.take(slot, type, -1, Setup.session(statement.key), statement.group,
+                Duration.ofMillis(statement.waitMs), token));
+        return exchange;
+    }
+
+    @Override
+    public void over(Exchange exchange) {
+        slots.set(exchange.slot(), null);
+        free.add(exchange.slot());
+        counters.txns--;
+    }
+
+    @Override
+    public void probed(int node, boolean answered, Report report) {
+        tick();
+        decide.probed(node, answered, report);
+    }
+
+    // ---- results of the module
+
+    @Override
+    public void submit(int txn, int node, Duration limit) {
+        counters.submitted++;
+        fleet.submit(slots.get(txn), node, limit);
+    }
+
+    @Override
+    public void decline(int txn, Duration pause) {
+        slots.get(txn).decline(pause);
+    }
+
+    @Override
+    public void rollBack(int txn) {
+        slots.get(txn).rollBack();
+    }
+
+    @Override
+    public void release(int node) {
+        fleet.release(node);
+    }
+
+    @Override
+    public void probe(int node) {
+        fleet.probe(node);
+    }
+
+    /** The watch goes on by itself on sockets. */
+    @Override
+    public void follow() {}
+
+    @Override
+    public void wake(Duration in) {
+        loop.schedule(() -> {
+            tick();
+            decide.woken();
+        }, in.toNanos(), TimeUnit.NANOSECONDS);
+    }
+}
--- a/src/main/java/dillfront/drill/Drill.java
+++ b/src/main/java/dillfront/drill/Drill.java
@@ -6,11 +6,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.exc.InputCoercionException;
 import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import dillfront.config.Tree;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,10 +38,6 @@
         reply.setPrettyPrinter(new MinimalPrettyPrinter(""));
     }
 
-    static Duration micros(long us) {
-        return Duration.ofSeconds(Math.floorDiv(us, 1_000_000L), Math.floorMod(us, 1_000_000L) * 1000);
-    }
-
     /** Runs until the input ends; what a faulty batch would have answered is not written. */
     public void run() throws IOException, BadInput {
         long clockUs = Long.MIN_VALUE;
--- a/src/main/java/dillfront/drill/Event.java
+++ b/src/main/java/dillfront/drill/Event.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import dillfront.config.Tree;
 import dillfront.port.Report;
 import dillfront.port.Result;
 import dillfront.port.Role;
--- a/src/main/java/dillfront/drill/Instance.java
+++ b/src/main/java/dillfront/drill/Instance.java
@@ -2,17 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import dillfront.Decide;
-import dillfront.port.Effect;
+import dillfront.config.Setup;
+import dillfront.config.Tree;
 import dillfront.port.Handle;
-import dillfront.port.ListRole;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
-import dillfront.port.Read;
 import dillfront.port.Report;
 import dillfront.port.Result;
-import dillfront.port.Settings;
 import dillfront.port.Standing;
-import dillfront.port.TxnType;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
@@ -30,11 +27,7 @@
     private final JsonGenerator reply;
     private final Decide decide;
     private final long zeroUs;
-    private final boolean tokensCarried;
-
-    private final Map<String, Integer> types = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
-    private final Map<String, Integer> zones = new HashMap<>();
+    private final Setup setup;
 
     /** Grows with the machines that any list has named. */
     private final Map<String, Integer> nodes = new HashMap<>();
@@ -56,73 +49,14 @@
     Instance(int who, long seed, Tree setup, JsonGenerator reply) {
         this.who = who;
         this.reply = reply;
-        Tree family = setup.tree("familyInfo");
-        zeroUs = family.whole("originTimeUs");
-        tokensCarried = family.text("tokens").equals("brought");
-        index(setup.list("zones"), zones);
-        index(setup.trees("tenants").stream().map(t -> t.text("name")).toList(), tenants);
-        index(setup.trees("classes").stream().map(t -> t.text("name")).toList(), types);
+        this.setup = Setup.read(setup);
+        zeroUs = setup.tree("familyInfo").whole("originTimeUs");
         RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
-        decide = new Decide(settings(setup, family), this, chance);
-    }
-
-    private static void index(List<?> names, Map<String, Integer> into) {
-        names.forEach(name -> into.put(String.valueOf(name), into.size()));
-    }
-
-    private Settings settings(Tree setup, Tree family) {
-        Tree bounds = setup.tree("bounds");
-        Tree rules = setup.tree("rules");
-        Tree charges = setup.tree("charges");
-        List<Tree> classes = setup.trees("classes");
-        List<TxnType> rows = new ArrayList<>();
-        for (int i = 0; i < classes.size(); i++) {
-            Tree type = classes.get(i);
-            rows.add(new TxnType(
-                    switch (type.text("effect")) {
-                        case "retryable" -> Effect.REPEATABLE;
-                        case "dedup" -> Effect.REFERENCED;
-                        default -> Effect.ONCE_ONLY;
-                    },
-                    !type.text("dedupScope").equals("all"), type.span("dedupWindowUs"),
-                    read(family.list("classRead"), i),
-                    i < family.list("classBoundUs").size()
-                            ? micros(family.list("classBoundUs").get(i)) : Duration.ZERO,
-                    type.span("targetUs"), type.span("deadlineUs"), type.number("worth", 1), type.number("lateShare", 0)));
-        }
-        return new Settings(setup.span("stepUs"), zones.getOrDefault(setup.text("az"), -1),
-                bounds.span("dialTimeoutUs"),
-                bounds.flag("retryAfter") ? bounds.span("maxRetryAfterUs") : Duration.ZERO,
-                (int) bounds.number("maxAttempts", 1), bounds.flag("probes"),
-                setup.text("registryMode").equals("ask"), rules.span("askWithinUs"),
-                switch (family.text("listRole")) {
-                    case "trailing" -> ListRole.TRAILING;
-                    case "static" -> ListRole.AS_AT_START;
-                    default -> ListRole.ABSENT;
-                },
-                !family.text("guards").equals("off"), rules.flag("droppedStayOpen"),
-                rules.number("coldFrom", 1), rules.span("coldUs"), rules.number("tipMultiple", 1),
-                rules.span("tipAfterUs"), charges.number("probe", 0),
-                (int) setup.number("groupSize", 1), rows,
-                setup.trees("tenants").stream().map(t -> t.number("quotaPerS", 0)).toList());
-    }
-
-    private static Read read(List<?> reads, int i) {
-        return switch (i < reads.size() ? String.valueOf(reads.get(i)) : "") {
-            case "eventual" -> Read.ANY;
-            case "lag_bound" -> Read.BOUNDED;
-            case "causal" -> Read.SESSION;
-            case "mutate" -> Read.WRITE;
-            default -> Read.FRESH;
-        };
-    }
-
-    private static Duration micros(Object number) {
-        return Drill.micros(number instanceof Number n ? n.longValue() : 0);
+        decide = new Decide(this.setup.settings(), this, chance);
     }
 
     void at(long clockUs) {
-        decide.at(Drill.micros(clockUs - zeroUs));
+        decide.at(Tree.micros(clockUs - zeroUs));
     }
 
     void list(boolean whole, List<Tree> entries) {
@@ -136,9 +70,9 @@
                 nodeIds.add(id);
             }
             long started = entry.whole("lastStartUs");
-            rows.add(new NodeRow(node, (int) entry.whole("db"), zones.getOrDefault(entry.text("locality"), -1),
+            rows.add(new NodeRow(node, (int) entry.whole("db"), setup.zone(entry.text("locality")),
                     entry.number("scale", 1), entry.number("primary", 0) == 1,
-                    started == 0 ? null : Drill.micros(started - zeroUs),
+                    started == 0 ? null : Tree.micros(started - zeroUs),
                     switch ((int) entry.whole("availability")) {
                         case 1 -> Standing.READY;
                         case 2 -> Standing.DRAINING;
@@ -153,7 +87,7 @@
     }
 
     void arrived(Event e) throws BadInput {
-        Integer type = types.get(e.qos);
+        Integer type = setup.types().get(e.qos);
         if (type == null) {
             throw e.fault("unknown qos '" + e.qos + "'");
         }
@@ -167,11 +101,11 @@
         txn.answered = false;
         txn.handle = null;
         txns.put(e.corr, slot);
-        int session = e.hasUser ? (int) Math.floorMod(e.user * 0x9E3779B97F4A7C15L >>> 20, Decide.SESSIONS) : -1;
-        Duration token = !tokensCarried || Double.isNaN(e.lastWriteMs) ? null
+        int session = e.hasUser ? Setup.session(e.user) : -1;
+        Duration token = !setup.tokensCarried() || Double.isNaN(e.lastWriteMs) ? null
                 : Duration.ofNanos((long) Math.floor(e.lastWriteMs * 1e6));
-        txn.handle = decide.take(slot, type, tenants.getOrDefault(e.account, -1), session,
-                (int) e.partitionNo, Drill.micros(e.expiresInUs), token);
+        txn.handle = decide.take(slot, type, setup.tenants().getOrDefault(e.account, -1), session,
+                (int) e.partitionNo, Tree.micros(e.expiresInUs), token);
         releaseIfOver(slot);
     }
 
@@ -190,7 +124,7 @@
         Txn txn = slots.get(slot);
         txn.out--;
         txn.answered |= e.finished;
-        txn.handle.ended(node, result, Drill.micros(e.durationUs), e.finished, note, e.report);
+        txn.handle.ended(node, result, Tree.micros(e.durationUs), e.finished, note, e.report);
         releaseIfOver(slot);
     }
 
--- /dev/null
+++ b/src/main/java/dillfront/exchange/Asker.java
@@ -0,0 +1,14 @@
+package dillfront.exchange;
+
+import java.time.Duration;
+
+/** The client side of a txn: gets one final answer, unless it has left. */
+public interface Asker {
+
+    /** Takes the answer over. */
+    void committed(Answer answer);
+
+    void declined(Duration pause);
+
+    void rolledBack();
+}
--- /dev/null
+++ b/src/main/java/dillfront/exchange/Desk.java
@@ -0,0 +1,21 @@
+package dillfront.exchange;
+
+import dillfront.pgwire.Statement;
+import io.netty.buffer.ByteBuf;
+
+/** Where exchanges are begun and given back. */
+public interface Desk {
+
+    /**
+     * Takes a txn, and the message that holds its statement. The answer may come during the call.
+     *
+     * @return null where nothing was taken: the txn type is unknown, and the message is still the caller's
+     */
+    Exchange take(Statement statement, ByteBuf message, Asker asker);
+
+    /** Sets the module's clock: called before each word to a handle. */
+    void tick();
+
+    /** The client has its answer, or left, and nothing is out. */
+    void over(Exchange exchange);
+}
--- /dev/null
+++ b/src/main/java/dillfront/exchange/Exchange.java
@@ -0,0 +1,112 @@
+package dillfront.exchange;
+
+import dillfront.pgwire.Statement;
+import dillfront.port.Handle;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import io.netty.buffer.ByteBuf;
+import java.time.Duration;
+
+/**
+ * One txn, from its last byte until it is answered and nothing of it is out: the only place where the client
+ * side and the server side meet. Owns the message with the statement, and gives it back when it is over.
+ */
+public final class Exchange {
+
+    private final Desk desk;
+    private final int slot;
+    private final Statement statement;
+    private final ByteBuf message;
+    private final Asker asker;
+    private Handle handle;
+    private int out;
+    private boolean answered;
+    private boolean over;
+
+    public Exchange(Desk desk, int slot, Statement statement, ByteBuf message, Asker asker) {
+        this.desk = desk;
+        this.slot = slot;
+        this.statement = statement;
+        this.message = message;
+        this.asker = asker;
+    }
+
+    public int slot() {
+        return slot;
+    }
+
+    public Statement statement() {
+        return statement;
+    }
+
+    /** The client's message, as long as a submission is out. */
+    public ByteBuf message() {
+        return message;
+    }
+
+    /** The module has taken the txn; it may be answered already. */
+    public void taken(Handle by) {
+        handle = by;
+        releaseIfOver();
+    }
+
+    // ---- from the module
+
+    public void submitted() {
+        out++;
+    }
+
+    public void decline(Duration pause) {
+        answered = true;
+        asker.declined(pause);
+        releaseIfOver();
+    }
+
+    public void rollBack() {
+        answered = true;
+        asker.rolledBack();
+        releaseIfOver();
+    }
+
+    // ---- from the client side
+
+    public void left() {
+        if (answered) {
+            return;
+        }
+        answered = true;
+        desk.tick();
+        handle.left();
+        releaseIfOver();
+    }
+
+    // ---- from the server side
+
+    /** Whether a submission that waited for its connection may still go; if not, it ends as unsent. */
+    public boolean stands(int node) {
+        desk.tick();
+        return !answered && handle.stands(node);
+    }
+
+    /** @param answer what the node answered where it committed, else null; taken over */
+    public void ended(int node, Result result, Duration took, Answer answer, Report note, Report report) {
+        desk.tick();
+        out--;
+        if (answer != null && answered) {
+            answer.release();
+        } else if (answer != null) {
+            answered = true;
+            asker.committed(answer);
+        }
+        handle.ended(node, result, took, answered, note, report);
+        releaseIfOver();
+    }
+
+    private void releaseIfOver() {
+        if (handle != null && answered && out == 0 && !over) {
+            over = true;
+            message.release();
+            desk.over(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/exchange/Submitter.java
@@ -0,0 +1,13 @@
+package dillfront.exchange;
+
+import java.time.Duration;
+
+/** The server side as the daemon drives it; nothing comes back during a call. */
+public interface Submitter {
+
+    void submit(Exchange exchange, int node, Duration limit);
+
+    void release(int node);
+
+    void probe(int node);
+}
--- /dev/null
+++ b/src/main/java/dillfront/list/BadHttp.java
@@ -0,0 +1,11 @@
+package dillfront.list;
+
+/** The answer cannot be read, nor what comes behind it. */
+public final class BadHttp extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    public BadHttp(String fault) {
+        super(fault, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -0,0 +1,56 @@
+package dillfront.list;
+
+import dillfront.config.Address;
+import dillfront.config.Clock;
+import dillfront.config.Setup;
+import dillfront.config.Tree;
+import dillfront.log.Log;
+import dillfront.port.NodeRow;
+import dillfront.port.Standing;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads discovery's lists. Ids become indices here. */
+public final class MemberList {
+
+    private final Setup setup;
+    private final Clock clock;
+    private final Log log;
+    /** Grows with the machines that any list has named. */
+    private final Map<String, Integer> nodes = new HashMap<>();
+
+    public MemberList(Setup setup, Clock clock, Log log) {
+        this.setup = setup;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** An entry that cannot be read is left out, and does not spoil the others. */
+    public List<Member> read(Tree list) {
+        List<Member> members = new ArrayList<>();
+        for (Tree entry : list.trees("instances")) {
+            String id = entry.text("instanceId");
+            InetSocketAddress address = Address.parse(entry.text("hostPort"));
+            Standing standing = switch (entry.text("lifecycle")) {
+                case "ready" -> Standing.READY;
+                case "draining" -> Standing.DRAINING;
+                case "gone" -> Standing.GONE;
+                default -> null;
+            };
+            if (id.isEmpty() || address == null || standing == null) {
+                log.warn("list-entry-left-out", "id", id, "address", entry.text("hostPort"),
+                        "lifecycle", entry.text("lifecycle"));
+                continue;
+            }
+            int node = nodes.computeIfAbsent(id, k -> nodes.size());
+            long startedMs = entry.whole("startedAtMs");
+            members.add(new Member(new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
+                    entry.number("weight", 1), entry.text("role").equals("leader"),
+                    startedMs == 0 ? null : clock.since(startedMs), standing), address, startedMs));
+        }
+        return members;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/list/Watch.java
@@ -0,0 +1,186 @@
+package dillfront.list;
+
+import dillfront.config.Config;
+import dillfront.config.Tree;
+import dillfront.log.Counters;
+import dillfront.log.Log;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/** Asks discovery for what is newer than the last list, again and again; one connection at a time. */
+public final class Watch {
+
+    /** Where the lists go. */
+    public interface Listener {
+        void list(Tree list);
+
+        /** The watch broke; the last list holds. */
+        void listFailed();
+    }
+
+    private static final long WAIT_MS = 20_000;
+
+    private final Config config;
+    private final Counters counters;
+    private final Log log;
+    private final EventLoop loop;
+    private final Listener listener;
+    private long generation;
+    private boolean anyList;
+    private Asking asking;
+    private boolean closed;
+
+    /** @param generation of the list that is known; negative where none is */
+    public Watch(Config config, Counters counters, Log log, EventLoop loop, long generation, Listener listener) {
+        this.config = config;
+        this.counters = counters;
+        this.log = log;
+        this.loop = loop;
+        this.generation = generation;
+        this.listener = listener;
+        anyList = generation >= 0;
+    }
+
+    public void start() {
+        if (!closed) {
+            asking = new Asking();
+            asking.open();
+        }
+    }
+
+    public void close() {
+        closed = true;
+        if (asking != null) {
+            asking.close();
+        }
+    }
+
+    /** One connection to discovery. Owns its buffer and its timer; both go back in close(). */
+    private final class Asking extends ChannelInboundHandlerAdapter {
+
+        private final HttpAnswers answers = new HttpAnswers();
+        private final long dialNanos = config.setup().settings().dial().toNanos();
+        private Channel channel;
+        private ScheduledFuture<?> silence;
+        private boolean over;
+
+        void open() {
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(config.discovery());
+            channel = connecting.channel();
+            silentAfter(4 * dialNanos);
+            connecting.addListener(done -> {
+                if (!done.isSuccess()) {
+                    close();
+                }
+            });
+        }
+
+        private void silentAfter(long nanos) {
+            if (silence != null) {
+                silence.cancel(false);
+            }
+            silence = loop.schedule(() -> {
+                log.warn("list-silent", "address", config.discovery());
+                close();
+            }, nanos, TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            String query = anyList ? "?after=" + generation + "&wait_ms=" + WAIT_MS : "";
+            String host = config.discovery().getAddress().getHostAddress() + ":" + config.discovery().getPort();
+            ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(),
+                    "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n"));
+            silentAfter(TimeUnit.MILLISECONDS.toNanos(anyList ? WAIT_MS : 0) + 4 * dialNanos);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object read) {
+            if (over) {
+                ((ByteBuf) read).release();
+                return;
+            }
+            answers.add((ByteBuf) read);
+            try {
+                ByteBuf body = answers.next();
+                if (body != null) {
+                    took(body);
+                    ask(ctx);
+                }
+            } catch (BadHttp bad) {
+                fault(bad.getMessage());
+            }
+        }
+
+        private void took(ByteBuf body) throws BadHttp {
+            try {
+                if (answers.status() != 200) {
+                    throw new BadHttp("status " + answers.status());
+                }
+                Tree list = Tree.parse(new ByteBufInputStream(body));
+                if (list.list("instances").isEmpty() && list.flag("reset")) {
+                    throw new BadHttp("a whole list of nothing");
+                }
+                generation = list.whole("generation");
+                anyList = true;
+                counters.lists++;
+                listener.list(list);
+            } catch (IOException bad) {
+                throw new BadHttp("no JSON: " + String.valueOf(bad.getMessage()).lines().findFirst().orElse(""));
+            } finally {
+                body.release();
+            }
+        }
+
+        private void fault(String fault) {
+            counters.listFaults++;
+            log.warn("list-dropped", "fault", fault);
+            close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                log.warn("list-connection", "fault", cause);
+            }
+            close();
+        }
+
+        /** The one place where a connection is given back; the next comes after a pause. */
+        void close() {
+            if (over) {
+                return;
+            }
+            over = true;
+            silence.cancel(false);
+            channel.close();
+            answers.release();
+            if (!closed) {
+                listener.listFailed();
+                loop.schedule(Watch.this::start, dialNanos / 4, TimeUnit.NANOSECONDS);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/log/Counters.java
@@ -0,0 +1,51 @@
+package dillfront.log;
+
+import dillfront.port.Result;
+
+/** What one router took in, sent and answered; and what it holds now, all zero once it is idle. */
+public final class Counters {
+
+    public long queries;
+    public long outOfForm;
+    public long taken;
+    public long committed;
+    public long declined;
+    public long rolledBack;
+    public long left;
+    public long submitted;
+    public long probes;
+    public long dialed;
+    public long accepted;
+    public long lists;
+    public long listFaults;
+    public long longestTurnMs;
+    private final long[] ended = new long[Result.values().length];
+
+    // Held now.
+    public int txns;
+    public int clientConnections;
+    public int nodeConnections;
+    public int idleNodeConnections;
+
+    public void ended(Result result) {
+        ended[result.ordinal()]++;
+    }
+
+    public void print(Log log) {
+        Object[] line = new Object[2 * (18 + ended.length)];
+        int at = 0;
+        for (Object o : new Object[] {"queries", queries, "out_of_form", outOfForm, "taken", taken,
+            "committed", committed, "declined", declined, "rolled_back", rolledBack, "left", left,
+            "submitted", submitted, "probes", probes, "dialed", dialed, "accepted", accepted, "lists", lists,
+            "list_faults", listFaults, "longest_turn_ms", longestTurnMs, "txns_held", txns,
+            "client_connections", clientConnections, "node_connections", nodeConnections,
+            "idle_node_connections", idleNodeConnections}) {
+            line[at++] = o;
+        }
+        for (Result result : Result.values()) {
+            line[at++] = "ended_" + result.name().toLowerCase(java.util.Locale.ROOT);
+            line[at++] = ended[result.ordinal()];
+        }
+        log.info("counters", line);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/log/Log.java
@@ -0,0 +1,60 @@
+package dillfront.log;
+
+import java.io.PrintStream;
+import java.time.Instant;
+
+/**
+ * One line an event, on standard error: time, level, event, then names and values. Bounded in rate, so that
+ * no trouble can make the log the next trouble; what was left out is counted in the next line that goes out.
+ */
+public final class Log {
+
+    private static final int LINES_A_SECOND = 40;
+
+    private final PrintStream out;
+    private long second;
+    private int lines;
+    private int dropped;
+
+    public Log(PrintStream out) {
+        this.out = out;
+    }
+
+    public void info(String event, Object... namesAndValues) {
+        line("INFO", event, namesAndValues);
+    }
+
+    public void warn(String event, Object... namesAndValues) {
+        line("WARN", event, namesAndValues);
+    }
+
+    private void line(String level, String event, Object... namesAndValues) {
+        Instant now = Instant.now();
+        if (now.getEpochSecond() != second) {
+            second = now.getEpochSecond();
+            lines = 0;
+        }
+        if (++lines > LINES_A_SECOND) {
+            dropped++;
+            return;
+        }
+        StringBuilder line = new StringBuilder(128).append(now).append(' ').append(level).append(' ').append(event);
+        for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
+            String value = String.valueOf(namesAndValues[i + 1]);
+            line.append(' ').append(namesAndValues[i]).append('=');
+            boolean plain = value.chars().allMatch(c -> c > ' ' && c < 127 && c != '"');
+            line.append(plain && !value.isEmpty() ? value : quoted(value));
+        }
+        if (dropped > 0) {
+            line.append(" lines_left_out=").append(dropped);
+            dropped = 0;
+        }
+        out.println(line);
+    }
+
+    private static String quoted(String value) {
+        StringBuilder text = new StringBuilder("\"");
+        value.chars().limit(200).forEach(c -> text.append(c < ' ' || c == '"' || c > 126 ? '?' : (char) c));
+        return text.append('"').toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/pgwire/BadFrame.java
@@ -0,0 +1,11 @@
+package dillfront.pgwire;
+
+/** The peer does not speak the protocol; the connection cannot go on. */
+public final class BadFrame extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    public BadFrame(String fault) {
+        super(fault, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/pgwire/Messages.java
@@ -0,0 +1,142 @@
+package dillfront.pgwire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+
+/** Writes messages, and reads the small ones. */
+public final class Messages {
+
+    /** The first number of a client's startup: version 3.0, and the requests that come in its place. */
+    public static final int VERSION = 196608;
+    public static final int CANCEL = 80877102;
+    public static final int SSL = 80877103;
+    public static final int GSS = 80877104;
+
+    public static final String DECLINED = "53300";
+    public static final String ROLLED_BACK = "40003";
+    public static final String OUT_OF_FORM = "42601";
+    public static final String NOT_SUPPORTED = "0A000";
+    public static final String VIOLATION = "08P01";
+
+    private Messages() {}
+
+    /** What a client is told once it has started. */
+    public static ByteBuf welcome(ByteBuf out) {
+        out.writeByte('R').writeInt(8).writeInt(0);
+        parameter(out, "server_version", "15.0");
+        parameter(out, "server_encoding", "UTF8");
+        parameter(out, "client_encoding", "UTF8");
+        parameter(out, "standard_conforming_strings", "on");
+        out.writeByte('K').writeInt(12).writeInt(0).writeInt(0);
+        return ready(out);
+    }
+
+    private static void parameter(ByteBuf out, String name, String value) {
+        out.writeByte('S').writeInt(4 + name.length() + value.length() + 2);
+        text(out, name);
+        text(out, value);
+    }
+
+    public static ByteBuf ready(ByteBuf out) {
+        return out.writeByte('Z').writeInt(5).writeByte('I');
+    }
+
+    public static ByteBuf emptyQuery(ByteBuf out) {
+        return ready(out.writeByte('I').writeInt(4));
+    }
+
+    /** @param detail null where there is none */
+    public static ByteBuf error(ByteBuf out, boolean fatal, String code, String message, String detail) {
+        int start = out.writerIndex();
+        out.writeByte('E').writeInt(0);
+        String severity = fatal ? "FATAL" : "ERROR";
+        field(out, 'S', severity);
+        field(out, 'V', severity);
+        field(out, 'C', code);
+        field(out, 'M', message);
+        if (detail != null) {
+            field(out, 'D', detail);
+        }
+        out.writeByte(0);
+        return out.setInt(start + 1, out.writerIndex() - start - 1);
+    }
+
+    private static void field(ByteBuf out, char name, String value) {
+        out.writeByte(name);
+        text(out, value);
+    }
+
+    private static void text(ByteBuf out, String text) {
+        ByteBufUtil.writeUtf8(out, text);
+        out.writeByte(0);
+    }
+
+    public static ByteBuf startup(ByteBuf out, String user, String database) {
+        int start = out.writerIndex();
+        out.writeInt(0).writeInt(VERSION);
+        text(out, "user");
+        text(out, user);
+        text(out, "database");
+        text(out, database);
+        out.writeByte(0);
+        return out.setInt(start, out.writerIndex() - start);
+    }
+
+    public static ByteBuf query(ByteBuf out, String statement) {
+        out.writeByte('Q').writeInt(4 + statement.length() + 1);
+        text(out, statement);
+        return out;
+    }
+
+    /** The code of an error message; empty where it holds none. */
+    public static String code(ByteBuf message) {
+        int at = message.readerIndex() + 5;
+        while (at < message.writerIndex() && message.getByte(at) != 0) {
+            int zero = message.indexOf(at, message.writerIndex(), (byte) 0);
+            if (zero < 0) {
+                return "";
+            }
+            if (message.getByte(at) == 'C') {
+                return message.toString(at + 1, zero - at - 1, StandardCharsets.US_ASCII);
+            }
+            at = zero + 1;
+        }
+        return "";
+    }
+
+    /** The name and the value of a parameter message; null where it is out of form. */
+    public static String[] parameter(ByteBuf message) {
+        int from = message.readerIndex() + 5;
+        int zero = message.indexOf(from, message.writerIndex(), (byte) 0);
+        int last = zero < 0 ? -1 : message.indexOf(zero + 1, message.writerIndex(), (byte) 0);
+        return last < 0 ? null : new String[] {message.toString(from, zero - from, StandardCharsets.UTF_8),
+            message.toString(zero + 1, last - zero - 1, StandardCharsets.UTF_8)};
+    }
+
+    /** The one column of a row as text; null where there is not just one, or it is null. */
+    public static String column(ByteBuf row) {
+        int at = row.readerIndex() + 5;
+        if (!oneColumn(row)) {
+            return null;
+        }
+        return row.toString(at + 6, row.getInt(at + 2), StandardCharsets.UTF_8);
+    }
+
+    /** Whether a row holds one column that fills it. */
+    public static boolean oneColumn(ByteBuf row) {
+        int at = row.readerIndex() + 5;
+        return row.readableBytes() >= 11 && row.getShort(at) == 1 && row.getInt(at + 2) == row.readableBytes() - 11;
+    }
+
+    /** Whether a query holds nothing: white space and semicolons. */
+    public static boolean empty(ByteBuf query) {
+        for (int i = query.readerIndex() + 5; i < query.writerIndex(); i++) {
+            byte c = query.getByte(i);
+            if (c != 0 && c != ' ' && c != ';' && c != '\n' && c != '\t' && c != '\r') {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/dillfront/port/Result.java
+++ b/src/main/java/dillfront/port/Result.java
@@ -3,7 +3,9 @@
 /** How a submission ended. */
 public enum Result {
     COMMITTED(true), ERROR(true), FULL(false), TIMED_OUT(true), UNREACHABLE(false), RESET(true),
-    WITHDRAWN(true), MOOT(false), MISS(false);
+    WITHDRAWN(true), MOOT(false), MISS(false),
+    /** It no longer stood when a connection was up. */
+    UNSENT(false);
 
     private final boolean mayHaveRun;
 
--- /dev/null
+++ b/src/main/java/dillfront/servers/Call.java
@@ -0,0 +1,134 @@
+package dillfront.servers;
+
+import dillfront.exchange.Answer;
+import dillfront.pgwire.Messages;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+
+/** One question to a node, a submission or a probe: its time limit, and what has come back of the answer. */
+abstract class Call {
+
+    final Pool pool;
+    final long startedNanos = System.nanoTime();
+    /** Where it is out; null while it waits for a connection, and once it has ended. */
+    Connection connection;
+    /** Owned here: cancelled when the call ends. */
+    ScheduledFuture<?> limit;
+    /** Its last byte was written. */
+    boolean whole;
+    boolean ended;
+
+    // The answer so far; given on or released when the call ends.
+    private ByteBuf description;
+    private ByteBuf row;
+    private ByteBuf completion;
+    String code;
+    private Duration position;
+    private Role role;
+    private Report report = Report.NOTHING;
+
+    Call(Pool pool) {
+        this.pool = pool;
+    }
+
+    /** Whether it may still be sent, after it had to wait for a connection. */
+    abstract boolean stands();
+
+    abstract void write(ChannelHandlerContext ctx, ChannelPromise last);
+
+    abstract void over(Result result, Duration took, Answer answer, Report note, Report report);
+
+    /** Takes one message of the answer over; false where it is out of turn. */
+    boolean take(ByteBuf message) {
+        switch (message.getByte(message.readerIndex())) {
+            case 'T' -> {
+                if (description == null && code == null) {
+                    description = message;
+                    return true;
+                }
+            }
+            case 'D' -> {
+                if (description != null && row == null && Messages.oneColumn(message)) {
+                    row = message;
+                    return true;
+                }
+            }
+            case 'C' -> {
+                if (row != null && completion == null) {
+                    completion = message;
+                    return true;
+                }
+            }
+            default -> { }
+        }
+        message.release();
+        return false;
+    }
+
+    void noted(Duration position) {
+        this.position = position;
+    }
+
+    void noted(Role role) {
+        this.role = role;
+    }
+
+    void reported(Report report) {
+        this.report = report;
+    }
+
+    ByteBuf row() {
+        return row;
+    }
+
+    /** Whether an answer is there whole, if the connection should end now. */
+    boolean answered() {
+        return completion != null || code != null;
+    }
+
+    /** How it ended, by what came back of it. */
+    Result result() {
+        if (code != null) {
+            return switch (code) {
+                case "25006", "72000" -> Result.MISS;
+                case "53300", "57P03" -> Result.FULL;
+                default -> Result.ERROR;
+            };
+        }
+        return completion != null ? Result.COMMITTED : whole ? Result.RESET : Result.UNREACHABLE;
+    }
+
+    /** The one place where a call ends: whatever it holds goes on or back. */
+    void end(Result result) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        connection = null;
+        if (limit != null) {
+            limit.cancel(false);
+        }
+        Answer answer = null;
+        if (result == Result.COMMITTED) {
+            answer = new Answer(description, row, completion);
+        } else {
+            release(description);
+            release(row);
+            release(completion);
+        }
+        description = row = completion = null;
+        over(result, Duration.ofNanos(System.nanoTime() - startedNanos), answer, new Report(position, role), report);
+    }
+
+    private static void release(ByteBuf message) {
+        if (message != null) {
+            message.release();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/servers/Connection.java
@@ -0,0 +1,223 @@
+package dillfront.servers;
+
+import dillfront.pgwire.BadFrame;
+import dillfront.pgwire.Frames;
+import dillfront.pgwire.Messages;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/** One connection to a node: opened for a call, then carrying one call at a time. */
+final class Connection extends ChannelInboundHandlerAdapter {
+
+    private final Fleet fleet;
+    private final Pool pool;
+    private final InetSocketAddress address;
+    private final long openedMs;
+    private final Frames frames = new Frames(false);
+    private Channel channel;
+    private ChannelHandlerContext ctx;
+    private ScheduledFuture<?> dialing;
+    /** Whom it is opened for; it may have gone over another connection by the time this one is up. */
+    private Call caller;
+    private Call call;
+    private boolean up;
+    private boolean closed;
+    long idleSince;
+
+    Connection(Pool pool, Call caller) {
+        this.pool = pool;
+        this.caller = caller;
+        fleet = pool.fleet;
+        address = pool.address;
+        openedMs = fleet.clock.unixMillis();
+    }
+
+    void open() {
+        fleet.opened(this);
+        ChannelFuture connecting = fleet.bootstrap.clone().handler(this).connect(address);
+        channel = connecting.channel();
+        dialing = channel.eventLoop().schedule(this::close, fleet.setup.settings().dial().toNanos(),
+                TimeUnit.NANOSECONDS);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                close();
+            }
+        });
+    }
+
+    boolean isOpen() {
+        return !closed;
+    }
+
+    boolean busy() {
+        return call != null;
+    }
+
+    /** Neither the address nor the process behind it has changed since. */
+    boolean usable() {
+        return !closed && address.equals(pool.address) && openedMs >= pool.startedMs;
+    }
+
+    void carry(Call next) {
+        call = next;
+        next.connection = this;
+        ChannelPromise last = ctx.newPromise();
+        last.addListener(done -> {
+            if (done.isSuccess()) {
+                next.whole = true;
+            } else {
+                close();
+            }
+        });
+        next.write(ctx, last);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        ctx = context;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.writeAndFlush(Messages.startup(context.alloc().buffer(64), "worker", "catalog"));
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object read) {
+        frames.add((ByteBuf) read);
+        try {
+            for (ByteBuf message = frames.next(); message != null; message = closed ? null : frames.next()) {
+                byte type = message.getByte(message.readerIndex());
+                if (!taken(type, message)) {
+                    fleet.log.warn("node-out-of-turn", "node", pool.node, "address", address, "message", (char) type);
+                    close();
+                    return;
+                }
+            }
+        } catch (BadFrame bad) {
+            fleet.log.warn("node-nonsense", "node", pool.node, "address", address, "fault", bad.getMessage());
+            close();
+        }
+    }
+
+    /** Takes one message over; false where none such can come now. */
+    private boolean taken(byte type, ByteBuf message) {
+        if (call != null && (type == 'T' || type == 'D' || type == 'C')) {
+            return call.take(message);
+        }
+        try {
+            switch (type) {
+                case 'N' -> { }
+                case 'S' -> parameter(message);
+                case 'R' -> {
+                    return !up && message.readableBytes() == 9 && message.getInt(message.readerIndex() + 5) == 0;
+                }
+                case 'K' -> {
+                    return !up;
+                }
+                case 'E' -> {
+                    if (call == null) {
+                        close();
+                    } else if (call.code == null) {
+                        call.code = Messages.code(message);
+                    }
+                }
+                case 'Z' -> {
+                    return ready();
+                }
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        } finally {
+            message.release();
+        }
+    }
+
+    private void parameter(ByteBuf message) {
+        String[] parameter = call == null ? null : Messages.parameter(message);
+        if (parameter == null) {
+            return;
+        }
+        switch (parameter[0]) {
+            case "node_role" -> call.noted(parameter[1].equals("leader") ? Role.PRIMARY
+                    : parameter[1].equals("follower") ? Role.REPLICA : (Role) null);
+            case "replay_position" -> call.noted(fleet.position(parameter[1]));
+            case "server_load" -> call.reported(fleet.report(parameter[1]));
+            default -> { }
+        }
+    }
+
+    private boolean ready() {
+        if (!up) {
+            up = true;
+            dialing.cancel(false);
+            caller = null;
+            pool.free(this);
+            return true;
+        }
+        if (call == null || !call.answered()) {
+            return false;
+        }
+        Call done = call;
+        call = null;
+        // Free before the word goes out: what the module sends next may use it.
+        pool.free(this);
+        done.end(done.result());
+        return true;
+    }
+
+    /** The time of the call it carries is up: to stop waiting is to close the connection. */
+    void giveUp() {
+        Call late = call;
+        call = null;
+        close();
+        late.end(late.whole ? Result.TIMED_OUT : Result.UNREACHABLE);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            fleet.log.warn("node-connection", "node", pool.node, "fault", cause);
+        }
+        close();
+    }
+
+    /** The one place where a connection is given back, with what it carried. */
+    void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        dialing.cancel(false);
+        channel.close();
+        frames.release();
+        pool.idle.remove(this);
+        fleet.closed(this);
+        Call lost = call;
+        call = null;
+        if (lost != null) {
+            lost.end(lost.result());
+        }
+        if (caller != null && pool.waiting.remove(caller)) {
+            caller.end(Result.UNREACHABLE);
+        }
+        caller = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -0,0 +1,199 @@
+package dillfront.servers;
+
+import dillfront.config.Clock;
+import dillfront.config.Setup;
+import dillfront.exchange.Exchange;
+import dillfront.exchange.Submitter;
+import dillfront.log.Counters;
+import dillfront.log.Log;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import dillfront.port.Role;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** All nodes, by the indices that the list gave them, and all connections to them. */
+public final class Fleet implements Submitter {
+
+    /** Where the word of a probe goes. */
+    public interface Listener {
+        void probed(int node, boolean answered, Report report);
+    }
+
+    final Setup setup;
+    final Clock clock;
+    final Counters counters;
+    final Log log;
+    final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final int most;
+    private final Listener listener;
+    /** Grows with the machines that any list has named. */
+    private final List<Pool> pools = new ArrayList<>();
+    private int open;
+
+    /** @param most how many connections may be open at once */
+    public Fleet(Setup setup, Clock clock, Counters counters, Log log, EventLoop loop, int most, Listener listener) {
+        this.setup = setup;
+        this.clock = clock;
+        this.counters = counters;
+        this.log = log;
+        this.loop = loop;
+        this.most = most;
+        this.listener = listener;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) setup.settings().dial().toMillis() + 1);
+        Duration every = setup.settings().dial();
+        loop.scheduleWithFixedDelay(this::closeOld, every.toNanos(), every.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** What the list says of a node: old connections are not used for a new address or a new process. */
+    public void known(int node, InetSocketAddress address, long startedMs) {
+        while (pools.size() <= node) {
+            pools.add(new Pool(this, pools.size()));
+        }
+        Pool pool = pools.get(node);
+        pool.address = address;
+        pool.startedMs = startedMs;
+        for (Connection connection : List.copyOf(pool.idle)) {
+            if (!connection.usable()) {
+                connection.close();
+            }
+        }
+    }
+
+    @Override
+    public void submit(Exchange exchange, int node, Duration limit) {
+        exchange.submitted();
+        start(new Submission(pools.get(node), exchange, limit), limit);
+    }
+
+    @Override
+    public void probe(int node) {
+        counters.probes++;
+        start(new Probe(pools.get(node)), setup.settings().dial());
+    }
+
+    /** Only once the module has returned: what ends at once must not reach it within its own call. */
+    private void start(Call call, Duration limit) {
+        loop.execute(() -> {
+            call.limit = loop.schedule(() -> late(call), limit.toNanos(), TimeUnit.NANOSECONDS);
+            Pool pool = call.pool;
+            Connection idle = pool.idle.pollLast();
+            if (idle != null) {
+                idle.carry(call);
+                return;
+            }
+            if (open >= most && !closeOldest()) {
+                call.end(Result.UNREACHABLE);
+                return;
+            }
+            pool.waiting.add(call);
+            new Connection(pool, call).open();
+        });
+    }
+
+    private void late(Call call) {
+        if (call.ended) {
+            return;
+        }
+        if (call.connection != null) {
+            call.connection.giveUp();
+        } else {
+            call.pool.waiting.remove(call);
+            call.end(Result.UNREACHABLE);
+        }
+    }
+
+    @Override
+    public void release(int node) {
+        loop.execute(pools.get(node)::closeIdle);
+    }
+
+    void probed(int node, boolean answered, Report report) {
+        listener.probed(node, answered, report);
+    }
+
+    void opened(Connection connection) {
+        open++;
+        counters.nodeConnections++;
+        counters.dialed++;
+    }
+
+    void closed(Connection connection) {
+        open--;
+        counters.nodeConnections--;
+    }
+
+    /** Before the node does: what is written to a connection that it has closed is lost. */
+    private void closeOld() {
+        long margin = 4 * setup.settings().dial().toNanos();
+        long idle = Math.max(setup.idle().toNanos() - margin, margin);
+        long now = System.nanoTime();
+        for (Pool pool : pools) {
+            while (!pool.idle.isEmpty() && now - pool.idle.peekFirst().idleSince > idle) {
+                pool.idle.peekFirst().close();
+            }
+        }
+    }
+
+    /** Makes room under the limit of descriptors. */
+    private boolean closeOldest() {
+        Connection oldest = null;
+        for (Pool pool : pools) {
+            Connection first = pool.idle.peekFirst();
+            if (first != null && (oldest == null || first.idleSince - oldest.idleSince < 0)) {
+                oldest = first;
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    public void close() {
+        pools.forEach(Pool::closeIdle);
+    }
+
+    /** A position in Unix milliseconds; null where it is none. */
+    Duration position(String text) {
+        try {
+            long ms = Long.parseLong(text);
+            return ms <= 0 ? null : clock.since(ms);
+        } catch (NumberFormatException none) {
+            return null;
+        }
+    }
+
+    /** A load report: its position was rounded by its writer, to no more than a millisecond, so the lower one counts. */
+    Report report(String text) {
+        Duration position = null;
+        Role role = null;
+        for (String field : text.split(",")) {
+            int equals = field.indexOf('=');
+            String name = equals < 0 ? "" : field.substring(0, equals).trim();
+            if (name.equals("x0") || name.equals("x1")) {
+                try {
+                    double value = Double.parseDouble(field.substring(equals + 1));
+                    if (name.equals("x1")) {
+                        role = value == 1 ? Role.PRIMARY : Role.REPLICA;
+                    } else if (value > 0 && value < 1e11) {
+                        position = clock.since((long) Math.floor(value * 1000 - 1));
+                    }
+                } catch (NumberFormatException none) {
+                    log.warn("report-out-of-form", "report", text);
+                }
+            }
+        }
+        return new Report(position, role);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/servers/Probe.java
@@ -0,0 +1,41 @@
+package dillfront.servers;
+
+import dillfront.exchange.Answer;
+import dillfront.pgwire.Messages;
+import dillfront.port.Report;
+import dillfront.port.Result;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.time.Duration;
+
+/** Asks a node how it is: for its report where nodes have one, else for a row. */
+final class Probe extends Call {
+
+    Probe(Pool pool) {
+        super(pool);
+    }
+
+    @Override
+    boolean stands() {
+        return true;
+    }
+
+    @Override
+    void write(ChannelHandlerContext ctx, ChannelPromise last) {
+        String query = pool.fleet.setup.reports() ? "SHOW server_load" : "SELECT 1";
+        ctx.writeAndFlush(Messages.query(ctx.alloc().buffer(query.length() + 6), query), last);
+    }
+
+    @Override
+    void over(Result result, Duration took, Answer answer, Report note, Report report) {
+        Report told = report;
+        if (answer != null) {
+            String text = Messages.column(answer.row());
+            if (text != null && pool.fleet.setup.reports()) {
+                told = pool.fleet.report(text);
+            }
+            answer.release();
+        }
+        pool.fleet.probed(pool.node, result == Result.COMMITTED, told);
+    }
+}
