--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -7,7 +7,7 @@
 import dillfront.drill.Drill;
 import dillfront.log.Log;
 import java.io.IOException;
-import sun.misc.Signal;
+import java.lang.reflect.Proxy;
 
 /** The command line: one subcommand a way of running the decisions. */
 public final class Main {
@@ -18,6 +18,23 @@
 
     private Main() {}
 
+    /** The JVM leaves this signal free. By reflection: the type is no promise of the platform, and may go. */
+    private static void printOnSignal(Daemon daemon, Log log) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object prints = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        daemon.print();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("USR2"), prints);
+        } catch (ReflectiveOperationException none) {
+            log.warn("no-signal", "fault", none);
+        }
+    }
+
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("drill") && !args[0].equals("serve")) {
             System.err.println(USAGE);
@@ -25,10 +42,11 @@
         }
         try {
             if (args[0].equals("serve")) {
-                Daemon daemon = new Daemon(Config.read(System.getenv()), new Log(System.err));
+                Log log = new Log(System.err);
+                Daemon daemon = new Daemon(Config.read(System.getenv()), log);
                 daemon.start();
                 Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
-                Signal.handle(new Signal("USR2"), signal -> daemon.print());
+                printOnSignal(daemon, log);
             } else {
                 new Drill(System.in, System.out).run();
             }
--- a/src/main/java/dillfront/config/Setup.java
+++ b/src/main/java/dillfront/config/Setup.java
@@ -40,7 +40,7 @@
 
     /** Spreads the numbers that stand for sessions over the module's indices. */
     public static int session(long number) {
-        return (int) Math.floorMod(number * 0x9E3779B97F4A7C15L >>> 20, Decide.SESSIONS);
+        return Math.floorMod(number * 0x9E3779B97F4A7C15L >>> 20, Decide.SESSIONS);
     }
 
     private static Map<String, Integer> index(List<?> names) {
--- a/src/main/java/dillfront/list/Watch.java
+++ b/src/main/java/dillfront/list/Watch.java
@@ -41,6 +41,8 @@
     private boolean anyList;
     private Asking asking;
     private boolean closed;
+    /** Said once, until it is reached again. */
+    private boolean unreachable;
 
     /** @param generation of the list that is known; negative where none is */
     public Watch(Config config, Counters counters, Log log, EventLoop loop, long generation, Listener listener) {
@@ -75,6 +77,7 @@
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
+        private boolean up;
 
         void open() {
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -100,6 +103,8 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            up = true;
+            unreachable = false;
             ask(ctx);
         }
 
@@ -177,6 +182,10 @@
             silence.cancel(false);
             channel.close();
             answers.release();
+            if (!up && !unreachable) {
+                unreachable = true;
+                log.warn("list-unreachable", "address", config.discovery());
+            }
             if (!closed) {
                 listener.listFailed();
                 loop.schedule(Watch.this::start, dialNanos / 4, TimeUnit.NANOSECONDS);
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -40,6 +40,7 @@
         ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
         ResourceLeakDetectorFactory.setResourceLeakDetectorFactory(new ResourceLeakDetectorFactory() {
             @Override
+            @SuppressWarnings("deprecation")
             public <T> ResourceLeakDetector<T> newResourceLeakDetector(Class<T> type, int interval, long most) {
                 return new ResourceLeakDetector<>(type, interval) {
                     @Override
