--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,13 @@
 # CONFIG names the configuration that `make run` starts a router with.
 CONFIG ?= deploy/sample-config.json
 
+# A command as the operators have it.
+deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
+
 .PHONY: build test lint run clean
 
 build:
-	mvn -q -DskipTests package
+	$(call deployed,build)
 
 test:
 	mvn -B -ntp verify
@@ -14,7 +17,7 @@
 	mvn -q -Dlint.failOnWarning=true clean test-compile
 
 run: build
-	LB_CONFIG=$(CONFIG) sh -c "$$(sed -n 's/^run = "\(.*\)"   #.*/\1/p' deploy/balancer.toml | sed 's/\\"/"/g')"
+	LB_CONFIG=$(CONFIG) $(call deployed,run)
 
 clean:
 	mvn -q clean
--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -3,29 +3,32 @@
 import dillfront.config.BadConfig;
 import dillfront.config.Config;
 import dillfront.daemon.Daemon;
+import dillfront.daemon.Rehearsal;
 import dillfront.drill.BadInput;
 import dillfront.drill.Drill;
 import dillfront.log.Log;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.util.List;
 
 /** The command line: one subcommand a way of running the decisions. */
 public final class Main {
 
-    private static final String USAGE = "usage: java -jar dillfront.jar drill|serve\n"
+    private static final String USAGE = "usage: java -jar dillfront.jar drill|serve|rehearse\n"
             + "  drill   decide on the simulator's wire, from standard input to standard output\n"
-            + "  serve   be one router, as LB_CONFIG and the other LB_ variables say";
+            + "  serve   be one router, as LB_CONFIG and the other LB_ variables say\n"
+            + "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads";
 
     private Main() {}
 
     /** The JVM leaves this signal free. By reflection: the type is no promise of the platform, and may go. */
-    private static void printOnSignal(Daemon daemon, Log log) {
+    private static void printOnSignal(Runnable print, Log log) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object prints = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
                     (proxy, method, args) -> {
-                        daemon.print();
+                        print.run();
                         return null;
                     });
             signal.getMethod("handle", signal, handler)
@@ -36,7 +39,7 @@
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill") && !args[0].equals("serve")) {
+        if (args.length != 1 || !List.of("drill", "serve", "rehearse").contains(args[0])) {
             System.err.println(USAGE);
             System.exit(2);
         }
@@ -46,7 +49,11 @@
                 Daemon daemon = new Daemon(Config.read(System.getenv()), log);
                 daemon.start();
                 Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
-                printOnSignal(daemon, log);
+                printOnSignal(daemon::print, log);
+            } else if (args[0].equals("rehearse")) {
+                Log log = new Log(System.err);
+                Rehearsal.run(log);
+                printOnSignal(() -> { }, log);
             } else {
                 new Drill(System.in, System.out).run();
             }
--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -22,19 +22,26 @@
         if (file == null) {
             throw new BadConfig("LB_CONFIG is not set");
         }
-        Tree tree;
         try (InputStream text = Files.newInputStream(Path.of(file))) {
-            tree = Tree.parse(text);
+            return read(text, env);
         } catch (IOException bad) {
             String fault = bad.getMessage() == null ? bad.toString() : bad.getMessage();
             throw new BadConfig("LB_CONFIG " + file + ": " + fault.lines().findFirst().orElse(""));
         }
+    }
+
+    public static Config read(InputStream text) throws IOException, BadConfig {
+        return read(text, Map.of());
+    }
+
+    private static Config read(InputStream text, Map<String, String> env) throws IOException, BadConfig {
+        Tree tree = Tree.parse(text);
         Setup setup = Setup.read(tree.tree("settings"));
         if (setup.types().isEmpty()) {
-            throw new BadConfig("LB_CONFIG " + file + ": settings name no classes");
+            throw new BadConfig("settings name no classes");
         }
         if (setup.settings().dial().isZero() || setup.settings().step().isZero()) {
-            throw new BadConfig("LB_CONFIG " + file + ": settings lack stepUs or bounds.dialTimeoutUs");
+            throw new BadConfig("settings lack stepUs or bounds.dialTimeoutUs");
         }
         return new Config(env.getOrDefault("LB_NAME", tree.text("name")),
                 address(env, "LB_LISTEN", tree.text("listen")), address(env, "LB_DISCOVERY", tree.text("discovery")),
--- /dev/null
+++ b/src/main/java/dillfront/daemon/Rehearsal.java
@@ -0,0 +1,64 @@
+package dillfront.daemon;
+
+import dillfront.config.BadConfig;
+import dillfront.config.Config;
+import dillfront.log.Log;
+import dillfront.pgwire.Messages;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Starts one router whose only node is its own door, and lets one client ask it: a txn goes round until its time
+ * is over, through all that a router needs at its start. The build runs this and keeps the classes that were
+ * loaded, so that a router that starts again serves sooner. Nothing leaves the machine.
+ */
+public final class Rehearsal {
+
+    private static final String CONFIG = "{'name':'rehearsal','listen':'%1$s','discovery':'127.0.0.1:1','seed':'1',"
+            + "'limits':{'sockets':512},'known':{'generation':1,'reset':true,'instances':[{'instanceId':'s','hostPort':"
+            + "'%1$s','zone':'a','cell':1,'lifecycle':'ready','weight':1.5,'startedAtMs':1,'role':'leader'}]},"
+            + "'settings':{'az':'a','zones':['a'],'stepUs':5000,'bounds':{'dialTimeoutUs':250000,'maxAttempts':2,"
+            + "'probes':true,'retryAfter':true,'maxRetryAfterUs':1000000,'keepaliveUs':30000000},"
+            + "'stats':{'how':'inline','fields':['x0','x1']},'classes':[{'name':'any','effect':'retryable',"
+            + "'targetUs':300000,'deadlineUs':1000000,'worth':1.5,'lateShare':0.1},{'name':'move','effect':'dedup',"
+            + "'dedupWindowUs':2000000,'targetUs':300000,'deadlineUs':1000000}],'familyInfo':{'classRead':"
+            + "['eventual','mutate'],'listRole':'static','guards':'off','tokens':'brought'},"
+            + "'rules':{'coldFrom':0.2,'coldUs':9000000,'tipMultiple':2.0,'tipAfterUs':1000000}}}";
+
+    private Rehearsal() {}
+
+    public static void run(Log log) throws IOException, BadConfig {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        String config = String.format(CONFIG, "127.0.0.1:" + port).replace('\'', '"');
+        Daemon daemon = new Daemon(Config.read(new ByteArrayInputStream(config.getBytes(StandardCharsets.US_ASCII))), log);
+        daemon.start();
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.setSoTimeout(5000);
+            ByteBuf all = Messages.startup(Unpooled.buffer(), "worker", "catalog");
+            Messages.query(all, "");
+            Messages.query(all, "SELECT body FROM objects WHERE oid = 'k' /* id=1,c=any,d=400,cluster=1,after=1 */");
+            Messages.query(all, "INSERT INTO objects (oid, body) VALUES ('k', '\\x00') RETURNING body "
+                    + "/* id=1,c=move,d=400,cluster=1 */");
+            client.getOutputStream().write(all.array(), 0, all.readableBytes());
+            for (int readies = 0; readies < 4;) {
+                int type = client.getInputStream().read();
+                byte[] length = client.getInputStream().readNBytes(4);
+                if (length.length < 4) {
+                    throw new IOException("the rehearsal's router closed its client");
+                }
+                client.getInputStream().readNBytes(Unpooled.wrappedBuffer(length).getInt(0) - 4);
+                readies += type == 'Z' ? 1 : 0;
+            }
+        }
+        daemon.stop();
+    }
+}
