A node back in reach serves at once: absence from when last heard, room as at the start

Counters asked each second, then each send, decline and node's standing printed: the primary stood as cold, with failures at 0.75 and room at 0.37. Cause: 'lostAt' was set when the node was given up, 3.6 s before its return, though it had been silent for 7; so the test for one that was never down (still the primary after a quarter of the warm-up) failed. Ruled out: sockets and probes (answered in 60 ms once in reach), the list (nothing new before 17 s), the event loop (no late turn after the start). Lines at fault: Decide.judge and back, away = now - lostAt; and back() left the failure share and the room, cut by time-outs on a way that was closed, as they were.

Changed: an absence counts from when the node was last heard. Where its first probe was lost too, its failure share falls to the threshold (one answer is enough) and its room to that of the start, shared by all routers. A replica that fell behind its cut-off primary cannot be told from one that restarted and is still ramped up. It should also guard against links that fail for one router. It could harm where a node is back in reach, still full of others' work: its answers then cut the room again.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -156,7 +156,8 @@
         Duration quiet = NEVER;
         boolean silent;
         boolean lost;
-        Duration lostAt = NEVER;
+        /** When it last answered anything, or came into the list. */
+        Duration heardAt;
         /** A probe was lost too. */
         boolean unheard;
         /** Its last connection that failed did so at once, not by the dial time-out. */
@@ -177,8 +178,9 @@
         boolean probing;
         double coldCredit;
 
-        Node(int id, double room) {
+        Node(int id, double room, Duration now) {
             this.id = id;
+            heardAt = now;
             this.room = room;
         }
     }
@@ -282,7 +284,7 @@
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
                 probeCredit++;
-                nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers())));
+                nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers()), now));
             }
             Node n = nodes.get(row.node());
             // Where only draining binds, it binds until the node is listed as ready again.
@@ -778,11 +780,11 @@
         }
         n.atOnce = result == Result.UNREACHABLE ? took.compareTo(times(set.dial(), 0.5)) < 0 : n.atOnce;
         if (result == Result.UNREACHABLE && failing(n)) {
-            n.lostAt = n.lost ? n.lostAt : now;
             n.lost = true;
         } else if (!bad && n.lost) {
             back(n);
         }
+        n.heardAt = bad ? n.heardAt : now;
         // Where answers are rare, each tells of all the time since the last.
         double weight = Math.max(GAIN, Math.min(1, ratio(now.minus(n.answeredAt), times(slowest(), PATIENCE))));
         if (result == Result.COMMITTED) {
@@ -819,13 +821,16 @@
      */
     private void back(Node n) {
         n.lost = false;
-        Duration away = now.minus(n.lostAt);
+        Duration away = now.minus(n.heardAt);
         boolean followed = n.claimed.compareTo(LISTED) > 0 ? away.compareTo(times(set.coldFor(), UP)) > 0
                 : n.position.compareTo(now.minus(times(away, UP))) > 0;
-        if (n.unheard && !followed) {
+        if (n.unheard) {
+            // What failed was the way there: one answered txn is enough, and no work has waited there since.
             n.tryAt = NEVER;
             n.trials = 1;
-            n.started = later(n.started, now);
+            n.failures = Math.min(n.failures, FAILING);
+            n.room = Math.max(n.room, ROOM_START / set.routers());
+            n.started = followed ? n.started : later(n.started, now);
             n.coldCredit = 0;
         }
         scarceAt = n.unheard || !n.atOnce ? scarceAt : now;
@@ -979,6 +984,7 @@
             if (n.lost) {
                 back(n);
             }
+            n.heardAt = now;
             place(n.group);
         }
     }
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -11,6 +11,7 @@
 import static dillfront.port.Role.PRIMARY;
 import static dillfront.port.Role.REPLICA;
 
+import dillfront.port.Report;
 import dillfront.port.Result;
 import dillfront.port.Standing;
 import java.io.IOException;
@@ -282,6 +283,41 @@
         r.compare("asked-list");
     }
 
+    /** Guards against counting an absence from when a node was given up: much of it is over by then. */
+    @Test
+    void aPrimaryCutOffAndStillPrimaryIsNotTakenForColdOnceItIsBack() throws IOException {
+        s.to(10);
+        known(5);
+        s.mute(() -> {
+            for (int i = 0; i < 40; i++) {
+                s.to(10 + 25 * i);
+                s.well(s.take(FRESH), 50);
+            }
+        });
+        s.note("last heard at 985; time-outs, and much later no connections");
+        for (int txn : new int[] {s.take(FRESH), s.take(FRESH), s.take(FRESH), s.take(FRESH)}) {
+            s.ended(txn, Result.TIMED_OUT, 1000, null, 0);
+        }
+        s.to(6500);
+        s.ended(s.take(FRESH), Result.UNREACHABLE, 250, null, 0);
+        s.to(9000);
+        s.note("at 9000 its first probe is lost as well, the next is answered: it still is the primary");
+        s.decide.probed(0, false, Report.NOTHING);
+        s.to(9250);
+        s.report(0, 9240, PRIMARY);
+        int[] went = new int[2];
+        s.mute(() -> {
+            for (int i = 0; i < 40; i++) {
+                s.to(9250 + 50 * i);
+                int txn = s.take(FRESH);
+                went[s.whereIs(txn) < 0 ? 1 : 0]++;
+                s.well(txn, 50);
+            }
+        });
+        s.note("of 40 in the next two seconds " + went[0] + " are sent at once, " + went[1] + " are not");
+        s.compare("cut-off");
+    }
+
     @Test
     void aNodeOutOfReachAnswersAProbeFirst() throws IOException {
         s.to(10);
