Tests of the end, the limit on clients and what cannot be used

A router that is told to end serves a client that comes 0.1 s later, answers what is out, and closes its clients only then; at its share of descriptors the client idle longest makes room; each fault of the configuration is named in one line. Found by them: a router that could not bind kept its event loop.

--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
 
@@ -24,6 +25,8 @@
         }
         try (InputStream text = Files.newInputStream(Path.of(file))) {
             return read(text, env);
+        } catch (NoSuchFileException none) {
+            throw new BadConfig("LB_CONFIG " + file + ": no such file");
         } catch (IOException bad) {
             String fault = bad.getMessage() == null ? bad.toString() : bad.getMessage();
             throw new BadConfig("LB_CONFIG " + file + ": " + fault.lines().findFirst().orElse(""));
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -62,6 +62,7 @@
         } catch (InterruptedException stopped) {
             throw new BadConfig("interrupted");
         } catch (Exception fault) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw new BadConfig("LB_LISTEN " + config.listen() + ": " + fault.getMessage());
         }
         log.info("serving", "name", config.name(), "listen", config.listen());
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -1,8 +1,10 @@
 package dillfront.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dillfront.Scene;
+import dillfront.config.BadConfig;
 import dillfront.config.Config;
 import dillfront.log.Log;
 import dillfront.pgwire.Messages;
@@ -261,8 +263,10 @@
 
     private void counted(String... names) throws Exception {
         client.close();
-        daemon.stop();
-        daemon = null;
+        if (daemon != null) {
+            daemon.stop();
+            daemon = null;
+        }
         String line = log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" counters "))
                 .reduce((a, b) -> b).orElse("");
         for (String name : names) {
@@ -338,6 +342,74 @@
         Scene.compare("router-out-of-form", trace);
     }
 
+    /** Guards against answers lost, and new clients turned away, while a router is being ended. */
+    @Test
+    void theEndComesOnceAllIsAnswered() throws Exception {
+        say("startup", startup(), 1);
+        send(client, ask("any", "hang", 1500));
+        while (seen.isEmpty()) {
+            Thread.sleep(5);
+        }
+        Thread stopping = new Thread(daemon::stop);
+        stopping.start();
+        Thread.sleep(100);
+        Socket first = client;
+        client = new Socket(first.getInetAddress(), first.getPort());
+        say("new, 0.1 s after", startup().writeBytes(ask("once", "k", 900)), 2);
+        trace.append("then                   ").append(hear(1)).append('\n');
+        client = first;
+        trace.append("the first              ").append(hear(1)).append(' ').append(hear(1)).append('\n');
+        stopping.join(4000);
+        daemon = null;
+        counted("accepted", "taken", "committed", "declined", "txns_held", "client_connections", "node_connections");
+        Scene.compare("router-ends", trace);
+    }
+
+    /** Guards against running out of descriptors: idle clients make room for new ones. */
+    @Test
+    void atTheLimitTheClientIdleLongestMakesRoom() throws Exception {
+        say("startup", startup(), 1);
+        List<Socket> more = new ArrayList<>();
+        Socket first = client;
+        for (int i = 0; i < 96; i++) {
+            client = new Socket(first.getInetAddress(), first.getPort());
+            client.setSoTimeout(5000);
+            more.add(client);
+            send(client, startup().writeBytes(Messages.query(Unpooled.buffer(), "")));
+            hear(2);
+        }
+        say("the last of 97", ask("any", "k", 900), 1);
+        client = first;
+        trace.append("the first              ").append(hear(1)).append('\n');
+        for (Socket socket : more) {
+            socket.close();
+        }
+        counted("accepted", "committed", "client_connections");
+        Scene.compare("router-full", trace);
+    }
+
+    @Test
+    void whatCannotBeUsedIsNamed() throws Exception {
+        String good = Files.readString(dir.resolve("config.json"));
+        String[][] cases = {{"", ""}, {"'reset':true", "'reset':tru"}, {"'seed':'8c", "'seed':'xx"}, {"'classes'", "'none'"},
+            {"'dialTimeoutUs':250000", "'dialTimeoutUs':0"}, {"'discovery':'127", "'discovery':'host"}};
+        for (String[] change : cases) {
+            Path file = dir.resolve("bad.json");
+            Files.writeString(file, change[0].isEmpty() ? "" : good.replace(change[0].replace('\'', '"'),
+                    change[1].replace('\'', '"')));
+            trace.append(assertThrows(BadConfig.class, () -> Config.read(Map.of("LB_CONFIG", file.toString())))
+                    .getMessage().replace(file.toString(), "FILE").replaceAll(":\\d{4,5}", ":PORT")).append('\n');
+        }
+        for (Map<String, String> env : List.of(Map.<String, String>of(), Map.of("LB_CONFIG", "/nowhere/config.json"),
+                Map.of("LB_CONFIG", dir.resolve("config.json").toString(), "LB_LISTEN", "here"))) {
+            trace.append(assertThrows(BadConfig.class, () -> Config.read(env)).getMessage()).append('\n');
+        }
+        Daemon second = new Daemon(Config.read(Map.of("LB_CONFIG", dir.resolve("config.json").toString())),
+                new Log(new PrintStream(log, true)));
+        trace.append(assertThrows(BadConfig.class, second::start).getMessage().replaceAll(":\\d{4,5}", ":PORT")).append('\n');
+        Scene.compare("bad-config", trace);
+    }
+
     @Test
     void aClientThatLeavesLeavesNothingBehind() throws Exception {
         say("startup", startup(), 1);
