--- a/src/main/java/dillfront/log/Counters.java
+++ b/src/main/java/dillfront/log/Counters.java
@@ -45,5 +45,6 @@
             line[at++] = ended[result.ordinal()];
         }
         log.info("counters", line);
+        longestTurnMs = 0;
     }
 }
