--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -89,7 +89,10 @@
     private static final double ROOM_LEAST = 0.3;
     private static final double ROOM_CUT = 0.85;
     private static final double FULL_CUT = 0.5;
-    /** Below one, room doubles in so many dial time-outs; in more of them for many routers at a jammed node. */
+    /**
+     * Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. At
+     * a jammed node each router ends at one send a doubling, so with many more it is longer.
+     */
     private static final double ROOM_BACK = 8;
     private static final double ROOM_BACK_ROUTERS = 3;
 
@@ -422,10 +425,7 @@
             place(n.group);
             // Nodes that are up take no more connections: what this router keeps open, others wait for. Not
             // where connections fail by time-out: those are slow to make, and what is open is worth keeping.
-            // And where a time-out ends a wait in which nothing came at all: the way may be gone, and a new
-            // connection that fails proves that its txn never ran, which another time-out does not.
-            boolean deaf = result == Result.TIMED_OUT && n.quiet.compareTo(now.minus(took)) <= 0;
-            if (deaf || n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0) {
+            if (n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0) {
                 outlet.release(n.id);
             }
         }
