What waits is answered two beats before half of its client's time

Checked: such txns are mostly writes without a primary, held to the end of their client's time since late ones earn 0.3; a primary's change takes longer than most are held. Lines at fault: giveUp in Decide.Txn, which knew the SLA time and the expiry alone.

It should also guard against long queues of txns that nobody can serve any more; it could harm where nodes come back between half and the end and clients never retry.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -89,10 +89,9 @@
     private static final double ROOM_LEAST = 0.3;
     private static final double ROOM_CUT = 0.85;
     private static final double FULL_CUT = 0.5;
-    /**
-     * Below one, room doubles by itself in so many dial time-outs: answers are too rare there to widen it. At
-     * a jammed node each router ends at one send a doubling, so with many more it is longer.
-     */
+    /** What waits is answered by this part of its client's time: an early answer leaves time to ask again. */
+    private static final double HELD = 0.5;
+    /** Below one, room doubles in so many dial time-outs; in more of them for many routers at a jammed node. */
     private static final double ROOM_BACK = 8;
     private static final double ROOM_BACK_ROUTERS = 3;
 
@@ -385,8 +384,9 @@
             // A try of another length than the first has all that is left to the client: that tells its age.
             Duration age = type.repeated(patience) ? type.longest.minus(patience) : Duration.ZERO;
             Duration useful = now.plus(type.sla).minus(age);
-            Duration last = expiry.minus(beat.multipliedBy(2));
-            giveUp = (type.lateEarns ? last : earlier(last, useful)).minus(type.usual);
+            Duration last = type.lateEarns ? expiry : earlier(expiry, useful);
+            Duration held = now.plus(times(patience, HELD));
+            giveUp = earlier(last.minus(type.usual), held).minus(beat.multipliedBy(2));
             spare = giveUp.compareTo(now) <= 0;
         }
 
