--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -91,7 +91,7 @@
     private static final double FULL_CUT = 0.5;
     /** What waits is answered by this part of its client's time: an early answer leaves time to ask again. */
     private static final double HELD = 0.5;
-    /** Below one, room doubles in so many dial time-outs; in more of them for many routers at a jammed node. */
+    /** Below one, room doubles in so many dial time-outs; more of them for many routers at a jammed node. */
     private static final double ROOM_BACK = 8;
     private static final double ROOM_BACK_ROUTERS = 3;
 
@@ -189,9 +189,9 @@
         final double quota;
         double allowance;
 
-        Tenant(double quota, double allowance) {
+        Tenant(double quota, int routers) {
             this.quota = quota;
-            this.allowance = allowance;
+            allowance = Math.max(QUOTA_BURST, quota / routers);
         }
     }
 
@@ -229,7 +229,7 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    /** What warm nodes did, not what all were sent: work turned away or done cold tells not what one can do. */
+    /** What warm nodes did, not all that was sent: work turned away or done cold tells nothing of it. */
     private int done;
     private double doneRate;
     private double doneWeight;
@@ -252,7 +252,7 @@
                 .min(Duration::compareTo).orElse(times(set.dial(), 1));
         anyBound = times(bound, ANY_BOUND);
         types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
-        tenants = set.quotas().stream().map(q -> new Tenant(q, Math.max(QUOTA_BURST, q / set.routers()))).toList();
+        tenants = set.quotas().stream().map(q -> new Tenant(q, set.routers())).toList();
         allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
         roomLeast = ROOM_LEAST / set.routers();
         Arrays.fill(written, NEVER);
@@ -458,8 +458,8 @@
         @Override
         public boolean stands(int node) {
             Node n = nodes.get(node);
-            boolean old = type.read == Read.FRESH
-                    || type.read == Read.BOUNDED && n.position.compareTo(now.minus(type.bound)) < 0 && !keepsUp(n);
+            boolean old = type.read == Read.FRESH || type.read == Read.BOUNDED
+                    && n.position.compareTo(now.minus(type.bound)) < 0 && !keepsUp(n);
             return !closed && listed(n) && remembered(this) && (!old || n == primary(group));
         }
 
@@ -771,7 +771,8 @@
             n.failures += gain * ((bad ? 1 : 0) - n.failures);
         }
         // One that only turns work away does none: it has hung with its queue full, or might as well have.
-        boolean idle = result == Result.FULL && now.compareTo(n.answeredAt.plus(times(slowest(), PATIENCE))) > 0;
+        double since = ratio(now.minus(n.answeredAt), times(slowest(), PATIENCE));
+        boolean idle = result == Result.FULL && since > 1;
         if (!bad && result != Result.FULL) {
             n.quiet = now;
             n.silent = false;
@@ -786,7 +787,7 @@
         }
         n.heardAt = bad ? n.heardAt : now;
         // Where answers are rare, each tells of all the time since the last.
-        double weight = Math.max(GAIN, Math.min(1, ratio(now.minus(n.answeredAt), times(slowest(), PATIENCE))));
+        double weight = Math.max(GAIN, Math.min(1, since));
         if (result == Result.COMMITTED) {
             done += cold(n) ? 0 : 1;
             n.pace += weight * (Math.min(4, ratio(took, type.usual)) - n.pace);
@@ -815,9 +816,8 @@
 
     /**
      * It was out of reach and answers again. Perhaps it is newly started, whatever the list says yet; but not
-     * one that answered its first probe (it takes no more connections), nor one that applied the log all the
-     * while or is still the primary after so long (others reached it). Harm: one that restarts unseen and
-     * catches up at once counts as warm until the list tells.
+     * one that answered its first probe (it takes no more connections), that applied the log all the while,
+     * or is still the primary. Harm: one that restarts unseen and catches up counts as warm until it is listed.
      */
     private void back(Node n) {
         n.lost = false;
@@ -900,9 +900,9 @@
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
-        for (Tenant tenant : tenants) {
-            double entitled = Math.max(tenant.quota / set.routers(), takeRate * tenant.quota / allQuotas);
-            tenant.allowance = Math.min(Math.max(QUOTA_BURST, entitled), tenant.allowance + entitled * seconds);
+        for (Tenant t : tenants) {
+            double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
+            t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
         }
         if (now.compareTo(coldAt) >= 0) {
             Duration window = times(set.tipAfter(), COLD_WINDOW);
