--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -817,7 +817,7 @@
     /**
      * It was out of reach and answers again. Perhaps it is newly started, whatever the list says yet; but not
      * one that answered its first probe (it takes no more connections), that applied the log all the while,
-     * or is still the primary. Harm: one that restarts unseen and catches up counts as warm until it is listed.
+     * or is still the primary. Harm: one that restarts unseen and catches up is warm until it is listed.
      */
     private void back(Node n) {
         n.lost = false;
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -342,6 +342,31 @@
         Scene.compare("router-out-of-form", trace);
     }
 
+    @Test
+    void whatIsNoClientIsToldSoAndClosed() throws Exception {
+        Object[][] cases = {
+            {"cancel", Unpooled.buffer().writeInt(16).writeInt(Messages.CANCEL).writeLong(7)},
+            {"version 2", Unpooled.buffer().writeInt(8).writeInt(2 << 16)},
+            {"a startup too long", Unpooled.buffer().writeInt(10_001).writeInt(Messages.VERSION)},
+            {"a length too small", startup().writeByte('Q').writeInt(3)},
+            {"a query too long", startup().writeByte('Q').writeInt(1 << 20).writeBytes(new byte[4000])},
+            {"Terminate", startup().writeByte('X').writeInt(4)}};
+        Socket first = client;
+        for (Object[] one : cases) {
+            client = new Socket(first.getInetAddress(), first.getPort());
+            client.setSoTimeout(5000);
+            say((String) one[0], (ByteBuf) one[1], 9);
+            client.close();
+        }
+        client = first;
+        say("GSS", Unpooled.buffer().writeInt(8).writeInt(Messages.GSS), 0);
+        trace.append((char) client.getInputStream().read()).append('\n');
+        say("the others still", startup().writeBytes(ask("any", "k", 900)), 2);
+        counted("accepted", "taken", "client_connections");
+        noLeaks();
+        Scene.compare("router-no-client", trace);
+    }
+
     /** Guards against answers lost, and new clients turned away, while a router is being ended. */
     @Test
     void theEndComesOnceAllIsAnswered() throws Exception {
