A counter of timers held, zero after the end

Limits of submissions and probes, and dials; printed with the others and shown zero in the traces of endings and of a client that left.

--- a/src/main/java/dillfront/log/Counters.java
+++ b/src/main/java/dillfront/log/Counters.java
@@ -25,19 +25,20 @@
     public int txns;
     public int clientConnections;
     public int nodeConnections;
+    public int timers;
 
     public void ended(Result result) {
         ended[result.ordinal()]++;
     }
 
     public void print(Log log) {
-        Object[] line = new Object[2 * (17 + ended.length)];
+        Object[] line = new Object[2 * (18 + ended.length)];
         int at = 0;
         for (Object o : new Object[] {"queries", queries, "out_of_form", outOfForm, "taken", taken,
             "committed", committed, "declined", declined, "rolled_back", rolledBack, "left", left,
             "submitted", submitted, "probes", probes, "dialed", dialed, "accepted", accepted, "lists", lists,
             "list_faults", listFaults, "longest_turn_ms", longestTurnMs, "txns_held", txns,
-            "client_connections", clientConnections, "node_connections", nodeConnections}) {
+            "client_connections", clientConnections, "node_connections", nodeConnections, "timers", timers}) {
             line[at++] = o;
         }
         for (Result result : Result.values()) {
--- a/src/main/java/dillfront/servers/Call.java
+++ b/src/main/java/dillfront/servers/Call.java
@@ -118,6 +118,7 @@
         connection = null;
         if (limit != null) {
             limit.cancel(false);
+            pool.fleet.counters.timers--;
         }
         Answer answer = null;
         if (result == Result.COMMITTED) {
--- a/src/main/java/dillfront/servers/Connection.java
+++ b/src/main/java/dillfront/servers/Connection.java
@@ -46,6 +46,7 @@
         fleet.opened(this);
         ChannelFuture connecting = fleet.bootstrap.clone().handler(this).connect(address);
         channel = connecting.channel();
+        fleet.counters.timers++;
         dialing = channel.eventLoop().schedule(this::close, fleet.setup.settings().dial().toNanos(),
                 TimeUnit.NANOSECONDS);
         connecting.addListener(done -> {
@@ -55,6 +56,15 @@
         });
     }
 
+    /** The dial is over, well or not. */
+    private void dialed() {
+        if (dialing != null) {
+            dialing.cancel(false);
+            dialing = null;
+            fleet.counters.timers--;
+        }
+    }
+
     boolean isOpen() {
         return !closed;
     }
@@ -168,7 +178,7 @@
     private boolean ready() {
         if (!up) {
             up = true;
-            dialing.cancel(false);
+            dialed();
             caller = null;
             pool.free(this);
             return true;
@@ -211,7 +221,7 @@
             return;
         }
         closed = true;
-        dialing.cancel(false);
+        dialed();
         channel.close();
         frames.release();
         pool.idle.remove(this);
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -85,6 +85,7 @@
     /** Only once the module has returned: what ends at once must not reach it within its own call. */
     private void start(Call call, Duration limit) {
         loop.execute(() -> {
+            counters.timers++;
             call.limit = loop.schedule(() -> late(call), limit.toNanos(), TimeUnit.NANOSECONDS);
             Pool pool = call.pool;
             Connection idle = pool.idle.pollLast();
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -315,7 +315,7 @@
             seen.removeIf(text -> text.contains("'ok'"));
         }
         statementsSeen();
-        counted("out_of_form", "txns_held", "node_connections", "ended_error", "ended_reset",
+        counted("out_of_form", "txns_held", "node_connections", "timers", "ended_error", "ended_reset",
                 "ended_timed_out");
         noLeaks();
         Scene.compare("router-endings", trace);
@@ -445,7 +445,7 @@
         client.close();
         Thread.sleep(400);
         counted("taken", "left", "committed", "declined", "txns_held", "client_connections", "node_connections",
-                "ended_timed_out");
+                "timers", "ended_timed_out");
         noLeaks();
         Scene.compare("router-left", trace);
     }
