SIGHUP moves the watch to the configuration's discovery and disturbs nothing

Cause: no handler for SIGHUP, so the JVM ends on it (Main.main set up USR2 alone). Ruled out: the list itself, which came until the exit; the log ends without a line. Also by reading: LB_DISCOVERY goes before the file (Config.address), so a file read anew would have named the old address for ever; a reload now takes the file's. Change: Signals.on hears HUP from before the start; Daemon.reload reads the file whole, one reading after another, and the loop moves the watch. The list in use stays until the first whole one from the new address. Test: router-reloads raises the signal on a router with a txn out.

--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -4,11 +4,11 @@
 import dillfront.config.Config;
 import dillfront.daemon.Daemon;
 import dillfront.daemon.Rehearsal;
+import dillfront.daemon.Signals;
 import dillfront.drill.BadInput;
 import dillfront.drill.Drill;
 import dillfront.log.Log;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.util.List;
 
 /** The command line: one subcommand a way of running the decisions. */
@@ -21,23 +21,6 @@
 
     private Main() {}
 
-    /** The JVM leaves this signal free. By reflection: the type is no promise of the platform, and may go. */
-    private static void printOnSignal(Runnable print, Log log) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object prints = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
-                        print.run();
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("USR2"), prints);
-        } catch (ReflectiveOperationException none) {
-            log.warn("no-signal", "fault", none);
-        }
-    }
-
     public static void main(String[] args) {
         if (args.length != 1 || !List.of("drill", "serve", "rehearse").contains(args[0])) {
             System.err.println(USAGE);
@@ -47,13 +30,15 @@
             if (args[0].equals("serve")) {
                 Log log = new Log(System.err);
                 Daemon daemon = new Daemon(Config.read(System.getenv()), log);
+                // Before the start: the JVM's own answer to SIGHUP is to end.
+                Signals.on("HUP", () -> daemon.reload(() -> Config.again(System.getenv())), log);
+                Signals.on("USR2", daemon::print, log);
                 daemon.start();
                 Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
-                printOnSignal(daemon::print, log);
             } else if (args[0].equals("rehearse")) {
                 Log log = new Log(System.err);
                 Rehearsal.run(log);
-                printOnSignal(() -> { }, log);
+                Signals.on("USR2", () -> { }, log);
             } else {
                 new Drill(System.in, System.out).run();
             }
--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -6,6 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -33,6 +36,31 @@
         }
     }
 
+    /** As at a reload: the variable names discovery's address at the start, the file where it is now. */
+    public static Config again(Map<String, String> env) throws BadConfig {
+        Map<String, String> others = new HashMap<>(env);
+        others.remove("LB_DISCOVERY");
+        return read(others);
+    }
+
+    /** What of another configuration cannot be taken over by a router that runs. */
+    public List<String> fixed(Config other) {
+        List<String> names = new ArrayList<>();
+        if (!name.equals(other.name)) {
+            names.add("name");
+        }
+        if (!listen.equals(other.listen)) {
+            names.add("listen");
+        }
+        if (sockets != other.sockets) {
+            names.add("limits");
+        }
+        if (!setup.equals(other.setup)) {
+            names.add("settings");
+        }
+        return names;
+    }
+
     public static Config read(InputStream text) throws IOException, BadConfig {
         return read(text, Map.of());
     }
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -24,12 +25,19 @@
     /** Descriptors that are neither a client's nor a node's: files, the list, the door, the selector. */
     private static final int OTHERS = 64;
 
+    /** Where a configuration is read from anew. */
+    public interface Source {
+        Config read() throws BadConfig;
+    }
+
     private final Config config;
     private final Log log;
     private final Counters counters = new Counters();
     private final CountDownLatch ended = new CountDownLatch(1);
-    private NioEventLoopGroup group;
-    private EventLoop loop;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("router"));
+    private final EventLoop loop = group.next();
+    /** Where discovery is, by the latest configuration. */
+    private InetSocketAddress discovery;
     private Router router;
     private Clients clients;
     private Watch watch;
@@ -37,12 +45,11 @@
     public Daemon(Config config, Log log) {
         this.config = config;
         this.log = log;
+        discovery = config.discovery();
     }
 
     /** Returns once clients can connect. */
     public void start() throws BadConfig {
-        group = new NioEventLoopGroup(1, new DefaultThreadFactory("router"));
-        loop = group.next();
         int share = Math.max(2, (config.sockets() - OTHERS) / 2);
         try {
             loop.submit(() -> {
@@ -52,7 +59,8 @@
                 if (known) {
                     router.list(config.known());
                 }
-                watch = new Watch(config, counters, log, loop, known ? config.known().whole("generation") : -1, router);
+                watch = new Watch(discovery, config.setup().settings().dial(), counters, log, loop,
+                        known ? config.known().whole("generation") : -1, router);
                 watch.start();
             }).sync();
             while (!loop.submit(router::listed).get()) {
@@ -83,6 +91,34 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    /**
+     * Goes over to the configuration as it is now, if it can be used; at any time, also before the start. One
+     * reading after another, so that several words in a row end in the latest file.
+     */
+    public synchronized void reload(Source source) {
+        Runnable then;
+        try {
+            Config next = source.read();
+            then = () -> follow(next);
+        } catch (BadConfig bad) {
+            then = () -> log.warn("reload-refused", "fault", bad.getMessage());
+        }
+        // Once the router has ended, what it is told no longer counts.
+        if (!loop.isShuttingDown()) {
+            loop.execute(then);
+        }
+    }
+
+    private void follow(Config next) {
+        log.info("reloaded", "discovery", next.discovery(), "kept_as_at_start", config.fixed(next));
+        if (!discovery.equals(next.discovery())) {
+            discovery = next.discovery();
+            if (watch != null) {
+                watch.move(discovery);
+            }
+        }
+    }
+
     /** On request. */
     public void print() {
         loop.execute(() -> counters.print(log));
--- a/src/main/java/dillfront/list/Watch.java
+++ b/src/main/java/dillfront/list/Watch.java
@@ -1,6 +1,5 @@
 package dillfront.list;
 
-import dillfront.config.Config;
 import dillfront.config.Tree;
 import dillfront.log.Counters;
 import dillfront.log.Log;
@@ -17,6 +16,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /** Asks discovery for what is newer than the last list, again and again; one connection at a time. */
@@ -32,11 +33,12 @@
 
     private static final long WAIT_MS = 20_000;
 
-    private final Config config;
+    private final long dialNanos;
     private final Counters counters;
     private final Log log;
     private final EventLoop loop;
     private final Listener listener;
+    private InetSocketAddress address;
     private long generation;
     private boolean anyList;
     private Asking asking;
@@ -45,8 +47,10 @@
     private boolean unreachable;
 
     /** @param generation of the list that is known; negative where none is */
-    public Watch(Config config, Counters counters, Log log, EventLoop loop, long generation, Listener listener) {
-        this.config = config;
+    public Watch(InetSocketAddress address, Duration dial, Counters counters, Log log, EventLoop loop, long generation,
+            Listener listener) {
+        this.address = address;
+        dialNanos = dial.toNanos();
         this.counters = counters;
         this.log = log;
         this.loop = loop;
@@ -62,6 +66,16 @@
         }
     }
 
+    /** Discovery is elsewhere now. The last list holds until the first from there, which is asked for whole. */
+    public void move(InetSocketAddress to) {
+        address = to;
+        anyList = false;
+        if (asking != null) {
+            asking.close();
+        }
+        unreachable = false;
+    }
+
     public void close() {
         closed = true;
         if (asking != null) {
@@ -73,7 +87,7 @@
     private final class Asking extends ChannelInboundHandlerAdapter {
 
         private final HttpAnswers answers = new HttpAnswers();
-        private final long dialNanos = config.setup().settings().dial().toNanos();
+        private final InetSocketAddress at = address;
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
@@ -81,7 +95,7 @@
 
         void open() {
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(config.discovery());
+                    .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(at);
             channel = connecting.channel();
             silentAfter(4 * dialNanos);
             connecting.addListener(done -> {
@@ -96,7 +110,7 @@
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
-                log.warn("list-silent", "address", config.discovery());
+                log.warn("list-silent", "address", at);
                 close();
             }, nanos, TimeUnit.NANOSECONDS);
         }
@@ -110,7 +124,7 @@
 
         private void ask(ChannelHandlerContext ctx) {
             String query = anyList ? "?after=" + generation + "&wait_ms=" + WAIT_MS : "";
-            String host = config.discovery().getAddress().getHostAddress() + ":" + config.discovery().getPort();
+            String host = at.getAddress().getHostAddress() + ":" + at.getPort();
             ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(),
                     "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n"));
             silentAfter(TimeUnit.MILLISECONDS.toNanos(anyList ? WAIT_MS : 0) + 4 * dialNanos);
@@ -184,7 +198,7 @@
             answers.release();
             if (!up && !unreachable) {
                 unreachable = true;
-                log.warn("list-unreachable", "address", config.discovery());
+                log.warn("list-unreachable", "address", at);
             }
             if (!closed) {
                 listener.listFailed();
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -13,9 +13,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.util.ResourceLeakDetector;
 import io.netty.util.ResourceLeakDetectorFactory;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -79,6 +81,7 @@
     private final StringBuilder trace = new StringBuilder();
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final List<String> seen = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> asked = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger lists = new AtomicInteger();
     private ServerSocket node;
     private ServerSocket list;
@@ -151,6 +154,21 @@
                 + "'role':'leader'}]}";
     }
 
+    /** A second address of discovery: answers at once with the whole list, and notes what it was asked. */
+    private void laterList(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.startsWith("GET")) {
+                asked.add(line.replaceAll(" HTTP.*", ""));
+            } else if (line.isEmpty() && asked.size() < 2) {
+                String list = listed(42).replace('\'', '"');
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+            }
+        }
+        asked.add("closed");
+    }
+
     /** Answers the first call with rubbish, then none: the known list holds. */
     private void list(Socket socket) throws IOException {
         if (lists.incrementAndGet() == 1) {
@@ -178,6 +196,10 @@
             note.writeByte('S').writeInt(21).writeBytes("node_role\0leader\0".getBytes(StandardCharsets.US_ASCII));
             switch (key) {
                 case "hang" -> { }
+                case "slow" -> {
+                    pause(300);
+                    send(socket, Messages.ready(note.writeBytes(row(key))));
+                }
                 case "reset" -> {
                     return;
                 }
@@ -205,6 +227,14 @@
         return out.writeByte('C').writeInt(13).writeBytes("SELECT 1\0".getBytes(StandardCharsets.US_ASCII));
     }
 
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException over) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void send(Socket socket, ByteBuf bytes) throws IOException {
         byte[] out = new byte[bytes.readableBytes()];
         bytes.readBytes(out);
@@ -390,6 +420,48 @@
         Scene.compare("router-ends", trace);
     }
 
+    /** Guards against ending on SIGHUP, against a list asked for where none is any more, and against a bad file. */
+    @Test
+    void aNewConfigurationMovesDiscoveryAndDisturbsNothing() throws Exception {
+        Path file = dir.resolve("config.json");
+        String first = Files.readString(file);
+        Map<String, String> env = Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", "127.0.0.1:" + list.getLocalPort());
+        Signals.on("HUP", () -> daemon.reload(() -> Config.again(env)), new Log(new PrintStream(log, true)));
+        say("startup", startup(), 1);
+        send(client, ask("any", "slow", 900));
+        while (seen.isEmpty()) {
+            Thread.sleep(5);
+        }
+        try (ServerSocket later = new ServerSocket(0, 50, list.getInetAddress())) {
+            serve(later, this::laterList);
+            Files.writeString(file, first.replace("\"discovery\":\"127.0.0.1:" + list.getLocalPort(),
+                    "\"discovery\":\"127.0.0.1:" + later.getLocalPort()).replace("\"sockets\":256", "\"sockets\":300"));
+            hangUp();
+            trace.append("what was out           ").append(hear(1)).append('\n');
+            while (asked.size() < 2) {
+                Thread.sleep(5);
+            }
+            Files.writeString(file, first.substring(9));
+            hangUp();
+            say("after a bad file", ask("any", "k", 900), 1);
+            counted("committed", "lists", "client_connections");
+            while (asked.size() < 3) {
+                Thread.sleep(5);
+            }
+        }
+        asked.forEach(line -> trace.append(line).append('\n'));
+        log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" reload")).forEach(line -> trace.append(
+                line.substring(line.indexOf(" reload") + 1).replaceAll("127.0.0.1:\\d+", "LATER").replace(file.toString(),
+                "FILE")).append('\n'));
+        Scene.compare("router-reloads", trace);
+    }
+
+    private static void hangUp() throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+        // Heard on a thread of its own: time to read the file.
+        Thread.sleep(200);
+    }
+
     /** Guards against running out of descriptors: idle clients make room for new ones. */
     @Test
     void atTheLimitTheClientIdleLongestMakesRoom() throws Exception {
