Spoilt answers blame no node, and what comes behind an answer meets no txn

Ruled out: spoilt answers themselves, which Frames and Call.take refused; the leak is Connection.ready, which gave the connection to a waiting call before the rest of the bytes was looked at, and to the next txn although bytes could still come. Also by reading: notes and reports of a spoilt answer were believed (Call.end); a report with a position to come, or a role that is neither, was believed (Fleet.report); a spoilt answer counted as a reset and cost its node its standing (Decide.judge); T and C messages passed unchecked. Tests: router-behind, router-endings, spoilt.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -767,7 +767,7 @@
         }
         boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
         double gain = result == Result.UNREACHABLE || result == Result.RESET ? LOST_GAIN : FAIL_GAIN;
-        if (result != Result.ERROR) {
+        if (result != Result.ERROR && result != Result.SPOILT) {
             n.failures += gain * ((bad ? 1 : 0) - n.failures);
         }
         // One that only turns work away does none: it has hung with its queue full, or might as well have.
--- a/src/main/java/dillfront/pgwire/Messages.java
+++ b/src/main/java/dillfront/pgwire/Messages.java
@@ -19,6 +19,9 @@
     public static final String NOT_SUPPORTED = "0A000";
     public static final String VIOLATION = "08P01";
 
+    /** In bytes, as nodes answer it. */
+    private static final int LONGEST_VALUE = 1 << 16;
+
     private Messages() {}
 
     /** What a client is told once it has started. */
@@ -123,10 +126,25 @@
         return row.toString(at + 6, row.getInt(at + 2), StandardCharsets.UTF_8);
     }
 
+    /** Whether a description is of one column, and nothing else. */
+    public static boolean oneField(ByteBuf description) {
+        int at = description.readerIndex() + 5;
+        int zero = description.readableBytes() < 7 || description.getShort(at) != 1 ? -1
+                : description.indexOf(at + 2, description.writerIndex(), (byte) 0);
+        return zero >= 0 && description.writerIndex() - zero == 19;
+    }
+
+    /** Whether a message holds one text up to its end. */
+    public static boolean oneText(ByteBuf message) {
+        int from = message.readerIndex() + 5;
+        return message.indexOf(from, message.writerIndex(), (byte) 0) == message.writerIndex() - 1;
+    }
+
     /** Whether a row holds one column that fills it. */
     public static boolean oneColumn(ByteBuf row) {
         int at = row.readerIndex() + 5;
-        return row.readableBytes() >= 11 && row.getShort(at) == 1 && row.getInt(at + 2) == row.readableBytes() - 11;
+        return row.readableBytes() >= 11 && row.getShort(at) == 1 && row.getInt(at + 2) == row.readableBytes() - 11
+                && row.getInt(at + 2) <= LONGEST_VALUE;
     }
 
     /** Whether a query holds nothing: white space and semicolons. */
--- a/src/main/java/dillfront/servers/Call.java
+++ b/src/main/java/dillfront/servers/Call.java
@@ -23,7 +23,7 @@
     /** Its last byte was written. */
     boolean whole;
     boolean ended;
-    /** The node spoke out of turn: no word of this answer counts. */
+    /** The node spoke out of turn or in no form: no word of this answer counts. */
     boolean spoilt;
 
     // The answer so far; given on or released when the call ends.
@@ -50,7 +50,7 @@
     boolean take(ByteBuf message) {
         switch (message.getByte(message.readerIndex())) {
             case 'T' -> {
-                if (description == null && code == null) {
+                if (description == null && code == null && Messages.oneField(message)) {
                     description = message;
                     return true;
                 }
@@ -62,7 +62,7 @@
                 }
             }
             case 'C' -> {
-                if (row != null && completion == null) {
+                if (row != null && completion == null && Messages.oneText(message)) {
                     completion = message;
                     return true;
                 }
@@ -89,6 +89,11 @@
         return row;
     }
 
+    /** Some of an answer is there. */
+    boolean begun() {
+        return description != null || code != null;
+    }
+
     /** Whether an answer is there whole, if the connection should end now. */
     boolean answered() {
         return completion != null || code != null;
@@ -97,7 +102,7 @@
     /** How it ended, by what came back of it. */
     Result result() {
         if (spoilt) {
-            return whole ? Result.RESET : Result.UNREACHABLE;
+            return whole ? Result.SPOILT : Result.UNREACHABLE;
         }
         if (code != null) {
             return switch (code) {
@@ -129,7 +134,8 @@
             release(completion);
         }
         description = row = completion = null;
-        over(result, Duration.ofNanos(System.nanoTime() - startedNanos), answer, new Report(position, role), report);
+        over(result, Duration.ofNanos(System.nanoTime() - startedNanos), answer,
+                spoilt ? Report.NOTHING : new Report(position, role), spoilt ? Report.NOTHING : report);
     }
 
     private static void release(ByteBuf message) {
--- a/src/main/java/dillfront/servers/Connection.java
+++ b/src/main/java/dillfront/servers/Connection.java
@@ -27,11 +27,14 @@
     private Channel channel;
     private ChannelHandlerContext ctx;
     private ScheduledFuture<?> dialing;
+    /** While an answer has begun and has not ended. */
+    private ScheduledFuture<?> stalling;
     /** Whom it is opened for; it may have gone over another connection by the time this one is up. */
     private Call caller;
     private Call call;
     private boolean up;
     private boolean closed;
+    /** Since when it could be used; later than now while it rests. */
     long idleSince;
 
     Connection(Pool pool, Call caller) {
@@ -65,14 +68,6 @@
         }
     }
 
-    boolean isOpen() {
-        return !closed;
-    }
-
-    boolean busy() {
-        return call != null;
-    }
-
     /** Neither the address nor the process behind it has changed since. */
     boolean usable() {
         return !closed && address.equals(pool.address) && openedMs >= pool.startedMs;
@@ -104,6 +99,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
+        if (closed) {
+            ((ByteBuf) read).release();
+            return;
+        }
         frames.add((ByteBuf) read);
         try {
             for (ByteBuf message = frames.next(); message != null; message = closed ? null : frames.next()) {
@@ -116,6 +115,31 @@
         } catch (BadFrame bad) {
             spoilt(bad.getMessage());
         }
+        if (call == null && up && frames.waiting() > 0) {
+            spoilt("more than the answer");
+        }
+    }
+
+    /** Guards against lengths that do not fit: what has begun goes on at once, or it never will. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean open = call != null && (frames.waiting() > 0 || call.begun());
+        if (!open && stalling != null) {
+            stalled();
+        } else if (open && stalling == null) {
+            fleet.counters.timers++;
+            stalling = channel.eventLoop().schedule(() -> spoilt("an answer that does not go on"),
+                    fleet.setup.settings().dial().toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** No answer is open any more. */
+    private void stalled() {
+        if (stalling != null) {
+            stalling.cancel(false);
+            stalling = null;
+            fleet.counters.timers--;
+        }
     }
 
     private void spoilt(String fault) {
@@ -146,6 +170,7 @@
                         close();
                     } else if (call.code == null) {
                         call.code = Messages.code(message);
+                        return call.code.length() == 5;
                     }
                 }
                 case 'Z' -> {
@@ -177,10 +202,13 @@
 
     private boolean ready() {
         if (!up) {
+            if (frames.waiting() > 0) {
+                return false;
+            }
             up = true;
             dialed();
             caller = null;
-            pool.free(this);
+            pool.free(this, 0);
             return true;
         }
         if (call == null || !call.answered()) {
@@ -188,8 +216,8 @@
         }
         Call done = call;
         call = null;
-        // Free before the word goes out: what the module sends next may use it.
-        pool.free(this);
+        stalled();
+        pool.free(this, fleet.restNanos);
         done.end(done.result());
         return true;
     }
@@ -222,6 +250,7 @@
         }
         closed = true;
         dialed();
+        stalled();
         channel.close();
         frames.release();
         pool.idle.remove(this);
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -32,6 +32,8 @@
     final Counters counters;
     final Log log;
     final Bootstrap bootstrap;
+    /** A peer that acknowledges late holds back what comes behind an answer by 40 ms. */
+    final long restNanos;
     private final EventLoop loop;
     private final int most;
     private final Listener listener;
@@ -51,6 +53,7 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) setup.settings().dial().toMillis() + 1);
+        restNanos = setup.settings().dial().toNanos() / 4;
         Duration every = setup.settings().dial();
         loop.scheduleWithFixedDelay(this::closeOld, every.toNanos(), every.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -88,8 +91,9 @@
             counters.timers++;
             call.limit = loop.schedule(() -> late(call), limit.toNanos(), TimeUnit.NANOSECONDS);
             Pool pool = call.pool;
-            Connection idle = pool.idle.pollLast();
+            Connection idle = pool.rested();
             if (idle != null) {
+                pool.idle.remove(idle);
                 idle.carry(call);
                 return;
             }
@@ -98,10 +102,18 @@
                 return;
             }
             pool.waiting.add(call);
+            if (!pool.idle.isEmpty()) {
+                rested(pool);
+            }
             new Connection(pool, call).open();
         });
     }
 
+    /** One that is free now will have rested then. */
+    void rested(Pool pool) {
+        loop.schedule(pool::carryWaiting, restNanos, TimeUnit.NANOSECONDS);
+    }
+
     private void late(Call call) {
         if (call.ended) {
             return;
@@ -165,35 +177,38 @@
         pools.forEach(Pool::closeIdle);
     }
 
-    /** A position in Unix milliseconds; null where it is none. */
+    /** A position in Unix milliseconds; null where it is none, as one that is still to come. */
     Duration position(String text) {
         try {
             long ms = Long.parseLong(text);
-            return ms <= 0 ? null : clock.since(ms);
+            return ms <= 0 || ms > clock.unixMillis() + setup.settings().dial().toMillis() ? null : clock.since(ms);
         } catch (NumberFormatException none) {
             return null;
         }
     }
 
-    /** A load report: its position was rounded by its writer, to no more than a millisecond, so the lower one counts. */
+    /**
+     * A load report: its position was rounded by its writer, to no more than a millisecond, so the lower one counts.
+     * One that cannot be read whole tells nothing, least of all who is the primary.
+     */
     Report report(String text) {
         Duration position = null;
         Role role = null;
-        for (String field : text.split(",")) {
-            int equals = field.indexOf('=');
-            String name = equals < 0 ? "" : field.substring(0, equals).trim();
-            if (name.equals("x0") || name.equals("x1")) {
-                try {
-                    double value = Double.parseDouble(field.substring(equals + 1));
-                    if (name.equals("x1")) {
-                        role = value == 1 ? Role.PRIMARY : Role.REPLICA;
-                    } else if (value > 0 && value < 1e11) {
-                        position = clock.since((long) Math.floor(value * 1000 - 1));
-                    }
-                } catch (NumberFormatException none) {
-                    log.warn("report-out-of-form", "report", text);
+        try {
+            for (String field : text.split(",")) {
+                String[] named = field.trim().split("=", 2);
+                double value = Double.parseDouble(named.length < 2 ? "" : named[1]);
+                if (!Double.isFinite(value) || named[0].equals("x1") && value != 0 && value != 1) {
+                    throw new NumberFormatException();
+                } else if (named[0].equals("x1")) {
+                    role = value == 1 ? Role.PRIMARY : Role.REPLICA;
+                } else if (named[0].equals("x0")) {
+                    position = position(Long.toString((long) Math.floor(value * 1000 - 1)));
                 }
             }
+        } catch (NumberFormatException none) {
+            log.warn("report-out-of-form", "report", text.substring(0, Math.min(text.length(), 80)));
+            return Report.NOTHING;
         }
         return new Report(position, role);
     }
--- a/src/main/java/dillfront/servers/Pool.java
+++ b/src/main/java/dillfront/servers/Pool.java
@@ -3,6 +3,7 @@
 import dillfront.port.Result;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 
 /** The connections to one node, and the calls that wait for one. */
 final class Pool {
@@ -21,23 +22,45 @@
         this.node = node;
     }
 
-    /** A connection is up and free. */
-    void free(Connection connection) {
+    /**
+     * A connection is up and free. After an answer it rests before it is used again: what comes behind that, a
+     * second copy or noise, must find no call that would take it for its own answer.
+     */
+    void free(Connection connection, long restNanos) {
         if (!connection.usable()) {
             connection.close();
             return;
         }
-        while (!waiting.isEmpty()) {
+        connection.idleSince = System.nanoTime() + restNanos;
+        idle.addLast(connection);
+        if (restNanos == 0) {
+            carryWaiting();
+        } else if (!waiting.isEmpty()) {
+            fleet.rested(this);
+        }
+    }
+
+    /** The one used last of those that have rested; null where none has. */
+    Connection rested() {
+        long now = System.nanoTime();
+        for (Iterator<Connection> latest = idle.descendingIterator(); latest.hasNext();) {
+            Connection connection = latest.next();
+            if (now - connection.idleSince >= 0) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    void carryWaiting() {
+        for (Connection free = rested(); free != null && !waiting.isEmpty(); free = rested()) {
             Call call = waiting.poll();
             if (call.stands()) {
-                connection.carry(call);
-                return;
+                idle.remove(free);
+                free.carry(call);
+            } else {
+                call.end(Result.UNSENT);
             }
-            call.end(Result.UNSENT);
-        }
-        if (connection.isOpen() && !connection.busy() && !idle.contains(connection)) {
-            connection.idleSince = System.nanoTime();
-            idle.addLast(connection);
         }
     }
 
--- a/src/main/java/dillfront/servers/Probe.java
+++ b/src/main/java/dillfront/servers/Probe.java
@@ -36,6 +36,7 @@
             }
             answer.release();
         }
-        pool.fleet.probed(pool.node, result == Result.COMMITTED, told);
+        // One that answers in no form is up.
+        pool.fleet.probed(pool.node, result == Result.COMMITTED || result == Result.SPOILT, told);
     }
 }
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -392,6 +392,34 @@
         s.compare("errors-anywhere");
     }
 
+    /** Guards against leaving nodes out for answers that come spoilt from any of them. */
+    @Test
+    void spoiltAnswersFallBackAndCostNoNodeItsStanding() throws IOException {
+        s.to(10);
+        known(5);
+        s.note("may have run: a read falls back, a referenced write goes again, one that runs once is rolled back");
+        int[] txns = {s.take(VIEW), s.take(MOVE), s.take(ONCE)};
+        s.to(30);
+        for (int txn : txns) {
+            s.ended(txn, Result.SPOILT, 20, null, 0);
+        }
+        s.mute(() -> {
+            for (int i = 0; i < 9; i++) {
+                known(s.ms);
+                int bad = s.take(ANY);
+                s.to(s.ms + 20);
+                s.ended(bad, Result.SPOILT, 20, null, 0);
+                s.well(bad, 20);
+            }
+        });
+        s.note("nine more came spoilt: no node has lost its standing");
+        known(s.ms);
+        s.take(ANY);
+        s.take(ANY);
+        s.take(FRESH);
+        s.compare("spoilt");
+    }
+
     @Test
     void aNodeThatOnlyTurnsWorkAwayIsTriedAtGaps() throws IOException {
         s.to(10);
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -210,6 +210,20 @@
                 case "nonsense" -> send(socket, Unpooled.buffer().writeByte('!').writeInt(4));
                 case "huge" -> send(socket, Unpooled.buffer().writeByte('T').writeInt(1 << 30));
                 case "twice" -> send(socket, Messages.ready(row("one").writeBytes(row("two"))));
+                case "behind" -> send(socket, Messages.ready(Messages.ready(row("mine")).writeBytes(row("none's"))));
+                case "apart" -> {
+                    send(socket, Messages.ready(row("mine")));
+                    send(socket, Messages.ready(row("none's")));
+                }
+                case "noise" -> send(socket, Messages.ready(row("mine")).writeBytes(new byte[] {'D', 0, 0}));
+                case "short" -> {
+                    send(socket, row("short").setInt(31, 410).setInt(37, 400));
+                    pause(1000);
+                }
+                case "large" -> send(socket, row("v").setInt(31, 70_010).setInt(37, 70_000));
+                case "fields" -> send(socket, row("v").setShort(5, 2));
+                case "report" -> send(socket, Messages.ready(note.writeByte('S').writeInt(29).writeBytes(
+                        "server_load\0x0=9e12,x1=7\0".getBytes(StandardCharsets.US_ASCII)).writeBytes(row("mine"))));
                 case "empty" -> send(socket, Messages.ready(Unpooled.buffer()));
                 case "full", "miss", "error" -> send(socket, Messages.ready(Messages.error(note, false,
                         Map.of("full", "53300", "miss", "25006", "error", "XX000").get(key), "no", null)));
@@ -335,7 +349,7 @@
     void endingsAreToldApart() throws Exception {
         say("startup", startup(), 1);
         for (String key : new String[] {"full", "miss", "error", "reset", "half", "nonsense", "huge", "twice",
-            "empty", "hang"}) {
+            "empty", "hang", "short", "large", "fields"}) {
             say("once, " + key, ask("once", key, 400), 1);
             // Until it has recovered in the module's eyes.
             for (int i = 0; i < 6; i++) {
@@ -346,11 +360,26 @@
         }
         statementsSeen();
         counted("out_of_form", "txns_held", "node_connections", "timers", "ended_error", "ended_reset",
-                "ended_timed_out");
+                "ended_spoilt", "ended_timed_out");
         noLeaks();
         Scene.compare("router-endings", trace);
     }
 
+    /** Guards against a second copy or noise behind an answer that meets the next txn on that connection. */
+    @Test
+    void whatComesBehindAnAnswerIsNobodysAnswer() throws Exception {
+        say("startup", startup(), 1);
+        for (String key : new String[] {"behind", "apart", "noise", "report"}) {
+            say(key + ", k1, k2", ask("once", key, 900).writeBytes(ask("any", "k1", 900)).writeBytes(ask("any", "k2", 900)), 3);
+        }
+        counted("committed", "submitted", "node_connections", "timers", "ended_spoilt", "ended_committed");
+        log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" WARN ") && !l.contains(" list-"))
+                .map(line -> line.substring(line.indexOf("WARN")).replaceAll("127.0.0.1:\\d+", "NODE")).distinct().sorted()
+                .forEach(line -> trace.append(line).append('\n'));
+        noLeaks();
+        Scene.compare("router-behind", trace);
+    }
+
     @Test
     void whatIsOutOfFormReachesNoNode() throws Exception {
         say("SSL", Unpooled.buffer().writeInt(8).writeInt(Messages.SSL), 0);
