At the door strangers who say nothing go first; an id that is open is refused

By reading: no time limit for a client that has said nothing or half of something; at the limit the client idle longest went, who is a usual one (Clients.makeRoom); half messages could not be closed at all. Ruled out: CPU (at most 0.31 s in a second), node connections. Tests: router-silent, router-same-id, router-full.

--- a/src/main/java/dillfront/clients/ClientConnection.java
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -28,8 +28,11 @@
     private boolean owes;
     private boolean pumping;
     private boolean closed;
-    /** Since when it has been waiting for a query; for choosing whom to close. */
-    long idleSince = System.nanoTime();
+    /** Since when it could have sent a whole query: since it came, was answered, or began one after that. */
+    private long since = System.nanoTime();
+    private boolean served;
+    /** Of a message that is not whole, as last told. */
+    private int told;
 
     ClientConnection(Clients clients) {
         this.clients = clients;
@@ -40,6 +43,14 @@
         return !owes && frames.waiting() == 0;
     }
 
+    boolean owes() {
+        return owes;
+    }
+
+    long waitedNanos() {
+        return System.nanoTime() - since;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         ctx = context;
@@ -52,6 +63,9 @@
             ((ByteBuf) read).release();
             return;
         }
+        if (served && idle()) {
+            since = System.nanoTime();
+        }
         frames.add((ByteBuf) read);
         pump();
         // What is written ahead waits with the client once it is more than one query can be.
@@ -87,11 +101,18 @@
         } finally {
             pumping = false;
         }
+        waits();
         if (!closed && frames.waiting() <= Frames.LONGEST && !ctx.channel().config().isAutoRead()) {
             ctx.channel().config().setAutoRead(true);
         }
     }
 
+    private void waits() {
+        int before = told;
+        told = frames.waiting();
+        clients.waits(told - before);
+    }
+
     private void startup(ByteBuf message) {
         int code = message.getInt(message.readerIndex() + 4);
         message.release();
@@ -142,6 +163,7 @@
         clients.counters.queries++;
         if (Messages.empty(message)) {
             message.release();
+            known();
             ctx.writeAndFlush(Messages.emptyQuery(ctx.alloc().buffer(11)));
             return;
         }
@@ -162,12 +184,19 @@
             message.release();
             clients.counters.outOfForm++;
             clients.log.warn("query-unknown", "type", statement.type, "group", statement.group);
-            error(Messages.OUT_OF_FORM, "unknown type or group", null);
-        } else if (owes) {
-            exchange = taken;
+            error(Messages.OUT_OF_FORM, "unknown type or group, or an id that is open", null);
+        } else {
+            known();
+            exchange = owes ? taken : null;
         }
     }
 
+    private void known() {
+        served = true;
+        since = System.nanoTime();
+        clients.taken(this);
+    }
+
     private void error(String code, String text, String detail) {
         ByteBuf out = ctx.alloc().buffer(160);
         ctx.writeAndFlush(Messages.ready(Messages.error(out, false, code, text, detail)));
@@ -202,7 +231,7 @@
     private void answered() {
         exchange = null;
         owes = false;
-        idleSince = System.nanoTime();
+        since = System.nanoTime();
         clients.free(this);
         ctx.channel().eventLoop().execute(this::pump);
     }
@@ -211,15 +240,17 @@
         clients.log.warn("client-refused", "fault", text);
         closed = true;
         frames.release();
+        waits();
         // Its last words are sent before the end, and what still comes is let go: a close would cut them off.
         ctx.writeAndFlush(Messages.error(ctx.alloc().buffer(128), true, code, text, null))
-                .addListener(sent -> clients.closeSoon(ctx));
+                .addListener(sent -> clients.closeSoon(this, ctx));
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closed = true;
         frames.release();
+        waits();
         clients.closed(this);
         owes = false;
         if (exchange != null) {
--- a/src/main/java/dillfront/clients/Clients.java
+++ b/src/main/java/dillfront/clients/Clients.java
@@ -20,37 +20,55 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** The door for clients, and those that are in. */
 public final class Clients {
 
+    /** A connection on which nothing is open may be closed after 2 s, as clients are told; in dial time-outs. */
+    private static final int IDLE_DIALS = 8;
+
     final Desk desk;
     final Counters counters;
     final Log log;
     private final EventLoop loop;
     private final int most;
-    private final Duration linger;
-    /** Those that are in, the ones answered last at the end. */
-    private final Set<ClientConnection> in = new LinkedHashSet<>();
+    private final int mostKnown;
+    private final long mostWaiting;
+    private final long dialNanos;
+    /** Refused: they get their last words and no more. */
+    private final Set<ClientConnection> refused = new LinkedHashSet<>();
+    /** Nothing that they sent has been of use so far, the ones that came last at the end. */
+    private final Set<ClientConnection> strangers = new LinkedHashSet<>();
+    /** Those whose queries were taken, the ones answered last at the end. */
+    private final Set<ClientConnection> known = new LinkedHashSet<>();
+    /** Bytes of messages that are not whole yet. */
+    private long waiting;
     private Channel door;
     private boolean leaving;
 
     /**
      * @param most how many clients may be in at once
-     * @param linger how long one that was refused may take to read why
+     * @param mostKnown of these, those whose queries were taken
+     * @param mostWaiting how many bytes of messages not yet whole may be held for all of them
+     * @param dial how long one that was refused may take to read why; for what else they get, a multiple of it
      */
-    public Clients(Desk desk, Counters counters, Log log, EventLoop loop, int most, Duration linger) {
+    public Clients(Desk desk, Counters counters, Log log, EventLoop loop, int most, int mostKnown,
+            long mostWaiting, Duration dial) {
         this.desk = desk;
         this.counters = counters;
         this.log = log;
         this.loop = loop;
         this.most = most;
-        this.linger = linger;
+        this.mostKnown = mostKnown;
+        this.mostWaiting = mostWaiting;
+        dialNanos = dial.toNanos();
+        loop.scheduleWithFixedDelay(this::closeOld, dialNanos, dialNanos, TimeUnit.NANOSECONDS);
     }
 
     public ChannelFuture open(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, most)
+                .option(ChannelOption.SO_BACKLOG, 2 * most)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1 << 15, 1 << 16))
@@ -67,54 +85,128 @@
     void opened(ClientConnection client) {
         counters.accepted++;
         counters.clientConnections++;
-        in.add(client);
+        strangers.add(client);
         makeRoom();
     }
 
     /** Ends the sending side, and the whole once the client has had time to read what was sent. */
-    void closeSoon(ChannelHandlerContext ctx) {
+    void closeSoon(ClientConnection client, ChannelHandlerContext ctx) {
+        if (strangers.remove(client) || known.remove(client)) {
+            refused.add(client);
+        }
         if (ctx.channel() instanceof DuplexChannel socket && socket.isActive()) {
             socket.shutdownOutput();
         }
-        loop.schedule(() -> ctx.close(), linger.toNanos(), TimeUnit.NANOSECONDS);
+        loop.schedule(() -> ctx.close(), dialNanos, TimeUnit.NANOSECONDS);
     }
 
     void closed(ClientConnection client) {
-        if (in.remove(client)) {
-            counters.clientConnections--;
+        if (out(client)) {
             makeRoom();
         }
     }
 
+    /** The one place where a client ceases to count. */
+    private boolean out(ClientConnection client) {
+        boolean was = refused.remove(client) || strangers.remove(client) || known.remove(client);
+        counters.clientConnections -= was ? 1 : 0;
+        return was;
+    }
+
+    private void close(ClientConnection client) {
+        out(client);
+        client.close();
+    }
+
+    /**
+     * A query of its own was taken. Clients hold a third of all descriptors at the most, also for those who ask once
+     * and stay: near that the one idle longest goes, so that another can come.
+     */
+    void taken(ClientConnection client) {
+        if (strangers.remove(client)) {
+            known.add(client);
+            ClientConnection leaver = known.size() >= mostKnown ? first(known, ClientConnection::idle) : null;
+            if (leaver != null) {
+                close(leaver);
+            }
+        }
+    }
+
     /** It has its answer. */
     void free(ClientConnection client) {
-        if (in.remove(client)) {
-            in.add(client);
+        if (known.remove(client)) {
+            known.add(client);
         }
         if (leaving) {
             loop.execute(this::closeIdle);
-        } else if (in.size() >= most) {
+        } else if (size() >= most) {
             loop.execute(this::makeRoom);
         }
     }
 
-    /** At the limit the client that has been idle longest goes; where none is, the door waits. */
-    private void makeRoom() {
-        if (in.size() >= most) {
-            for (ClientConnection client : in) {
-                if (client.idle()) {
-                    client.close();
-                    break;
+    /** More or less of its messages waits than before. Guards against memory full of messages never sent to their end. */
+    void waits(long more) {
+        waiting += more;
+        if (more > 0 && waiting > mostWaiting) {
+            for (Set<ClientConnection> some : List.of(strangers, known)) {
+                for (ClientConnection client : List.copyOf(some)) {
+                    if (waiting > mostWaiting / 2 && !client.owes() && !client.idle()) {
+                        close(client);
+                    }
                 }
             }
         }
-        boolean open = in.size() < most;
-        if (door.config().isAutoRead() != open) {
-            log.info("door", "open", open, "clients", in.size());
+    }
+
+    private int size() {
+        return refused.size() + strangers.size() + known.size();
+    }
+
+    /**
+     * At the limit one has to go, so that there is always room for one more: one that was refused, a stranger
+     * who has had time to say something or is one of many, the client idle longest. Where none is, the door
+     * waits. Guards against hundreds that connect, say nothing or no whole query, and would keep the usual clients out.
+     */
+    private void makeRoom() {
+        if (size() >= most) {
+            ClientConnection leaver = first(refused, client -> true);
+            boolean many = strangers.size() > known.size();
+            leaver = leaver != null ? leaver
+                    : first(strangers, client -> !client.owes() && (many || client.waitedNanos() > dialNanos));
+            leaver = leaver != null ? leaver : first(known, ClientConnection::idle);
+            leaver = leaver != null ? leaver : first(strangers, client -> !client.owes());
+            if (leaver != null) {
+                close(leaver);
+            }
+        }
+        boolean open = size() < most;
+        if (!leaving && door.config().isAutoRead() != open) {
+            log.info("door", "open", open, "refused", refused.size(), "strangers", strangers.size(), "known", known.size());
             door.config().setAutoRead(open);
         }
     }
 
+    private static ClientConnection first(Set<ClientConnection> of, Predicate<ClientConnection> which) {
+        for (ClientConnection client : of) {
+            if (which.test(client)) {
+                return client;
+            }
+        }
+        return null;
+    }
+
+    /** Strangers have their time; so has a message to be sent to its end; who is idle goes while the house is half full. */
+    private void closeOld() {
+        for (Set<ClientConnection> some : List.of(strangers, known)) {
+            for (ClientConnection client : List.copyOf(some)) {
+                boolean stays = some == known && client.idle() && size() <= most / 2;
+                if (!client.owes() && !stays && client.waitedNanos() > IDLE_DIALS * dialNanos) {
+                    close(client);
+                }
+            }
+        }
+    }
+
     /** No new clients; those that are in go once they have their answers. */
     public void leave() {
         leaving = true;
@@ -123,14 +215,16 @@
     }
 
     private void closeIdle() {
-        for (ClientConnection client : List.copyOf(in)) {
-            if (client.idle()) {
-                client.close();
+        for (Set<ClientConnection> some : List.of(strangers, known)) {
+            for (ClientConnection client : List.copyOf(some)) {
+                if (client.idle()) {
+                    close(client);
+                }
             }
         }
     }
 
     public boolean empty() {
-        return in.isEmpty();
+        return size() == 0;
     }
 }
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -23,7 +23,9 @@
     /** What kills those that do not end comes no sooner than 3.7 s after the word. */
     private static final Duration MOST_TO_END = Duration.ofMillis(3500);
     /** Descriptors that are neither a client's nor a node's: files, the list, the door, the selector. */
-    private static final int OTHERS = 64;
+    private static final int OTHERS = 40;
+    /** The part of the memory that messages of clients may take until they are whole. */
+    private static final int WAITING_PART = 16;
 
     /** Where a configuration is read from anew. */
     public interface Source {
@@ -54,7 +56,8 @@
         try {
             loop.submit(() -> {
                 router = new Router(config, new Clock(), counters, log, loop, share);
-                clients = new Clients(router, counters, log, loop, share, config.setup().settings().dial());
+                clients = new Clients(router, counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
+                        config.setup().settings().dial());
                 boolean known = !config.known().list("instances").isEmpty();
                 if (known) {
                     router.list(config.known());
@@ -66,7 +69,7 @@
             while (!loop.submit(router::listed).get()) {
                 Thread.sleep(config.setup().settings().step().toMillis() + 1);
             }
-            clients.open(config.listen()).sync();
+            loop.submit(() -> clients.open(config.listen())).get().sync();
         } catch (InterruptedException stopped) {
             throw new BadConfig("interrupted");
         } catch (Exception fault) {
--- a/src/main/java/dillfront/daemon/Rehearsal.java
+++ b/src/main/java/dillfront/daemon/Rehearsal.java
@@ -14,9 +14,9 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Starts one router whose only node is its own door, and lets one client ask it: a txn goes round until its time
- * is over, through all that a router needs at its start. The build runs this and keeps the classes that were
- * loaded, so that a router that starts again serves sooner. Nothing leaves the machine.
+ * Starts one router whose only node is its own door, and lets one client ask it: a txn comes back to the door, is
+ * refused there since its id is open, and so goes through all that a router needs at its start. The build runs this
+ * and keeps the classes that were loaded, so that a router that starts again serves sooner. Nothing leaves the machine.
  */
 public final class Rehearsal {
 
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -21,7 +21,9 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGeneratorFactory;
 
@@ -38,6 +40,8 @@
     private final Fleet fleet;
     /** A slot is used again once its txn is over. */
     private final List<Exchange> slots = new ArrayList<>();
+    /** Of the txns that hold a slot. */
+    private final Set<Long> ids = new HashSet<>();
     private boolean listed;
     private final List<Integer> free = new ArrayList<>();
 
@@ -90,6 +94,10 @@
         if (type == null || !members.mayHave(statement.group)) {
             return null;
         }
+        // Guards against one client's query that passes for another's: nodes tell txns apart by nothing else.
+        if (!ids.add(statement.id)) {
+            return null;
+        }
         tick();
         int slot = free.isEmpty() ? slots.size() : free.remove(free.size() - 1);
         Exchange exchange = new Exchange(this, slot, statement, message, asker);
@@ -104,13 +112,20 @@
         Duration token = !setup.tokensCarried() ? null
                 : statement.afterMs == 0 ? Duration.ZERO : now.minus(clock.since(statement.afterMs));
         exchange.taken(decide.take(slot, type, -1, Setup.session(statement.key), statement.group,
-                Duration.ofMillis(statement.waitMs), token));
+                patience(statement, type), token));
         return exchange;
     }
 
+    /** Nobody waits longer than the settings let his type wait, whatever he says. */
+    private Duration patience(Statement statement, int type) {
+        long longest = setup.settings().types().get(type).longest().toMillis();
+        return Duration.ofMillis(Math.min(statement.waitMs, longest));
+    }
+
     @Override
     public void over(Exchange exchange) {
         slots.set(exchange.slot(), null);
+        ids.remove(exchange.statement().id);
         free.add(exchange.slot());
         counters.txns--;
     }
--- a/src/main/java/dillfront/exchange/Desk.java
+++ b/src/main/java/dillfront/exchange/Desk.java
@@ -9,7 +9,7 @@
     /**
      * Takes a txn, and the message that holds its statement. The answer may come during the call.
      *
-     * @return null where nothing was taken: no such txn type or group is known, and the message is still the caller's
+     * @return null where nothing was taken: no such txn type or group is known, or a txn of this id is out, and the message is still the caller's
      */
     Exchange take(Statement statement, ByteBuf message, Asker asker);
 
--- a/src/main/java/dillfront/pgwire/Statement.java
+++ b/src/main/java/dillfront/pgwire/Statement.java
@@ -19,6 +19,8 @@
     /** Its client's name for the type. */
     public String type;
     public boolean write;
+    /** A hash of what tells this txn from all others. */
+    public long id;
     /** A hash of the quoted key, which names the session where there is one. */
     public long key;
     public long waitMs = -1;
@@ -58,15 +60,14 @@
         if (write && !skip(INSERT)) {
             throw new BadStatement("neither the read nor the write that is served here");
         }
-        long hash = 0xcbf29ce484222325L;
         int from = at;
         while (at < end && message.getByte(at) != '\'') {
-            hash = (hash ^ message.getByte(at++)) * 0x100000001b3L;
+            at++;
         }
         if (at == from) {
             throw new BadStatement("no key");
         }
-        key = hash;
+        key = hash(from, at);
         if (write) {
             expect(VALUE);
             int digits = at;
@@ -102,6 +103,7 @@
             int to = stop(',');
             if (is(name, equals, "id")) {
                 named = to > value;
+                id = hash(value, to);
             } else if (is(name, equals, "c")) {
                 type = text(value, to);
             } else if (is(name, equals, "d")) {
@@ -133,6 +135,14 @@
         return at;
     }
 
+    private long hash(int from, int to) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = from; i < to; i++) {
+            hash = (hash ^ message.getByte(i)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
     private boolean is(int from, int to, String name) {
         return to - from == name.length() && text(from, to).equals(name);
     }
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -38,6 +38,7 @@
 /** One whole router on loopback, between a client, a node and a list that the test holds. */
 class RouterTest {
 
+    private static final AtomicInteger IDS = new AtomicInteger();
     private static final AtomicInteger LEAKS = new AtomicInteger();
 
     static {
@@ -190,7 +191,7 @@
                 send(socket, Messages.ready(row("x0=1,x1=1")));
                 continue;
             }
-            seen.add(text.replaceAll(",d=\\d\\d\\d,", ",d=<less>,"));
+            seen.add(text.replaceAll("id=\\w+,", "id=9b,").replaceAll(",d=\\d\\d\\d,", ",d=<less>,"));
             String key = text.replaceAll("[^']*'([^']*)'.*", "$1");
             ByteBuf note = Unpooled.buffer();
             note.writeByte('S').writeInt(21).writeBytes("node_role\0leader\0".getBytes(StandardCharsets.US_ASCII));
@@ -258,7 +259,11 @@
     // ---- the client
 
     private static ByteBuf ask(String type, String key, int wait) {
-        String comment = "/* id=9b,c=" + type + ",d=" + wait + ",k=5c,cluster=2 */";
+        return ask(type, key, wait, Integer.toHexString(IDS.incrementAndGet()));
+    }
+
+    private static ByteBuf ask(String type, String key, int wait, String id) {
+        String comment = "/* id=" + id + ",c=" + type + ",d=" + wait + ",k=5c,cluster=2 */";
         return Messages.query(Unpooled.buffer(), type.equals("any")
                 ? "SELECT body FROM objects WHERE oid = '" + key + "' " + comment
                 : "INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x9f03') RETURNING body " + comment);
@@ -497,14 +502,14 @@
         say("startup", startup(), 1);
         List<Socket> more = new ArrayList<>();
         Socket first = client;
-        for (int i = 0; i < 96; i++) {
+        for (int i = 0; i < 108; i++) {
             client = new Socket(first.getInetAddress(), first.getPort());
             client.setSoTimeout(5000);
             more.add(client);
             send(client, startup().writeBytes(Messages.query(Unpooled.buffer(), "")));
             hear(2);
         }
-        say("the last of 97", ask("any", "k", 900), 1);
+        say("the last of 109", ask("any", "k", 900), 1);
         client = first;
         trace.append("the first              ").append(hear(1)).append('\n');
         for (Socket socket : more) {
@@ -514,6 +519,74 @@
         Scene.compare("router-full", trace);
     }
 
+    private Socket another() throws IOException {
+        Socket socket = new Socket(client.getInetAddress(), client.getPort());
+        socket.setSoTimeout(5000);
+        return socket;
+    }
+
+    /** Guards against hundreds that say nothing, or half of something, in the place of those who ask. */
+    @Test
+    void thoseWhoSayNothingKeepNobodyOutAndGo() throws Exception {
+        say("startup and query", startup().writeBytes(ask("any", "k", 900)), 2);
+        List<Socket> silent = new ArrayList<>();
+        long since = System.nanoTime();
+        Socket first = client;
+        for (int i = 0; i < 300; i++) {
+            client = first;
+            silent.add(another());
+            if (i % 3 == 1) {
+                send(silent.get(i), startup());
+            } else if (i % 3 == 2) {
+                send(silent.get(i), startup().writeBytes(ask("any", "half", 900), 30));
+            }
+            if (i % 50 == 49) {
+                client = another();
+                say("a new one among " + (i + 1), startup().writeBytes(ask("any", "k" + i, 900)), 2);
+                client.close();
+            }
+        }
+        client = first;
+        say("the first", ask("any", "k", 900), 1);
+        for (Socket socket : silent) {
+            while (reads(socket)) { }
+        }
+        trace.append("the silent are closed within 3 s: ").append(System.nanoTime() - since < 3_000_000_000L).append('\n');
+        counted("accepted", "committed", "client_connections");
+        noLeaks();
+        Scene.compare("router-silent", trace);
+    }
+
+    private static boolean reads(Socket socket) {
+        try {
+            return socket.getInputStream().read() >= 0;
+        } catch (IOException reset) {
+            return false;
+        }
+    }
+
+    /** Guards against a txn that passes for another's, and a wait that nobody could have. */
+    @Test
+    void anIdThatIsOpenIsRefused() throws Exception {
+        say("startup", startup(), 1);
+        send(client, ask("any", "slow", 900, "7f"));
+        while (seen.isEmpty()) {
+            Thread.sleep(5);
+        }
+        Socket first = client;
+        client = another();
+        say("the same id", startup().writeBytes(ask("any", "k", 900, "7f")), 2);
+        say("a wait of ages", ask("any", "k", 900).writerIndex(0).writeBytes(Messages.query(Unpooled.buffer(), "SELECT body "
+                + "FROM objects WHERE oid = 'k' /* id=8a,c=any,d=99999999999999999,cluster=2 */")), 1);
+        client.close();
+        client = first;
+        trace.append("the first              ").append(hear(1)).append('\n');
+        say("the id once it is over", ask("any", "k", 900, "7f"), 1);
+        statementsSeen();
+        counted("out_of_form", "taken", "committed");
+        Scene.compare("router-same-id", trace);
+    }
+
     @Test
     void whatCannotBeUsedIsNamed() throws Exception {
         String good = Files.readString(dir.resolve("config.json"));
