The door opens once the part of a core covers what the start took

Checked: a probe with a line for each late beat: one turn of 390 ms after the first two txns, 0.30 to 0.69 s after the start, then 161 clients and 119 node connections at once. Ruled out: classes and compiled code (the same start and first txns on one whole core, against a stand-in: 7 ms for the first, no class of note loaded after the door opened), collections (none). What fits is the limit: the start takes about 0.3 s of a core, the limits give half a core, and the platform takes back what was used beyond that in one piece. Where the door opened at 0.7 s that was behind it. Cause: Daemon.start opened the door as soon as it could. It waits now, door shut, until the share covers what was used. Test: router-owes.

--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -14,11 +14,13 @@
 /**
  * What the platform tells one router at its start.
  *
+ * @param cores the part of a core that it may use; large where nothing is said
  * @param sockets how many file descriptors it may hold
  * @param memoryMb how much memory it may take
  * @param known the member list as it last had it, in discovery's form
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryMb,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores, int sockets,
+        long memoryMb,
         Tree known, Setup setup) {
 
     /** The variables go before what the file says of the same thing. */
@@ -53,7 +55,7 @@
         if (!listen.equals(other.listen)) {
             names.add("listen");
         }
-        if (sockets != other.sockets || memoryMb != other.memoryMb) {
+        if (cores != other.cores || sockets != other.sockets || memoryMb != other.memoryMb) {
             names.add("limits");
         }
         if (!setup.equals(other.setup)) {
@@ -77,7 +79,7 @@
         }
         return new Config(env.getOrDefault("LB_NAME", tree.text("name")),
                 address(env, "LB_LISTEN", tree.text("listen")), address(env, "LB_DISCOVERY", tree.text("discovery")),
-                seed(tree.text("seed")), (int) tree.tree("limits").number("sockets", 1024),
+                seed(tree.text("seed")), tree.tree("limits").number("cores", Integer.MAX_VALUE), (int) tree.tree("limits").number("sockets", 1024),
                 (long) tree.tree("limits").number("memory_mb", 192), tree.tree("known"), setup);
     }
 
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -22,6 +22,7 @@
     private static final Duration STILL_COMING = Duration.ofMillis(600);
     /** What kills those that do not end comes no sooner than 3.7 s after the word. */
     private static final Duration MOST_TO_END = Duration.ofMillis(3500);
+    private static final Duration MOST_OWED = Duration.ofSeconds(1);
     /** Descriptors that are neither a client's nor a node's: files, the list, the door, the selector. */
     private static final int OTHERS = 40;
     /** The part of the memory that messages of clients may take until they are whole. */
@@ -32,6 +33,9 @@
         Config read() throws BadConfig;
     }
 
+    private final long beganNanos = System.nanoTime();
+    /** Up to here there was one thread: it has taken as much of its core as of the time. */
+    private final Duration beganCpu = cpu();
     private final Config config;
     private final Log log;
     private final Counters counters = new Counters();
@@ -54,6 +58,7 @@
     public void start() throws BadConfig {
         int share = Math.max(2, (config.sockets() - OTHERS) / 2);
         try {
+            rest();
             loop.submit(() -> {
                 router = new Router(config, new Clock(), counters, log, loop, share);
                 clients = new Clients(router, counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
@@ -69,6 +74,7 @@
             while (!loop.submit(router::listed).get()) {
                 Thread.sleep(config.setup().settings().step().toMillis() + 1);
             }
+            rest();
             loop.submit(() -> clients.open(config.listen())).get().sync();
         } catch (InterruptedException stopped) {
             throw new BadConfig("interrupted");
@@ -79,6 +85,25 @@
         log.info("serving", "name", config.name(), "listen", config.listen());
     }
 
+    /**
+     * Where the limits give part of a core, what the start has taken beyond that is taken back, all at once. Waits
+     * until it is, with the door shut: else those who come first wait, 0.4 s on half a core.
+     */
+    private void rest() throws InterruptedException {
+        Duration up = beganCpu.plusNanos(System.nanoTime() - beganNanos);
+        Thread.sleep(owed(cpu(), up, config.cores()).toMillis());
+    }
+
+    /** For how long nothing may be used until a share of the time covers what was used; a second at the most. */
+    static Duration owed(Duration used, Duration up, double share) {
+        Duration owed = Duration.ofNanos((long) (used.toNanos() / share)).minus(up);
+        return owed.isNegative() ? Duration.ZERO : owed.compareTo(MOST_OWED) > 0 ? MOST_OWED : owed;
+    }
+
+    private static Duration cpu() {
+        return ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
     /** Goes on serving while clients still come, then finishes all that was taken. */
     public void stop() {
         log.info("stopping", "name", config.name());
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -611,6 +611,17 @@
         Scene.compare("bad-config", trace);
     }
 
+    /** Guards against a door that opens while the start is still being paid for. */
+    @Test
+    void theStartIsPaidForBeforeTheDoorOpens() throws Exception {
+        long[][] cases = {{200, 280, 50}, {310, 300, 50}, {100, 280, 50}, {100, 280, 100}, {900, 300, 10}};
+        for (long[] c : cases) {
+            trace.append(String.format("%d ms used in %d, %d %% of a core: %d ms owed\n", c[0], c[1], c[2], Daemon.owed(
+                    java.time.Duration.ofMillis(c[0]), java.time.Duration.ofMillis(c[1]), c[2] / 100.0).toMillis()));
+        }
+        Scene.compare("router-owes", trace);
+    }
+
     @Test
     void aClientThatLeavesLeavesNothingBehind() throws Exception {
         say("startup", startup(), 1);
