A node that has left the list gives back its index, row and pool once nothing is out

Change: the list reader keeps who has left; Decide.forget gives the row back unless something is out or a probe is; the pool closes with it, and what is still being opened for it closes by itself. Late words cannot reach the next holder, since nothing is out. Tests: row-given-back, router-replaced, ListTest over 1,000 machines.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -138,7 +138,7 @@
         }
     }
 
-    /** One row a machine that a list has named; bounded by the machines, not by txns. */
+    /** One row a machine in the list, and until nothing of it is out; used again once it is forgotten. */
     private static final class Node {
         final int id;
         Group group;
@@ -156,7 +156,7 @@
         boolean silent;
         boolean lost;
         /** When it last answered anything, or came into the list. */
-        Duration heardAt;
+        Duration heardAt = NEVER;
         /** A probe was lost too. */
         boolean unheard;
         /** Its last connection that failed did so at once, not by the dial time-out. */
@@ -177,10 +177,9 @@
         boolean probing;
         double coldCredit;
 
-        Node(int id, double room, Duration now) {
+        Node(int id, int routers) {
             this.id = id;
-            heardAt = now;
-            this.room = room;
+            room = Math.max(1, ROOM_START / routers);
         }
     }
 
@@ -272,20 +271,15 @@
     public void list(boolean whole, List<NodeRow> rows) {
         if (whole) {
             nodes.forEach(n -> n.standing = n.standing == Standing.DRAINING ? n.standing : Standing.GONE);
-            groups.values().forEach(g -> g.members.clear());
         }
         following = askedAt.compareTo(NEVER) > 0;
-        for (NodeRow row : rows) {
-            if (!row.primary() && row.node() < nodes.size() && nodes.get(row.node()).claimed.equals(LISTED)) {
-                nodes.get(row.node()).claimed = NEVER;
-            }
-        }
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
-                probeCredit++;
-                nodes.add(new Node(nodes.size(), Math.max(1, ROOM_START / set.routers()), now));
+                nodes.add(new Node(nodes.size(), set.routers()));
             }
             Node n = nodes.get(row.node());
+            probeCredit += n.group == null ? 1 : 0;
+            n.heardAt = n.group == null ? now : n.heardAt;
             // Where only draining binds, it binds until the node is listed as ready again.
             if (!set.goneStaysOpen() || n.standing != Standing.DRAINING || row.standing() != Standing.GONE) {
                 n.standing = row.standing();
@@ -296,25 +290,34 @@
                 n.started = row.started();
                 n.coldCredit = 0;
             }
-            if (n.group != null) {
-                n.group.members.remove(n);
-            }
             n.group = groups.computeIfAbsent(row.group(), k -> new Group());
-            if (row.primary() && set.listRole() != ListRole.ABSENT) {
-                claim(n, LISTED);
-            }
+            n.claimed = !row.primary() && n.claimed.equals(LISTED) ? NEVER : n.claimed;
         }
+        groups.values().forEach(g -> g.members.clear());
         for (Node n : nodes) {
-            boolean in = n.group != null && (n.standing != Standing.GONE || set.goneStaysOpen());
-            if (in && !n.group.members.contains(n)) {
+            if (n.group != null && (n.standing != Standing.GONE || set.goneStaysOpen())) {
                 n.group.members.add(n);
-                n.group.members.sort((a, b) -> Integer.compare(a.id, b.id));
+            }
+        }
+        for (NodeRow row : rows) {
+            if (row.primary() && set.listRole() != ListRole.ABSENT) {
+                claim(nodes.get(row.node()), LISTED);
             }
         }
         lookAround();
         groups.values().forEach(this::place);
     }
 
+    /** A node has left the list: gives its row back if nothing is out there, so no table grows all day. */
+    public boolean forget(int node) {
+        Node n = nodes.get(node);
+        if (listed(n) || n.out > 0 || n.probing) {
+            return false;
+        }
+        nodes.set(node, new Node(node, set.routers()));
+        return true;
+    }
+
     public void listFailed() {
         following = false;
     }
@@ -344,11 +347,8 @@
                 t.need = now.minus(token).plusMillis(1);
             }
         }
-        probeCredit += PROBE_COST / Math.max(PROBE_COST, set.probePrice());
-        probeCredit = Math.min(nodes.size(), probeCredit);
-        if (t.type.routed()) {
-            t.group.spill = Math.min(SPILL_BURST, t.group.spill + SPILL);
-        }
+        probeCredit = Math.min(nodes.size(), probeCredit + Math.min(1, PROBE_COST / set.probePrice()));
+        t.group.spill = Math.min(SPILL_BURST, t.group.spill + (t.type.routed() ? SPILL : 0));
         if (!submit(t)) {
             hold(t);
         }
@@ -766,8 +766,7 @@
             return;
         }
         boolean bad = result == Result.TIMED_OUT || result == Result.UNREACHABLE || result == Result.RESET;
-        // Connections break at any node alike, closed as idle or by what lies between: a reset tells less of
-        // the node than one that cannot be made. A process that died is found by the next, which is refused.
+        // Connections break at any node alike, so a reset tells little; what has died refuses the next one.
         double gain = result == Result.ERROR || result == Result.SPOILT ? 0 : result == Result.UNREACHABLE
                 ? LOST_GAIN : result == Result.RESET ? FAIL_GAIN / 2 : FAIL_GAIN;
         n.failures += gain * ((bad ? 1 : 0) - n.failures);
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -84,6 +84,19 @@
         listed = true;
         tick();
         decide.list(list.flag("reset"), read.stream().map(Member::row).toList());
+        forget();
+    }
+
+    /** Who has left the list goes from all tables at once, as soon as nothing of it is out. */
+    private void forget() {
+        members.forget(node -> {
+            boolean over = decide.forget(node);
+            if (over) {
+                fleet.forget(node);
+            }
+            return over;
+        });
+        counters.nodes = members.indices();
     }
 
     @Override
@@ -180,6 +193,7 @@
             try {
                 tick();
                 decide.woken();
+                forget();
             } catch (RuntimeException fault) {
                 // A timer's fault would vanish in its future, and the clock's beat with it.
                 log.warn("beat", "fault", fault);
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -8,12 +8,16 @@
 import dillfront.port.NodeRow;
 import dillfront.port.Standing;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.IntPredicate;
 
 /** Reads discovery's lists. Ids become indices here. */
 public final class MemberList {
@@ -21,8 +25,13 @@
     private final Setup setup;
     private final Clock clock;
     private final Log log;
-    /** Grows with the machines that any list has named. */
+    /** Of the machines in the list, and of those that have left it until they are forgotten. */
     private final Map<String, Integer> nodes = new HashMap<>();
+    /** Ids of those that have left the list. */
+    private final Set<String> left = new TreeSet<>();
+    /** Indices that may be given again, and how many there are in all. */
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    private int indices;
     /** Grows with the groups that any list has named. */
     private final Set<Integer> groups = new HashSet<>();
 
@@ -40,6 +49,9 @@
     /** An entry that cannot be read is left out, and does not spoil the others. */
     public List<Member> read(Tree list) {
         List<Member> members = new ArrayList<>();
+        if (list.flag("reset")) {
+            left.addAll(nodes.keySet());
+        }
         for (Tree entry : list.trees("instances")) {
             String id = entry.text("instanceId");
             InetSocketAddress address = Address.parse(entry.text("hostPort"));
@@ -54,7 +66,15 @@
                         "lifecycle", entry.text("lifecycle"));
                 continue;
             }
-            int node = nodes.computeIfAbsent(id, k -> nodes.size());
+            if (standing == Standing.GONE) {
+                if (!nodes.containsKey(id)) {
+                    continue;
+                }
+                left.add(id);
+            } else {
+                left.remove(id);
+            }
+            int node = nodes.computeIfAbsent(id, k -> free.isEmpty() ? indices++ : free.poll());
             groups.add((int) entry.whole("cell"));
             long startedMs = entry.whole("startedAtMs");
             members.add(new Member(new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
@@ -63,4 +83,20 @@
         }
         return members;
     }
+
+    /** Gives back the index of each node that has left the list, if nobody holds anything of it any more. */
+    public void forget(IntPredicate over) {
+        for (Iterator<String> ids = left.iterator(); ids.hasNext();) {
+            String id = ids.next();
+            if (over.test(nodes.get(id))) {
+                free.add(nodes.remove(id));
+                ids.remove();
+            }
+        }
+    }
+
+    /** How many indices were ever needed at once. */
+    public int indices() {
+        return indices;
+    }
 }
--- a/src/main/java/dillfront/log/Counters.java
+++ b/src/main/java/dillfront/log/Counters.java
@@ -23,6 +23,8 @@
 
     // Held now.
     public int txns;
+    /** Rows for nodes, in use or to be used again: as many as were needed at once. */
+    public int nodes;
     public int clientConnections;
     public int nodeConnections;
     public int timers;
@@ -32,13 +34,13 @@
     }
 
     public void print(Log log) {
-        Object[] line = new Object[2 * (18 + ended.length)];
+        Object[] line = new Object[2 * (19 + ended.length)];
         int at = 0;
         for (Object o : new Object[] {"queries", queries, "out_of_form", outOfForm, "taken", taken,
             "committed", committed, "declined", declined, "rolled_back", rolledBack, "left", left,
             "submitted", submitted, "probes", probes, "dialed", dialed, "accepted", accepted, "lists", lists,
             "list_faults", listFaults, "longest_turn_ms", longestTurnMs, "txns_held", txns,
-            "client_connections", clientConnections, "node_connections", nodeConnections, "timers", timers}) {
+            "client_connections", clientConnections, "node_connections", nodeConnections, "timers", timers, "node_rows", nodes}) {
             line[at++] = o;
         }
         for (Result result : Result.values()) {
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -39,7 +39,7 @@
     private final EventLoop loop;
     private final int most;
     private final Listener listener;
-    /** Grows with the machines that any list has named. */
+    /** One a node index; what was opened for a node that is forgotten closes by itself. */
     private final List<Pool> pools = new ArrayList<>();
     private int open;
 
@@ -80,6 +80,13 @@
         }
     }
 
+    /** The node has left the list and nothing is out there: its index may name another from now on. */
+    public void forget(int node) {
+        pools.get(node).address = null;
+        pools.get(node).closeIdle();
+        pools.set(node, new Pool(this, node));
+    }
+
     @Override
     public void submit(Exchange exchange, int node, Duration limit) {
         exchange.submitted();
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -445,6 +445,25 @@
         s.compare("resets");
     }
 
+    /** Guards against tables that grow with machines that are replaced, and against words meant for the last holder. */
+    @Test
+    void aNodeThatLeftGivesItsRowBackOnceNothingIsOut() throws IOException {
+        s.to(10);
+        known(5);
+        int[] reads = {s.take(ANY), s.take(ANY), s.take(ANY)};
+        s.change(row(1, false, null, Standing.GONE));
+        s.note("listed: " + s.decide.forget(2) + ", something out: " + s.decide.forget(1));
+        s.to(20);
+        for (int read : reads) {
+            s.well(read, 10);
+        }
+        s.note("all ended: " + s.decide.forget(1));
+        s.to(2000);
+        s.note("the index names a new node, of which nothing is known: it is probed");
+        s.showProbes().change(row(1, false, ms(1990), Standing.READY));
+        s.compare("row-given-back");
+    }
+
     @Test
     void aNodeThatOnlyTurnsWorkAwayIsTriedAtGaps() throws IOException {
         s.to(10);
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -162,14 +162,17 @@
             if (line.startsWith("GET")) {
                 asked.add(line.replaceAll(" HTTP.*", ""));
             } else if (line.isEmpty() && asked.size() < 2) {
-                String list = listed(42).replace('\'', '"');
-                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
-                        .getBytes(StandardCharsets.US_ASCII));
+                answer(socket, listed(42));
             }
         }
         asked.add("closed");
     }
 
+    private static void answer(Socket socket, String list) throws IOException {
+        socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n"
+                + list.replace('\'', '"')).getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Answers the first call with rubbish, then none: the known list holds. */
     private void list(Socket socket) throws IOException {
         if (lists.incrementAndGet() == 1) {
@@ -498,6 +501,49 @@
         Thread.sleep(200);
     }
 
+    /** Guards against rows, connections and tables of nodes that are replaced all day. */
+    @Test
+    void nodesThatAreReplacedLeaveNothingBehind() throws Exception {
+        say("startup", startup(), 1);
+        try (ServerSocket later = new ServerSocket(0, 50, list.getInetAddress())) {
+            serve(later, this::changingList);
+            Path file = dir.resolve("config.json");
+            Files.writeString(file, Files.readString(file).replace("\"discovery\":\"127.0.0.1:" + list.getLocalPort(),
+                    "\"discovery\":\"127.0.0.1:" + later.getLocalPort()));
+            daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
+            while (asked.size() < 100) {
+                send(client, ask("any", "k", 900));
+                hear(1);
+            }
+            Thread.sleep(100);
+        }
+        daemon.print();
+        Thread.sleep(100);
+        trace.append("connections to nodes now: ").append(log.toString(StandardCharsets.UTF_8)
+                .replaceAll("(?s).* counters .*node_connections=(\\d+).*", "$1")).append('\n');
+        trace.append("at most 5 rows for 100 machines: ").append(log.toString(StandardCharsets.UTF_8)
+                .matches("(?s).* node_rows=[2-5] .*")).append('\n');
+        counted("txns_held", "node_connections", "timers");
+        noLeaks();
+        Scene.compare("router-replaced", trace);
+    }
+
+    /** Another machine at each asking, the last one gone. */
+    private void changingList(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.isEmpty() && asked.size() < 100) {
+                int n = asked.size();
+                asked.add("");
+                pause(10);
+                String entry = "{'instanceId':'s-%d','hostPort':'127.0.0.1:" + node.getLocalPort()
+                        + "','zone':'a','cell':2,'lifecycle':'%s','weight':1,'role':'leader'}";
+                answer(socket, "{'generation':" + (50 + n) + ",'reset':" + (n == 0) + ",'instances':[" + String.format(entry,
+                        n + 2, "ready") + (n == 0 ? "" : "," + String.format(entry, n + 1, "gone")) + "]}");
+            }
+        }
+    }
+
     /** Guards against running out of descriptors: idle clients make room for new ones. */
     @Test
     void atTheLimitTheClientIdleLongestMakesRoom() throws Exception {
--- a/src/test/java/dillfront/list/ListTest.java
+++ b/src/test/java/dillfront/list/ListTest.java
@@ -63,6 +63,27 @@
         Scene.compare("http", trace);
     }
 
+    /** Guards against a table of all machines that there ever were. */
+    @Test
+    void machinesThatAreReplacedAllDayNeedNoMoreIndices() throws IOException {
+        MemberList list = new MemberList(Setup.read(new Tree()), new Clock(), new Log(System.err));
+        String entry = "{'instanceId':'s-%d','hostPort':'10.1.0.18:5432','zone':'a','cell':3,'lifecycle':'%s'}";
+        StringBuilder seen = new StringBuilder();
+        for (int day = 0; day < 1000; day++) {
+            String change = day % 10 == 9 ? String.format(entry, day, "ready") : String.format(entry, day, "ready") + ","
+                    + String.format(entry, day - 1, "gone");
+            List<Member> members = list.read(Tree.parse(new ByteArrayInputStream(("{'generation':1,'reset':" + (day % 10 == 9)
+                    + ",'instances':[" + change + "]}").replace('\'', '"').getBytes(StandardCharsets.UTF_8))));
+            if (day < 3) {
+                members.forEach(m -> seen.append(m.row().node()).append(m.row().standing()).append(' '));
+            }
+            // What was out at index 0 never ends; all others are given back a day late.
+            int later = day;
+            list.forget(node -> node > 0 && later % 2 == 0);
+        }
+        assertEquals("0READY 1READY 0GONE 2READY 1GONE | 4", seen + "| " + list.indices());
+    }
+
     @Test
     void anEntryThatCannotBeReadDoesNotSpoilTheOthers() throws IOException {
         ByteArrayOutputStream lines = new ByteArrayOutputStream();
