The watch waits 1 s for news, so a silent connection to discovery is noticed

Seen: half of all txns declined in a release, at one router far more. Checked: a line for each txn given up, with each member's standing: this router knew none of ten changes of the list from 8.6 s on until 21 s after its start, which is wait_ms=20000 and 1 s (Watch.WAIT_MS). Ruled out: cold nodes (none in its eyes), lag, rooms. Change: the wait is four dial time-outs, an answer may be two more late. Test: router-list-silent.

--- a/src/main/java/dillfront/list/Watch.java
+++ b/src/main/java/dillfront/list/Watch.java
@@ -31,7 +31,9 @@
         void listFailed();
     }
 
-    private static final long WAIT_MS = 20_000;
+    /** How long discovery may wait for news, and how long an answer may take beyond that, in dial time-outs. */
+    private static final int WAIT_DIALS = 4;
+    private static final int LATE_DIALS = 2;
 
     private final long dialNanos;
     private final Counters counters;
@@ -88,6 +90,7 @@
 
         private final HttpAnswers answers = new HttpAnswers();
         private final InetSocketAddress at = address;
+        private final long waitMs = TimeUnit.NANOSECONDS.toMillis(WAIT_DIALS * dialNanos);
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
@@ -97,7 +100,7 @@
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(at);
             channel = connecting.channel();
-            silentAfter(4 * dialNanos);
+            silentAfter(LATE_DIALS * dialNanos);
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
                     close();
@@ -123,11 +126,12 @@
         }
 
         private void ask(ChannelHandlerContext ctx) {
-            String query = anyList ? "?after=" + generation + "&wait_ms=" + WAIT_MS : "";
+            String query = anyList ? "?after=" + generation + "&wait_ms=" + waitMs : "";
             String host = at.getAddress().getHostAddress() + ":" + at.getPort();
             ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(),
                     "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n"));
-            silentAfter(TimeUnit.MILLISECONDS.toNanos(anyList ? WAIT_MS : 0) + 4 * dialNanos);
+            // Short, since a connection that has fallen silent looks like one with no news until the wait is over.
+            silentAfter((anyList ? WAIT_DIALS : 0) * dialNanos + LATE_DIALS * dialNanos);
         }
 
         @Override
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -495,6 +495,19 @@
         Scene.compare("router-reloads", trace);
     }
 
+    /** Guards against a list that stands still because the connection to discovery has fallen silent. */
+    @Test
+    void aWatchThatFallsSilentIsBegunAnew() throws Exception {
+        say("startup", startup(), 1);
+        long since = System.nanoTime();
+        while (lists.get() < 4) {
+            Thread.sleep(5);
+        }
+        long took = (System.nanoTime() - since) / 1_000_000;
+        trace.append("asked twice more, after two silences, within 4 s: ").append(took < 4000 && took > 1000).append('\n');
+        Scene.compare("router-list-silent", trace);
+    }
+
     private static void hangUp() throws Exception {
         new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
         // Heard on a thread of its own: time to read the file.
