A router out of connections blames no node, and its door waits before closing newcomers

Seen by reading, in the check of what the router believes against what goes over the sockets: a submission for which the router's own share of descriptors had no connection ended as UNREACHABLE, the heaviest word against a node (Fleet.start); and at a full door with every known client waiting for its answer the newest stranger was closed at once (Clients.makeRoom). Changes: it ends as UNSENT, no word on the node; the door waits, and newcomers stay in line before it. Checked beside it and found right: a client that left leaves its submission out and counted until it ends; a position is tested again after a connection was made; reports keep their own time. Found and not put right: one time-out on a connection that fell silent counts as a jam where the fleet's median is 0 (Decide.judge: failures have just risen by 0.2, the line is 0.1 above), so a primary's room is halved from what is out, often 1. Test: router-no-connection.

--- a/src/main/java/dillfront/clients/Clients.java
+++ b/src/main/java/dillfront/clients/Clients.java
@@ -165,7 +165,7 @@
     /**
      * At the limit one has to go, so that there is always room for one more: one that was refused, a stranger
      * who has had time to say something or is one of many, the client idle longest. Where none is, the door
-     * waits. Guards against hundreds that connect, say nothing or no whole query, and would keep the usual clients out.
+     * waits, and what has come stays in line before it. Guards against hundreds that connect, say nothing or no whole query, and would keep the usual clients out.
      */
     private void makeRoom() {
         if (size() >= most) {
@@ -174,7 +174,6 @@
             leaver = leaver != null ? leaver
                     : first(strangers, client -> !client.owes() && (many || client.waitedNanos() > dialNanos));
             leaver = leaver != null ? leaver : first(known, ClientConnection::idle);
-            leaver = leaver != null ? leaver : first(strangers, client -> !client.owes());
             if (leaver != null) {
                 close(leaver);
             }
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -112,7 +112,8 @@
                 return;
             }
             if (open >= most && !closeOldest()) {
-                call.end(Result.UNREACHABLE);
+                // This router's own limit, and no word on the node.
+                call.end(Result.UNSENT);
                 return;
             }
             pool.waiting.add(call);
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -557,6 +557,31 @@
         }
     }
 
+    /** Guards against blaming a node for the router's own limit on connections. */
+    @Test
+    void withNoConnectionLeftNothingIsSentAndNoNodeBlamed() throws Exception {
+        client.close();
+        daemon.stop();
+        Path file = dir.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replace("\"sockets\":256", "\"sockets\":44"));
+        daemon = new Daemon(Config.read(Map.of("LB_CONFIG", file.toString())), new Log(new PrintStream(log, true)));
+        daemon.start();
+        for (int i = 1; i < 3; i++) {
+            client = another();
+            send(client, startup().writeBytes(ask("once", "hang", 900)));
+            while (seen.size() < i) {
+                Thread.sleep(5);
+            }
+            client.close();
+            Thread.sleep(50);
+        }
+        client = another();
+        say("both are in use", startup().writeBytes(ask("once", "k", 300)), 2);
+        statementsSeen();
+        counted("submitted", "ended_unreachable", "declined", "timers");
+        Scene.compare("router-no-connection", trace);
+    }
+
     /** Guards against running out of descriptors: idle clients make room for new ones. */
     @Test
     void atTheLimitTheClientIdleLongestMakesRoom() throws Exception {
