News of the list are read before each send; the old discovery is heard until the new one speaks

Need: on a slow machine reload broke the rule on drains once: a txn went to a node 0.59 s after its drain was told. Checked: the send waits as a task behind all sockets that are ready, and only calls that waited for a connection were tested again; a pause between decision and send let the send overtake the list. Watch.move closed the old connection with what lay unread in it, and asked the new address a quarter dial time-out later. The door opened on the known list, before discovery had been heard at all. Ruled out: the list reader (no line left out in the logs).

Change: Fleet.look() reads discovery's socket before a send unless that was done within the last step; every send is tested by stands(), not those alone that waited. Watch.move keeps the former connection until the new one has told its list. The first question of each connection is not waited for, and the door opens once it is answered, or after two dial time-outs.

Result: three new scenes, each fails with its mend taken out.

--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -23,6 +23,8 @@
     /** What kills those that do not end comes no sooner than 3.7 s after the word. */
     private static final Duration MOST_TO_END = Duration.ofMillis(3500);
     private static final Duration MOST_OWED = Duration.ofSeconds(1);
+    /** How long the door waits for discovery where some list is known, in dial time-outs. */
+    private static final int NEWS_DIALS = 2;
     /** Descriptors that are neither a client's nor a node's: files, the list, the door, the selector. */
     private static final int OTHERS = 40;
     /** The part of the memory that messages of clients may take until they are whole. */
@@ -54,6 +56,10 @@
         discovery = config.discovery();
     }
 
+    Log log() {
+        return log;
+    }
+
     /** Returns once clients can connect. */
     public void start() throws BadConfig {
         int share = Math.max(2, (config.sockets() - OTHERS) / 2);
@@ -69,9 +75,12 @@
                 }
                 watch = new Watch(discovery, config.setup().settings().dial(), counters, log, loop,
                         known ? config.known().whole("generation") : -1, router);
+                router.watch(watch);
                 watch.start();
             }).sync();
-            while (!loop.submit(router::listed).get()) {
+            // What discovery has told is known before the door opens; if it says nothing, the known list will do.
+            long due = System.nanoTime() + NEWS_DIALS * config.setup().settings().dial().toNanos();
+            while (!loop.submit(() -> router.listed() && (watch.answered() || System.nanoTime() - due > 0)).get()) {
                 Thread.sleep(config.setup().settings().step().toMillis() + 1);
             }
             rest();
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -66,6 +66,11 @@
         return listed;
     }
 
+    /** Where the news come from, which go before all that is sent. */
+    void watch(Watch watch) {
+        fleet.news(watch::look);
+    }
+
     void close() {
         fleet.close();
     }
--- a/src/main/java/dillfront/list/Watch.java
+++ b/src/main/java/dillfront/list/Watch.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -20,7 +21,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
-/** Asks discovery for what is newer than the last list, again and again; one connection at a time. */
+/** Asks discovery for what is newer than the last list, again and again; one connection at a time, two while it moves. */
 public final class Watch {
 
     /** Where the lists go. */
@@ -41,10 +42,14 @@
     private final EventLoop loop;
     private final Listener listener;
     private InetSocketAddress address;
+    /** Of the latest list from this address; negative where none is known. */
     private long generation;
-    private boolean anyList;
     private Asking asking;
+    /** Where discovery was before it moved: heard until the new one has told its list, or it ends by itself. */
+    private Asking former;
     private boolean closed;
+    /** Discovery has answered since the start, so what it had told until then is known. */
+    private boolean answered;
     /** Said once, until it is reached again. */
     private boolean unreachable;
 
@@ -58,30 +63,54 @@
         this.loop = loop;
         this.generation = generation;
         this.listener = listener;
-        anyList = generation >= 0;
     }
 
     public void start() {
-        if (!closed) {
-            asking = new Asking();
+        if (!closed && (asking == null || asking.over || asking == former)) {
+            asking = new Asking(generation);
             asking.open();
         }
     }
 
-    /** Discovery is elsewhere now. The last list holds until the first from there, which is asked for whole. */
+    /**
+     * Discovery is elsewhere now. The last list holds until the first from there, which is asked for whole; until
+     * then the old address is heard too. Guards against a drain that it has told, and that lies unread meanwhile.
+     */
     public void move(InetSocketAddress to) {
         address = to;
-        anyList = false;
+        unreachable = false;
+        if (former != null) {
+            former.close();
+        }
+        former = asking;
+        if (former != null && !former.up) {
+            former.close();
+        }
+        generation = -1;
+        start();
+    }
+
+    /** Reads now what discovery has written, out of its turn among the sockets: what it has told binds what is sent. */
+    public void look() {
+        if (former != null) {
+            former.look();
+        }
         if (asking != null) {
-            asking.close();
+            asking.look();
         }
-        unreachable = false;
+    }
+
+    /** Discovery has answered since the start. */
+    public boolean answered() {
+        return answered;
     }
 
     public void close() {
         closed = true;
-        if (asking != null) {
-            asking.close();
+        for (Asking one : new Asking[] {former, asking}) {
+            if (one != null) {
+                one.close();
+            }
         }
     }
 
@@ -95,6 +124,20 @@
         private ScheduledFuture<?> silence;
         private boolean over;
         private boolean up;
+        /** What is newer than this is asked for; negative for the whole list. */
+        private long after;
+        /** Its first answer is there: from then on it may be waited for. */
+        private boolean proven;
+
+        Asking(long after) {
+            this.after = after;
+        }
+
+        void look() {
+            if (up && !over && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+        }
 
         void open() {
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -126,12 +169,13 @@
         }
 
         private void ask(ChannelHandlerContext ctx) {
-            String query = anyList ? "?after=" + generation + "&wait_ms=" + waitMs : "";
+            // The first is not waited for: it proves the way there, and brings what was told before this watch.
+            String query = after >= 0 ? "?after=" + after + "&wait_ms=" + (proven ? waitMs : 0) : "";
             String host = at.getAddress().getHostAddress() + ":" + at.getPort();
             ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(),
                     "GET /api/targets" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n"));
             // Short, since a connection that has fallen silent looks like one with no news until the wait is over.
-            silentAfter((anyList ? WAIT_DIALS : 0) * dialNanos + LATE_DIALS * dialNanos);
+            silentAfter((after >= 0 && proven ? WAIT_DIALS : 0) * dialNanos + LATE_DIALS * dialNanos);
         }
 
         @Override
@@ -161,10 +205,15 @@
                 if (list.number("generation", -1) < 0 || list.flag("reset") && list.list("instances").isEmpty()) {
                     throw new BadHttp("no generation, or a whole list of nothing");
                 }
-                generation = list.whole("generation");
-                anyList = true;
+                after = list.whole("generation");
+                generation = this == asking ? after : generation;
+                proven = true;
+                answered = true;
                 counters.lists++;
                 listener.list(list);
+                if (this == asking && former != null) {
+                    former.close();
+                }
             } catch (IOException bad) {
                 throw new BadHttp("no JSON: " + String.valueOf(bad.getMessage()).lines().findFirst().orElse(""));
             } finally {
@@ -200,6 +249,10 @@
             silence.cancel(false);
             channel.close();
             answers.release();
+            if (this == former) {
+                former = null;
+                return;
+            }
             if (!up && !unreachable) {
                 unreachable = true;
                 log.warn("list-unreachable", "address", at);
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -42,6 +42,9 @@
     /** One a node index; what was opened for a node that is forgotten closes by itself. */
     private final List<Pool> pools = new ArrayList<>();
     private int open;
+    /** Reads what discovery has written: see look(). */
+    private Runnable news = () -> { };
+    private long lookedNanos;
 
     /**
      * @param most how many connections may be open at once
@@ -65,6 +68,24 @@
         loop.scheduleWithFixedDelay(this::closeOld, every.toNanos(), every.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    public void news(Runnable look) {
+        news = look;
+        lookedNanos = System.nanoTime() - setup.settings().step().toNanos();
+    }
+
+    /**
+     * Before anything is sent: the news were looked at within the last step of the clock, whatever the loop or the
+     * machine did meanwhile. Guards against a send that overtakes a drain which lies unread: after a pause all
+     * sockets are ready at once, and discovery's is one among hundreds.
+     */
+    void look() {
+        long now = System.nanoTime();
+        if (now - lookedNanos >= setup.settings().step().toNanos()) {
+            lookedNanos = now;
+            news.run();
+        }
+    }
+
     /** What the list says of a node: old connections are not used for a new address or a new process. */
     public void known(int node, InetSocketAddress address, long startedMs) {
         while (pools.size() <= node) {
@@ -104,7 +125,12 @@
         loop.execute(() -> {
             counters.timers++;
             call.limit = loop.schedule(() -> late(call), limit.toNanos(), TimeUnit.NANOSECONDS);
+            look();
             Pool pool = call.pool;
+            if (!call.stands()) {
+                call.end(Result.UNSENT);
+                return;
+            }
             Connection idle = pool.rested();
             if (idle != null) {
                 pool.idle.remove(idle);
--- a/src/main/java/dillfront/servers/Pool.java
+++ b/src/main/java/dillfront/servers/Pool.java
@@ -53,6 +53,9 @@
     }
 
     void carryWaiting() {
+        if (!waiting.isEmpty()) {
+            fleet.look();
+        }
         for (Connection free = rested(); free != null && !waiting.isEmpty(); free = rested()) {
             Call call = waiting.poll();
             if (call.stands()) {
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -29,6 +29,8 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -104,7 +106,15 @@
         Files.writeString(config, ("{'name':'n0','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:"
                 + list.getLocalPort() + "','seed':'8c1f30d27a5be964','limits':{'sockets':256},'known':" + listed(41)
                 + ",'settings':" + SETTINGS + "}").replace('\'', '"'));
-        daemon = new Daemon(Config.read(Map.of("LB_CONFIG", config.toString())), new Log(new PrintStream(log, true)));
+        daemon = new Daemon(Config.read(Map.of("LB_CONFIG", config.toString())), new Log(new PrintStream(log, true) {
+            @Override
+            public void println(Object line) {
+                super.println(line);
+                if (line.toString().contains("'busy")) {
+                    pause(Long.parseLong(line.toString().replaceAll(".*'busy(\\d+)'.*", "$1")));
+                }
+            }
+        }));
         daemon.start();
         client = new Socket(here, port);
         client.setSoTimeout(5000);
@@ -173,13 +183,50 @@
                 + list.replace('\'', '"')).getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Answers the first call with rubbish, then none: the known list holds. */
+    /** Answers the first call with rubbish, then the first on each connection: the known list holds. */
     private void list(Socket socket) throws IOException {
         if (lists.incrementAndGet() == 1) {
             socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{\"a\"".getBytes(
                     StandardCharsets.US_ASCII));
         }
-        while (socket.getInputStream().read() >= 0) { }
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        boolean answers = lists.get() > 1;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.isEmpty() && answers) {
+                answers = false;
+                answer(socket, "{'generation':41,'reset':false,'instances':[]}");
+            }
+        }
+    }
+
+    /** Discovery by the test's word: the whole list at once or as late as said, then what is told. */
+    private Peer tells(BlockingQueue<String> told, long firstAfter) {
+        return socket -> {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                if (line.startsWith("GET")) {
+                    asked.add(line.replaceAll(" HTTP.*", ""));
+                } else if (line.isEmpty()) {
+                    try {
+                        pause(asked.size() == 1 ? firstAfter : 0);
+                        answer(socket, asked.size() == 1 && firstAfter == 0 ? listed(42) : told.take());
+                    } catch (InterruptedException over) {
+                        return;
+                    }
+                }
+            }
+        };
+    }
+
+    private String drains() {
+        return listed(43).replace("'reset':true", "'reset':false").replace("ready", "draining");
+    }
+
+    /** A query that nobody can read, and whose line in the log takes so long to write: the loop stands still. */
+    private static ByteBuf busy(int ms) {
+        return Messages.query(Unpooled.buffer(), "SELECT body FROM objects WHERE oid = 'k' /* id=1,c=any,d=busy" + ms
+                + ",cluster=2 */");
     }
 
     /** Does with a statement what its key says. */
@@ -495,6 +542,85 @@
         Scene.compare("router-reloads", trace);
     }
 
+    /** A second router with the node's list from this stand-in alone; the first has ended. */
+    private void startAnew(ServerSocket discovery) throws Exception {
+        client.close();
+        daemon.stop();
+        Path file = dir.resolve("config.json");
+        String text = Files.readString(file).replace("\"discovery\":\"127.0.0.1:" + list.getLocalPort(),
+                "\"discovery\":\"127.0.0.1:" + discovery.getLocalPort());
+        Files.writeString(file, text);
+        daemon = new Daemon(Config.read(Map.of("LB_CONFIG", file.toString())), daemon.log());
+        daemon.start();
+        client = another();
+    }
+
+    /** Guards against a send that overtakes a drain told while the loop stood still between decision and send. */
+    @Test
+    void newsGoBeforeWhatWasDecidedWithoutThem() throws Exception {
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        try (ServerSocket discovery = new ServerSocket(0, 50, list.getInetAddress())) {
+            serve(discovery, tells(told, 0));
+            startAnew(discovery);
+            say("startup and query", startup().writeBytes(ask("any", "k", 900)), 2);
+            Socket first = client;
+            Socket other = another();
+            client = other;
+            say("another's startup", startup(), 1);
+            // In one turn: a txn is decided, then the loop stands still, then the txn would be sent.
+            send(other, busy(200));
+            Thread.sleep(50);
+            send(first, ask("any", "drained", 300));
+            Thread.sleep(10);
+            send(other, busy(500));
+            Thread.sleep(300);
+            told.add(drains());
+            client = first;
+            trace.append("a txn to a node that drains  ").append(hear(1)).append('\n');
+            statementsSeen();
+            other.close();
+        }
+        counted("committed", "declined", "ended_unsent");
+        Scene.compare("router-news-first", trace);
+    }
+
+    /** Guards against a drain that the old discovery has told, and that lies unread while the new one is not up. */
+    @Test
+    void whatTheFormerDiscoveryToldHolds() throws Exception {
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        try (ServerSocket discovery = new ServerSocket(0, 50, list.getInetAddress());
+                ServerSocket silent = new ServerSocket(0, 50, list.getInetAddress())) {
+            serve(discovery, tells(told, 0));
+            startAnew(discovery);
+            say("startup and query", startup().writeBytes(ask("any", "k", 900)), 2);
+            send(client, busy(300));
+            Thread.sleep(50);
+            told.add(drains());
+            Path file = dir.resolve("config.json");
+            Files.writeString(file, Files.readString(file).replace(":" + discovery.getLocalPort(),
+                    ":" + silent.getLocalPort()));
+            daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
+            trace.append("the loop stood still  ").append(hear(1)).append('\n');
+            say("after the grace", ask("any", "drained", 300), 1);
+            statementsSeen();
+            counted("lists", "committed", "declined");
+        }
+        Scene.compare("router-former", trace);
+    }
+
+    /** Guards against a door that opens on a list that is old by a restart. */
+    @Test
+    void theDoorOpensOnceDiscoveryHasSpoken() throws Exception {
+        try (ServerSocket discovery = new ServerSocket(0, 50, list.getInetAddress())) {
+            serve(discovery, tells(new LinkedBlockingQueue<>(List.of(drains())), 300));
+            startAnew(discovery);
+            say("the first query", startup().writeBytes(ask("any", "drained", 300)), 2);
+            statementsSeen();
+            counted("lists", "committed", "declined");
+        }
+        Scene.compare("router-door", trace);
+    }
+
     /** Guards against a list that stands still because the connection to discovery has fallen silent. */
     @Test
     void aWatchThatFallsSilentIsBegunAnew() throws Exception {
