--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -224,6 +224,8 @@
     private Duration now = Duration.ZERO;
     private Duration beatAt = NEVER;
     private boolean awake;
+    /** For how long the caller was away since the start, in all. */
+    private Duration away = Duration.ZERO;
     /** Probes that may be sent: filled by txns, at most one for each node. */
     private double probeCredit;
     private int taken;
@@ -247,12 +249,23 @@
         this.outlet = outlet;
         this.chance = chance;
         beat = set.step().multipliedBy(BEAT);
-        Duration bound = set.types().stream().filter(t -> t.read() == Read.BOUNDED).map(TxnType::bound)
-                .min(Duration::compareTo).orElse(times(set.dial(), 1));
-        anyBound = times(bound, ANY_BOUND);
-        types = set.types().stream().map(t -> new Type(t, anyBound)).toArray(Type[]::new);
-        tenants = set.quotas().stream().map(q -> new Tenant(q, set.routers())).toList();
-        allQuotas = set.quotas().stream().mapToDouble(Double::doubleValue).sum();
+        Duration bound = null;
+        for (TxnType t : set.types()) {
+            bound = t.read() == Read.BOUNDED && (bound == null || t.bound().compareTo(bound) < 0) ? t.bound()
+                    : bound;
+        }
+        anyBound = times(bound == null ? set.dial() : bound, ANY_BOUND);
+        types = new Type[set.types().size()];
+        for (int i = 0; i < types.length; i++) {
+            types[i] = new Type(set.types().get(i), anyBound);
+        }
+        tenants = new ArrayList<>();
+        double sum = 0;
+        for (double quota : set.quotas()) {
+            tenants.add(new Tenant(quota, set.routers()));
+            sum += quota;
+        }
+        allQuotas = sum;
         roomLeast = ROOM_LEAST / set.routers();
         Arrays.fill(written, NEVER);
     }
@@ -266,6 +279,15 @@
         }
     }
 
+    /**
+     * The caller itself was away for so long, and what nodes said meanwhile is only heard now. Guards against a
+     * router on part of a core that takes its own pause for the silence or the slowness of every node at once.
+     */
+    public void late(Duration by) {
+        away = away.plus(by);
+        nodes.forEach(n -> n.quiet = n.out > 0 ? n.quiet.plus(by) : n.quiet);
+    }
+
     // ---- the member list
 
     public void list(boolean whole, List<NodeRow> rows) {
@@ -330,10 +352,12 @@
      * @param session its index below SESSIONS, or negative
      * @param expiry how long the client waits
      * @param token how long ago its session last wrote; null where txns carry none, zero where it has not
+     * @param waited how long it has lain here before this call; what it wanted of its time is over by then
      */
     public Handle take(int id, int type, int tenant, int session, int group, Duration expiry,
-            Duration token) {
-        Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry);
+            Duration token, Duration waited) {
+        Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry,
+                waited);
         taken++;
         if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
             tenants.get(tenant).allowance++;
@@ -349,7 +373,9 @@
         }
         probeCredit = Math.min(nodes.size(), probeCredit + Math.min(1, PROBE_COST / set.probePrice()));
         t.group.spill = Math.min(SPILL_BURST, t.group.spill + (t.type.routed() ? SPILL : 0));
-        if (!submit(t)) {
+        // Its time went by in line at this router, which has more to do than it can: no work for a node.
+        boolean overdue = t.spare && waited.compareTo(beat) > 0;
+        if (overdue || !submit(t)) {
             hold(t);
         }
         return t;
@@ -370,22 +396,24 @@
         boolean spare;
         Duration ranAt;
         Duration sentAt;
+        Duration sentAway;
         boolean searches;
         /** Where it last ended in an error, and how often. */
         Node errs;
         int errors;
 
-        Txn(int id, Type type, Group group, int session, Duration patience) {
+        Txn(int id, Type type, Group group, int session, Duration patience, Duration waited) {
             this.id = id;
             this.type = type;
             this.group = group;
             this.session = session;
-            expiry = now.plus(patience);
+            Duration came = now.minus(waited);
+            expiry = came.plus(patience);
             // A try of another length than the first has all that is left to the client: that tells its age.
             Duration age = type.repeated(patience) ? type.longest.minus(patience) : Duration.ZERO;
-            Duration useful = now.plus(type.sla).minus(age);
+            Duration useful = came.plus(type.sla).minus(age);
             Duration last = type.lateEarns ? expiry : earlier(expiry, useful);
-            Duration held = now.plus(times(patience, HELD));
+            Duration held = came.plus(times(patience, HELD));
             giveUp = earlier(last.minus(type.usual), held).minus(beat.multipliedBy(2));
             spare = giveUp.compareTo(now) <= 0;
         }
@@ -398,7 +426,9 @@
                 searches = false;
                 group.searching = false;
             }
-            judge(n, type, result, took);
+            // Of a time in which this router was away, what is usual there is believed, within what can be.
+            Duration least = took.minus(away.minus(sentAway));
+            judge(n, type, result, later(least, earlier(took, times(type.usual, n.pace))));
             if (result == Result.ERROR || result == Result.COMMITTED) {
                 blame(n, result == Result.ERROR);
             }
@@ -572,6 +602,7 @@
                 : earlier(left, times(t.type.usual, PATIENCE));
         t.submissions++;
         t.sentAt = now;
+        t.sentAway = away;
         if (trusted(n)) {
             n.trials = 1;
         } else {
--- /dev/null
+++ b/src/main/java/dillfront/bench/Drive.java
@@ -0,0 +1,86 @@
+package dillfront.bench;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+/** A router as a process of its own, started as the deployment starts it, and what it has used by the system's count. */
+final class Drive implements AutoCloseable {
+
+    private static final long TICK_MICROS = 10_000;
+
+    final int port;
+    private final Process process;
+    private final Path config;
+
+    /** @param command what starts it, from this folder, with LB_CONFIG set */
+    Drive(List<String> command, Path folder, StandIns round, double cores) throws IOException, InterruptedException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        config = Files.createTempFile("dillfront", ".json");
+        Files.writeString(config, round.config(port, cores));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
+        builder.environment().putAll(Map.of("LB_CONFIG", config.toString(), "LB_NAME", "n0"));
+        builder.environment().remove("LB_LISTEN");
+        builder.environment().remove("LB_DISCOVERY");
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        process = builder.start();
+        for (int i = 0; i < 2000 && !open(); i++) {
+            if (!process.isAlive()) {
+                throw new IOException("it ended: " + command);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    /** The command line of deploy/balancer.toml for this key. */
+    static List<String> deployed(Path folder, String key) throws IOException {
+        String line = Files.readAllLines(folder.resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith(key + " ="))
+                .findFirst().orElseThrow(() -> new IOException("no " + key + " in " + folder));
+        return new ArrayList<>(Arrays.asList("/bin/sh", "-c", line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'))));
+    }
+
+    private boolean open() {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    /** What all threads of it have used so far, in microseconds. */
+    long cpuMicros() throws IOException {
+        String[] stat = stat(Path.of("/proc", Long.toString(process.pid()), "stat"));
+        return (Long.parseLong(stat[11]) + Long.parseLong(stat[12])) * TICK_MICROS;
+    }
+
+    /** Everything behind the name, which stands in brackets. */
+    static String[] stat(Path file) throws IOException {
+        String text = Files.readString(file, StandardCharsets.ISO_8859_1);
+        return text.substring(text.lastIndexOf(')') + 2).split(" ");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroy();
+        try {
+            process.waitFor();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+        Files.deleteIfExists(config);
+    }
+}
--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -4,10 +4,10 @@
 import dillfront.config.Config;
 import dillfront.daemon.Daemon;
 import dillfront.daemon.Rehearsal;
-import dillfront.daemon.Signals;
 import dillfront.drill.BadInput;
 import dillfront.drill.Drill;
 import dillfront.log.Log;
+import dillfront.log.Silence;
 import java.io.IOException;
 import java.util.List;
 
@@ -29,16 +29,16 @@
         try {
             if (args[0].equals("serve")) {
                 Log log = new Log(System.err);
+                Silence.over(log);
                 Daemon daemon = new Daemon(Config.read(System.getenv()), log);
                 // Before the start: the JVM's own answer to SIGHUP is to end.
-                Signals.on("HUP", () -> daemon.reload(() -> Config.again(System.getenv())), log);
-                Signals.on("USR2", daemon::print, log);
+                daemon.hear(() -> Config.again(System.getenv()));
                 daemon.start();
                 Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
             } else if (args[0].equals("rehearse")) {
                 Log log = new Log(System.err);
+                Silence.over(log);
                 Rehearsal.run(log);
-                Signals.on("USR2", () -> { }, log);
             } else {
                 new Drill(System.in, System.out).run();
             }
--- a/src/main/java/dillfront/clients/ClientConnection.java
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -8,14 +8,14 @@
 import dillfront.pgwire.Frames;
 import dillfront.pgwire.Messages;
 import dillfront.pgwire.Statement;
+import dillfront.sockets.Ears;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.time.Duration;
 
 /** One client: queries taken one after another, each answered before the next is looked at. */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Asker {
+final class ClientConnection extends Ears implements Asker {
 
     private final Clients clients;
     private final Frames frames = new Frames();
@@ -33,6 +33,11 @@
     private boolean served;
     /** Of a message that is not whole, as last told. */
     private int told;
+    /** How long what was read last may have lain in the socket, and when it was read. */
+    private Duration age = Duration.ZERO;
+    private long readNanos;
+    /** In the clients' line, to be looked at in its turn. */
+    boolean inLine;
 
     ClientConnection(Clients clients) {
         this.clients = clients;
@@ -66,8 +71,12 @@
         if (served && idle()) {
             since = System.nanoTime();
         }
+        if (!owes) {
+            age = clients.pace.age(clients.clock.now());
+            readNanos = System.nanoTime();
+        }
         frames.add((ByteBuf) read);
-        pump();
+        clients.line(this);
         // What is written ahead waits with the client once it is more than one query can be.
         if (frames.waiting() > Frames.LONGEST && !closed) {
             ctx.channel().config().setAutoRead(false);
@@ -76,11 +85,12 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        pump();
+        clients.line(this);
     }
 
-    private void pump() {
-        if (pumping) {
+    /** Looks at what was read: its turn has come. */
+    void pump() {
+        if (pumping || closed) {
             return;
         }
         pumping = true;
@@ -167,6 +177,8 @@
             ctx.writeAndFlush(Messages.emptyQuery(ctx.alloc().buffer(11)));
             return;
         }
+        // From its last byte, or since nothing went before it on this connection.
+        Duration waited = age.plusNanos(System.nanoTime() - readNanos);
         Statement statement;
         try {
             statement = Statement.read(message);
@@ -178,7 +190,7 @@
             return;
         }
         owes = true;
-        Exchange taken = clients.desk.take(statement, message, this);
+        Exchange taken = clients.desk.take(statement, message, this, waited);
         if (taken == null) {
             owes = false;
             message.release();
@@ -232,8 +244,12 @@
         exchange = null;
         owes = false;
         since = System.nanoTime();
+        age = Duration.ZERO;
+        readNanos = since;
         clients.free(this);
-        ctx.channel().eventLoop().execute(this::pump);
+        if (frames.waiting() > 0) {
+            clients.line(this);
+        }
     }
 
     private void refuse(String code, String text) {
--- a/src/main/java/dillfront/clients/Clients.java
+++ b/src/main/java/dillfront/clients/Clients.java
@@ -1,21 +1,20 @@
 package dillfront.clients;
 
+import dillfront.config.Clock;
 import dillfront.exchange.Desk;
 import dillfront.log.Counters;
 import dillfront.log.Log;
-import io.netty.bootstrap.ServerBootstrap;
+import dillfront.pace.Pace;
+import dillfront.sockets.Sockets;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -31,6 +30,8 @@
     final Desk desk;
     final Counters counters;
     final Log log;
+    final Pace pace;
+    final Clock clock;
     private final EventLoop loop;
     private final int most;
     private final int mostKnown;
@@ -42,6 +43,9 @@
     private final Set<ClientConnection> strangers = new LinkedHashSet<>();
     /** Those whose queries were taken, the ones answered last at the end. */
     private final Set<ClientConnection> known = new LinkedHashSet<>();
+    /** Those of whom something was read that has not been looked at yet, in the order in which it was read. */
+    private final ArrayDeque<ClientConnection> line = new ArrayDeque<>();
+    private boolean turning;
     /** Bytes of messages that are not whole yet. */
     private long waiting;
     private Channel door;
@@ -53,9 +57,11 @@
      * @param mostWaiting how many bytes of messages not yet whole may be held for all of them
      * @param dial how long one that was refused may take to read why; for what else they get, a multiple of it
      */
-    public Clients(Desk desk, Counters counters, Log log, EventLoop loop, int most, int mostKnown,
+    public Clients(Desk desk, Pace pace, Clock clock, Counters counters, Log log, EventLoop loop, int most, int mostKnown,
             long mostWaiting, Duration dial) {
         this.desk = desk;
+        this.pace = pace;
+        this.clock = clock;
         this.counters = counters;
         this.log = log;
         this.loop = loop;
@@ -67,25 +73,47 @@
     }
 
     public ChannelFuture open(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 2 * most)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1 << 15, 1 << 16))
-                .childHandler(new ChannelInitializer<NioSocketChannel>() {
-                    @Override
-                    protected void initChannel(NioSocketChannel channel) {
-                        channel.pipeline().addLast(new ClientConnection(Clients.this));
-                    }
-                }).bind(address);
+        ChannelFuture bound = Sockets.listen(loop, address, 2 * most, new WriteBufferWaterMark(1 << 15, 1 << 16),
+                () -> new ClientConnection(this));
         door = bound.channel();
         return bound;
     }
 
+    /**
+     * Something was read of a client: it is looked at once the sockets that are ready have been, so that news of the list
+     * and answers of nodes go before new queries.
+     */
+    void line(ClientConnection client) {
+        if (!client.inLine) {
+            client.inLine = true;
+            line.add(client);
+        }
+        if (!turning) {
+            turning = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        turning = false;
+        Duration began = clock.now();
+        while (!line.isEmpty() && pace.takesMore(began, clock.now())) {
+            ClientConnection next = line.poll();
+            next.inLine = false;
+            next.pump();
+        }
+        if (!line.isEmpty() && !turning) {
+            turning = true;
+            // Not execute(): that would come before the next look at the sockets.
+            loop.schedule(this::turn, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
     void opened(ClientConnection client) {
         counters.accepted++;
         counters.clientConnections++;
         strangers.add(client);
+        door.config().setMaxMessagesPerRead(pace.newcomers(clock.now()));
         makeRoom();
     }
 
--- a/src/main/java/dillfront/config/Setup.java
+++ b/src/main/java/dillfront/config/Setup.java
@@ -28,8 +28,7 @@
         Tree family = setup.tree("familyInfo");
         Map<String, Integer> zones = index(setup.list("zones"));
         return new Setup(settings(setup, family, zones),
-                index(setup.trees("classes").stream().map(t -> t.text("name")).toList()),
-                index(setup.trees("tenants").stream().map(t -> t.text("name")).toList()),
+                index(names(setup.trees("classes"))), index(names(setup.trees("tenants"))),
                 zones, family.text("tokens").equals("brought"), setup.tree("bounds").span("keepaliveUs"),
                 !setup.tree("stats").text("how").equals("off") && !setup.tree("stats").list("fields").isEmpty());
     }
@@ -43,9 +42,21 @@
         return Math.floorMod(number * 0x9E3779B97F4A7C15L >>> 20, Decide.SESSIONS);
     }
 
+    // Loops, not streams: these are read at every start, which pays for each class of the JDK that it uses first.
+
+    private static List<String> names(List<Tree> of) {
+        List<String> names = new ArrayList<>();
+        for (Tree one : of) {
+            names.add(one.text("name"));
+        }
+        return names;
+    }
+
     private static Map<String, Integer> index(List<?> names) {
         Map<String, Integer> into = new HashMap<>();
-        names.forEach(name -> into.put(String.valueOf(name), into.size()));
+        for (Object name : names) {
+            into.put(String.valueOf(name), into.size());
+        }
         return into;
     }
 
@@ -83,7 +94,15 @@
                 rules.number("coldFrom", 1), rules.span("coldUs"), rules.number("tipMultiple", 1),
                 rules.span("tipAfterUs"), charges.number("probe", 0),
                 (int) setup.number("groupSize", 1), rows,
-                setup.trees("tenants").stream().map(t -> t.number("quotaPerS", 0)).toList());
+                quotas(setup.trees("tenants")));
+    }
+
+    private static List<Double> quotas(List<Tree> tenants) {
+        List<Double> quotas = new ArrayList<>();
+        for (Tree tenant : tenants) {
+            quotas.add(tenant.number("quotaPerS", 0));
+        }
+        return quotas;
     }
 
     private static Read read(List<?> reads, int i) {
--- a/src/main/java/dillfront/config/Tree.java
+++ b/src/main/java/dillfront/config/Tree.java
@@ -66,7 +66,13 @@
     }
 
     public List<Tree> trees(String name) {
-        return list(name).stream().filter(Tree.class::isInstance).map(Tree.class::cast).toList();
+        List<Tree> trees = new ArrayList<>();
+        for (Object one : list(name)) {
+            if (one instanceof Tree tree) {
+                trees.add(tree);
+            }
+        }
+        return trees;
     }
 
     public List<?> list(String name) {
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -10,7 +10,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +64,12 @@
         return log;
     }
 
+    /** Hears the platform's words to this process from now on: SIGHUP to read the configuration anew, SIGUSR2 to print. */
+    public void hear(Source source) {
+        Signals.on("HUP", () -> reload(source), log);
+        Signals.on("USR2", this::print, log);
+    }
+
     /** Returns once clients can connect. */
     public void start() throws BadConfig {
         int share = Math.max(2, (config.sockets() - OTHERS) / 2);
@@ -67,7 +77,7 @@
             rest();
             loop.submit(() -> {
                 router = new Router(config, new Clock(), counters, log, loop, share);
-                clients = new Clients(router, counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
+                clients = new Clients(router, router.pace(), router.clock(), counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
                         config.setup().settings().dial());
                 boolean known = !config.known().list("instances").isEmpty();
                 if (known) {
@@ -109,8 +119,15 @@
         return owed.isNegative() ? Duration.ZERO : owed.compareTo(MOST_OWED) > 0 ? MOST_OWED : owed;
     }
 
+    /** In ticks of a hundredth of a second, as Linux tells them; zero elsewhere. */
     private static Duration cpu() {
-        return ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
+        try {
+            String stat = Files.readString(Path.of("/proc/self/stat"), StandardCharsets.ISO_8859_1);
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return Duration.ofMillis(10 * (Long.parseLong(fields[11]) + Long.parseLong(fields[12])));
+        } catch (IOException | NumberFormatException none) {
+            return Duration.ZERO;
+        }
     }
 
     /** Goes on serving while clients still come, then finishes all that was taken. */
--- a/src/main/java/dillfront/daemon/Rehearsal.java
+++ b/src/main/java/dillfront/daemon/Rehearsal.java
@@ -40,6 +40,7 @@
         }
         String config = String.format(CONFIG, "127.0.0.1:" + port).replace('\'', '"');
         Daemon daemon = new Daemon(Config.read(new ByteArrayInputStream(config.getBytes(StandardCharsets.US_ASCII))), log);
+        daemon.hear(() -> null);
         daemon.start();
         try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
             client.setSoTimeout(5000);
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -13,7 +13,9 @@
 import dillfront.list.Watch;
 import dillfront.log.Counters;
 import dillfront.log.Log;
+import dillfront.pace.Pace;
 import dillfront.pgwire.Statement;
+import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Report;
 import dillfront.servers.Fleet;
@@ -24,8 +26,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGeneratorFactory;
 
 /** The module and what it drives: words of the network become its calls, its results go out again. */
 final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener {
@@ -38,6 +40,9 @@
     private final Counters counters;
     private final Log log;
     private final EventLoop loop;
+    private final Pace pace;
+    /** Of its own delay, what the module has been told. */
+    private Duration told = Duration.ZERO;
     private final MemberList members;
     private final Decide decide;
     private final Fleet fleet;
@@ -54,11 +59,12 @@
         this.counters = counters;
         this.log = log;
         this.loop = loop;
+        pace = new Pace(setup.settings().step(), setup.settings().dial());
         members = new MemberList(setup, clock, log);
-        fleet = new Fleet(setup, clock, counters, log, loop, nodeConnections,
+        fleet = new Fleet(setup, clock, pace, counters, log, loop, nodeConnections,
                 (int) (config.memoryMb() << 20) / LONGEST_PART, this);
         decide = new Decide(setup.settings(), this,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(config.seed()));
+                new SplittableRandom(config.seed()));
     }
 
     /** Some list is there: before that, nothing can be served. */
@@ -79,7 +85,21 @@
 
     @Override
     public void tick() {
-        decide.at(clock.now());
+        Duration now = clock.now();
+        Duration behind = pace.behind(now);
+        decide.at(now);
+        if (behind.compareTo(told) > 0) {
+            decide.late(behind.minus(told));
+            told = behind;
+        }
+    }
+
+    Pace pace() {
+        return pace;
+    }
+
+    Clock clock() {
+        return clock;
     }
 
     @Override
@@ -88,7 +108,11 @@
         read.forEach(m -> fleet.known(m.row().node(), m.address(), m.startedMs()));
         listed = true;
         tick();
-        decide.list(list.flag("reset"), read.stream().map(Member::row).toList());
+        List<NodeRow> rows = new ArrayList<>(read.size());
+        for (Member m : read) {
+            rows.add(m.row());
+        }
+        decide.list(list.flag("reset"), rows);
         forget();
     }
 
@@ -111,7 +135,7 @@
     }
 
     @Override
-    public Exchange take(Statement statement, ByteBuf message, Asker asker) {
+    public Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited) {
         Integer type = setup.types().get(statement.type);
         if (type == null || !members.mayHave(statement.group)) {
             return null;
@@ -134,7 +158,7 @@
         Duration token = !setup.tokensCarried() ? null
                 : statement.afterMs == 0 ? Duration.ZERO : now.minus(clock.since(statement.afterMs));
         exchange.taken(decide.take(slot, type, -1, Setup.session(statement.key), statement.group,
-                patience(statement, type), token));
+                patience(statement, type), token, waited));
         return exchange;
     }
 
@@ -192,11 +216,12 @@
 
     @Override
     public void wake(Duration in) {
-        Duration due = clock.now().plus(in);
+        pace.expect(clock.now().plus(in));
         loop.schedule(() -> {
-            counters.longestTurnMs = Math.max(counters.longestTurnMs, clock.now().minus(due).toMillis());
             try {
                 tick();
+                pace.came(clock.now());
+                counters.longestTurnMs = Math.max(counters.longestTurnMs, pace.longest().toMillis());
                 decide.woken();
                 forget();
             } catch (RuntimeException fault) {
--- a/src/main/java/dillfront/daemon/Signals.java
+++ b/src/main/java/dillfront/daemon/Signals.java
@@ -1,26 +1,19 @@
 package dillfront.daemon;
 
 import dillfront.log.Log;
-import java.lang.reflect.Proxy;
+import sun.misc.Signal;
 
 /** Words of the platform to the process, each heard on a thread of its own. */
 public final class Signals {
 
     private Signals() {}
 
-    /** By reflection: the type is no promise of the platform, and may go. */
+    /** The type is no promise of the platform, and may go; a proxy round it costs 25 ms of every start. */
+    @SuppressWarnings("sunapi")
     public static void on(String name, Runnable run, Log log) {
         try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object runs = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
-                        run.run();
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance(name), runs);
-        } catch (ReflectiveOperationException none) {
+            Signal.handle(new Signal(name), signal -> run.run());
+        } catch (IllegalArgumentException none) {
             log.warn("no-signal", "name", name, "fault", none);
         }
     }
--- a/src/main/java/dillfront/drill/Instance.java
+++ b/src/main/java/dillfront/drill/Instance.java
@@ -17,8 +17,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 
 /** One router: its own module, and the indices that stand for the wire's ids. */
 final class Instance implements Outlet {
@@ -51,7 +51,7 @@
         this.reply = reply;
         this.setup = Setup.read(setup);
         zeroUs = setup.tree("familyInfo").whole("originTimeUs");
-        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        RandomGenerator chance = new SplittableRandom(seed);
         decide = new Decide(this.setup.settings(), this, chance);
     }
 
@@ -105,7 +105,7 @@
         Duration token = !setup.tokensCarried() || Double.isNaN(e.lastWriteMs) ? null
                 : Duration.ofNanos((long) Math.floor(e.lastWriteMs * 1e6));
         txn.handle = decide.take(slot, type, setup.tenants().getOrDefault(e.account, -1), session,
-                (int) e.partitionNo, Tree.micros(e.expiresInUs), token);
+                (int) e.partitionNo, Tree.micros(e.expiresInUs), token, Duration.ZERO);
         releaseIfOver(slot);
     }
 
--- a/src/main/java/dillfront/exchange/Desk.java
+++ b/src/main/java/dillfront/exchange/Desk.java
@@ -2,6 +2,7 @@
 
 import dillfront.pgwire.Statement;
 import io.netty.buffer.ByteBuf;
+import java.time.Duration;
 
 /** Where exchanges are begun and given back. */
 public interface Desk {
@@ -9,9 +10,10 @@
     /**
      * Takes a txn, and the message that holds its statement. The answer may come during the call.
      *
+     * @param waited how long ago its last byte may have come
      * @return null where nothing was taken: no such txn type or group is known, or a txn of this id is out, and the message is still the caller's
      */
-    Exchange take(Statement statement, ByteBuf message, Asker asker);
+    Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited);
 
     /** Sets the module's clock: called before each word to a handle. */
     void tick();
--- a/src/main/java/dillfront/list/HttpAnswers.java
+++ b/src/main/java/dillfront/list/HttpAnswers.java
@@ -69,10 +69,14 @@
         String[] lines = held.toString(held.readerIndex(), end - held.readerIndex(), StandardCharsets.ISO_8859_1)
                 .split("\r\n");
         held.readerIndex(end + 4);
-        if (!lines[0].matches("HTTP/1\\.[01] \\d{3}( .*)?")) {
+        String first = lines[0];
+        boolean known = first.startsWith("HTTP/1.0 ") || first.startsWith("HTTP/1.1 ");
+        int code = known && first.length() >= 12 && (first.length() == 12 || first.charAt(12) == ' ')
+                ? number(first.substring(9, 12), 3) : -1;
+        if (code < 0) {
             throw new BadHttp("no status line");
         }
-        status = Integer.parseInt(lines[0].substring(9, 12));
+        status = code;
         int stated = -1;
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
@@ -81,10 +85,11 @@
             if (name.equals("transfer-encoding")) {
                 throw new BadHttp("an answer in chunks");
             } else if (name.equals("content-length")) {
-                if (!value.matches("\\d{1,9}") || stated >= 0 && stated != Integer.parseInt(value)) {
+                int length = number(value, 9);
+                if (length < 0 || stated >= 0 && stated != length) {
                     throw new BadHttp("length " + value);
                 }
-                stated = Integer.parseInt(value);
+                stated = length;
             }
         }
         if (stated < 0 || stated > LONGEST_BODY) {
@@ -93,6 +98,16 @@
         length = stated;
     }
 
+    /** Digits and nothing else, at most so many; negative where it is no such number. */
+    private static int number(String text, int most) {
+        int number = text.isEmpty() || text.length() > most ? -1 : 0;
+        for (int i = 0; i < text.length() && number >= 0; i++) {
+            int digit = text.charAt(i) - '0';
+            number = digit >= 0 && digit <= 9 ? number * 10 + digit : -1;
+        }
+        return number;
+    }
+
     public void release() {
         if (held != null) {
             held.release();
--- a/src/main/java/dillfront/list/Watch.java
+++ b/src/main/java/dillfront/list/Watch.java
@@ -3,18 +3,16 @@
 import dillfront.config.Tree;
 import dillfront.log.Counters;
 import dillfront.log.Log;
-import io.netty.bootstrap.Bootstrap;
+import dillfront.sockets.Ears;
+import dillfront.sockets.Sockets;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -115,7 +113,7 @@
     }
 
     /** One connection to discovery. Owns its buffer and its timer; both go back in close(). */
-    private final class Asking extends ChannelInboundHandlerAdapter {
+    private final class Asking extends Ears {
 
         private final HttpAnswers answers = new HttpAnswers();
         private final InetSocketAddress at = address;
@@ -140,10 +138,14 @@
         }
 
         void open() {
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(at);
-            channel = connecting.channel();
             silentAfter(LATE_DIALS * dialNanos);
+            ChannelFuture connecting = Sockets.connect(loop, at, this,
+                    (int) TimeUnit.NANOSECONDS.toMillis(2 * LATE_DIALS * dialNanos));
+            if (connecting == null) {
+                close();
+                return;
+            }
+            channel = connecting.channel();
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
                     close();
@@ -247,7 +249,9 @@
             }
             over = true;
             silence.cancel(false);
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
             answers.release();
             if (this == former) {
                 former = null;
--- a/src/main/java/dillfront/log/Log.java
+++ b/src/main/java/dillfront/log/Log.java
@@ -2,6 +2,8 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 
 /**
  * One line an event, on standard error: time, level, event, then names and values. Bounded in rate, so that
@@ -38,14 +40,13 @@
             dropped++;
             return;
         }
-        StringBuilder line = new StringBuilder(128).append(now).append(' ').append(level).append(' ').append(event);
+        StringBuilder line = new StringBuilder(128).append(LocalDateTime.ofEpochSecond(second, now.getNano(), ZoneOffset.UTC)).append("Z ").append(level).append(' ').append(event);
         for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
             Object given = namesAndValues[i + 1];
             String value = given instanceof Throwable fault && fault.getStackTrace().length > 0
                     ? fault + " at " + fault.getStackTrace()[0] : String.valueOf(given);
             line.append(' ').append(namesAndValues[i]).append('=');
-            boolean plain = value.chars().allMatch(c -> c > ' ' && c < 127 && c != '"');
-            line.append(plain && !value.isEmpty() ? value : quoted(value));
+            line.append(plain(value) ? value : quoted(value));
         }
         if (dropped > 0) {
             line.append(" lines_left_out=").append(dropped);
@@ -54,9 +55,22 @@
         out.println(line);
     }
 
+    private static boolean plain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c <= ' ' || c >= 127 || c == '"') {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
+
     private static String quoted(String value) {
         StringBuilder text = new StringBuilder("\"");
-        value.chars().limit(200).forEach(c -> text.append(c < ' ' || c == '"' || c > 126 ? '?' : (char) c));
+        for (int i = 0; i < Math.min(200, value.length()); i++) {
+            char c = value.charAt(i);
+            text.append(c < ' ' || c == '"' || c > 126 ? '?' : c);
+        }
         return text.append('"').toString();
     }
 }
--- /dev/null
+++ b/src/main/java/dillfront/pace/Pace.java
@@ -0,0 +1,116 @@
+package dillfront.pace;
+
+import java.time.Duration;
+
+/**
+ * What the router knows of its own time: how far its one thread is behind, and what it does about that. A machine that
+ * gets part of a core stands still for spans that it cannot see from inside, but for one sign: the clock's beat comes
+ * later than it was due. All sockets are ready at once then, and what is read first must not be what came first.
+ *
+ * <p>Pure: times are spans since the start and come with each call; nothing here reads a clock, a socket or a chance.
+ * The caller says when the next beat is due, and that it has come; in between, a beat that is overdue tells how long the
+ * thread has been away by now. Decisions: how long a turn takes queries, how old a query may be that has just been read,
+ * whether a time limit that ran meanwhile is to be believed, and how many newcomers the door lets in.
+ */
+public final class Pace {
+
+    /** A turn takes queries for this many steps of the clock, then looks at the sockets again. */
+    private static final double TURN = 1;
+    /** Up to so many steps a beat is late by the timer's own grain: that is no delay. */
+    private static final double GRAIN = 1;
+    /** Newcomers a turn while the thread is on time, and for so many dial time-outs after it was behind. */
+    private static final int NEWCOMERS = 16;
+    private static final int NEWCOMERS_BEHIND = 2;
+    private static final double WARY = 1;
+
+    private final Duration turn;
+    private final Duration grain;
+    private final Duration wary;
+    private Duration due;
+    private Duration behind = Duration.ZERO;
+    private Duration wasBehindAt;
+    private Duration longest = Duration.ZERO;
+
+    /**
+     * @param step the clock's step, the shortest time that the router counts with
+     * @param dial the time-out for a connection: the site's own idea of a long wait
+     */
+    public Pace(Duration step, Duration dial) {
+        turn = times(step, TURN);
+        grain = times(step, GRAIN);
+        wary = times(dial, WARY);
+    }
+
+    /** The next beat is to come then. */
+    public void expect(Duration when) {
+        due = when;
+    }
+
+    /** The beat has come. */
+    public void came(Duration now) {
+        Duration lag = lag(now);
+        if (!lag.isZero()) {
+            behind = behind.plus(lag);
+            wasBehindAt = now;
+            longest = lag.compareTo(longest) > 0 ? lag : longest;
+        }
+        due = null;
+    }
+
+    /** By how much the thread is late at this moment; zero while it is on time, by the timer's grain. */
+    public Duration lag(Duration now) {
+        if (due == null) {
+            return Duration.ZERO;
+        }
+        Duration late = now.minus(due).minus(grain);
+        return late.isNegative() ? Duration.ZERO : late;
+    }
+
+    /** All the time since the start for which the thread was late; never falls. */
+    public Duration behind(Duration now) {
+        return behind.plus(lag(now));
+    }
+
+    /** The longest delay since this was last asked. */
+    public Duration longest() {
+        Duration was = longest;
+        longest = Duration.ZERO;
+        return was;
+    }
+
+    /**
+     * How long ago a query that has just been read may have come: it lay in its socket while the thread was away. The
+     * longest that can be, since an answer after the client's time is no answer.
+     */
+    public Duration age(Duration now) {
+        return lag(now);
+    }
+
+    /**
+     * Whether a turn that began then takes one more query. Guards against a backlog of clients that keeps the news of
+     * the list, and answers that have come, unread: between two turns all sockets are looked at.
+     */
+    public boolean takesMore(Duration began, Duration now) {
+        return now.minus(began).compareTo(turn) < 0;
+    }
+
+    /**
+     * Whether a time limit that has run out is believed. Not if the thread was behind since the limit was set: the answer
+     * may lie unread, so the sockets are looked at once more. Guards against nodes blamed for the router's own pause.
+     *
+     * @param behindThen what behind() was when the limit was set
+     */
+    public boolean believes(Duration behindThen, Duration now) {
+        return behind(now).compareTo(behindThen) <= 0;
+    }
+
+    /** How many newcomers the door lets in a turn: each costs as much as a query, and those who are in go first. */
+    public int newcomers(Duration now) {
+        boolean late = !lag(now).isZero() || wasBehindAt != null && now.minus(wasBehindAt).compareTo(wary) < 0;
+        return late ? NEWCOMERS_BEHIND : NEWCOMERS;
+    }
+
+    private static Duration times(Duration span, double by) {
+        return Duration.ofNanos((long) (span.toNanos() * by));
+    }
+}
--- a/src/main/java/dillfront/servers/Call.java
+++ b/src/main/java/dillfront/servers/Call.java
@@ -20,6 +20,10 @@
     Connection connection;
     /** Owned here: cancelled when the call ends. */
     ScheduledFuture<?> limit;
+    /** How far the router was behind then, in all. */
+    final Duration behindAtStart;
+    /** Its time is up, and the sockets are looked at once more before that counts. */
+    boolean lastLook;
     /** Its last byte was written. */
     boolean whole;
     boolean ended;
@@ -37,6 +41,7 @@
 
     Call(Pool pool) {
         this.pool = pool;
+        behindAtStart = pool.fleet.pace.behind(pool.fleet.clock.now());
     }
 
     /** Whether it may still be sent, after it had to wait for a connection. */
--- a/src/main/java/dillfront/servers/Connection.java
+++ b/src/main/java/dillfront/servers/Connection.java
@@ -5,11 +5,12 @@
 import dillfront.pgwire.Messages;
 import dillfront.port.Result;
 import dillfront.port.Role;
+import dillfront.sockets.Ears;
+import dillfront.sockets.Sockets;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -17,7 +18,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One connection to a node: opened for a call, then carrying one call at a time. */
-final class Connection extends ChannelInboundHandlerAdapter {
+final class Connection extends Ears {
 
     private final Fleet fleet;
     private final Pool pool;
@@ -48,10 +49,15 @@
 
     void open() {
         fleet.opened(this);
-        ChannelFuture connecting = fleet.bootstrap.clone().handler(this).connect(address);
+        ChannelFuture connecting = Sockets.connect(fleet.loop, address, this,
+                (int) fleet.setup.settings().dial().toMillis() + 1);
+        if (connecting == null) {
+            close();
+            return;
+        }
         channel = connecting.channel();
         fleet.counters.timers++;
-        dialing = channel.eventLoop().schedule(this::close, fleet.setup.settings().dial().toNanos(),
+        dialing = fleet.loop.schedule(this::close, fleet.setup.settings().dial().toNanos(),
                 TimeUnit.NANOSECONDS);
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
@@ -252,7 +258,9 @@
         closed = true;
         dialed();
         stalled();
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
         frames.release();
         pool.idle.remove(this);
         fleet.closed(this);
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -6,13 +6,11 @@
 import dillfront.exchange.Submitter;
 import dillfront.log.Counters;
 import dillfront.log.Log;
+import dillfront.pace.Pace;
 import dillfront.port.Report;
 import dillfront.port.Result;
 import dillfront.port.Role;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,14 +27,14 @@
 
     final Setup setup;
     final Clock clock;
+    final Pace pace;
     final Counters counters;
     final Log log;
-    final Bootstrap bootstrap;
     /** A peer that acknowledges late holds back what comes behind an answer by 40 ms. */
     final long restNanos;
     /** Of one message of a node. */
     final int longest;
-    private final EventLoop loop;
+    final EventLoop loop;
     private final int most;
     private final Listener listener;
     /** One a node index; what was opened for a node that is forgotten closes by itself. */
@@ -50,19 +48,17 @@
      * @param most how many connections may be open at once
      * @param longest how many bytes one message of a node may have
      */
-    public Fleet(Setup setup, Clock clock, Counters counters, Log log, EventLoop loop, int most, int longest,
+    public Fleet(Setup setup, Clock clock, Pace pace, Counters counters, Log log, EventLoop loop, int most, int longest,
             Listener listener) {
         this.setup = setup;
         this.clock = clock;
+        this.pace = pace;
         this.counters = counters;
         this.log = log;
         this.loop = loop;
         this.most = most;
         this.longest = longest;
         this.listener = listener;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) setup.settings().dial().toMillis() + 1);
         restNanos = setup.settings().dial().toNanos() / 4;
         Duration every = setup.settings().dial();
         loop.scheduleWithFixedDelay(this::closeOld, every.toNanos(), every.toNanos(), TimeUnit.NANOSECONDS);
@@ -159,6 +155,12 @@
         if (call.ended) {
             return;
         }
+        if (!call.lastLook && !pace.believes(call.behindAtStart, clock.now())) {
+            // After the next look at all sockets.
+            call.lastLook = true;
+            loop.schedule(() -> late(call), 0, TimeUnit.NANOSECONDS);
+            return;
+        }
         if (call.connection != null) {
             call.connection.giveUp();
         } else {
--- /dev/null
+++ b/src/main/java/dillfront/sockets/Sockets.java
@@ -0,0 +1,71 @@
+package dillfront.sockets;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/**
+ * Channels made by hand, on the one loop. Netty's bootstraps would copy themselves, look up names that are numbers here,
+ * and load two hundred classes more at every start.
+ */
+public final class Sockets {
+
+    private Sockets() {}
+
+    /** Opens one to this address; on the loop. The handler is its only one. Null where no descriptor is left. */
+    public static ChannelFuture connect(EventLoop loop, InetSocketAddress to, Ears ears, int timeoutMs) {
+        NioSocketChannel channel;
+        try {
+            channel = new NioSocketChannel();
+        } catch (ChannelException none) {
+            return null;
+        }
+        channel.config().setTcpNoDelay(true).setConnectTimeoutMillis(timeoutMs);
+        channel.pipeline().addLast(ears);
+        ChannelFuture registered = loop.register(channel);
+        return registered.isSuccess() ? channel.connect(to) : registered;
+    }
+
+    /** A door: each that comes gets a handler of its own; on the loop. Its channel is the future's. */
+    public static ChannelFuture listen(EventLoop loop, InetSocketAddress at, int backlog, WriteBufferWaterMark mark,
+            Supplier<Ears> each) {
+        NioServerSocketChannel door = new NioServerSocketChannel();
+        door.config().setBacklog(backlog).setReuseAddress(true);
+        door.pipeline().addLast(new Ears() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+                NioSocketChannel client = (NioSocketChannel) accepted;
+                client.config().setTcpNoDelay(true).setWriteBufferWaterMark(mark);
+                client.pipeline().addLast(each.get());
+                loop.register(client).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        client.unsafe().closeForcibly();
+                    }
+                });
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+                if (!(cause instanceof IOException)) {
+                    throw new Exception(cause);
+                }
+                // No descriptor was left: those who wait in line are let in a little later, not at once again.
+                Channel channel = ctx.channel();
+                if (channel.config().isAutoRead()) {
+                    channel.config().setAutoRead(false);
+                    loop.schedule(() -> channel.config().setAutoRead(true), 1, java.util.concurrent.TimeUnit.SECONDS);
+                }
+            }
+        });
+        ChannelFuture registered = loop.register(door);
+        return registered.isSuccess() ? door.bind(at) : registered;
+    }
+}
--- /dev/null
+++ b/src/test/java/dillfront/PaceTest.java
@@ -0,0 +1,94 @@
+package dillfront;
+
+import static dillfront.Scene.ms;
+
+import dillfront.pace.Pace;
+import java.io.IOException;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** A router that stands still for a while: what it makes of its own time, and what the module makes of it. */
+class PaceTest {
+
+    private final StringBuilder trace = new StringBuilder();
+    private final Pace pace = new Pace(ms(5), ms(250));
+
+    private void shows(String what, long at) {
+        Duration now = ms(at);
+        trace.append(String.format("%4d %-34s late %3d, in all %3d, newcomers %2d, a limit from 0 is %s\n", at, what,
+                pace.lag(now).toMillis(), pace.behind(now).toMillis(), pace.newcomers(now),
+                pace.believes(Duration.ZERO, now) ? "believed" : "looked at again"));
+    }
+
+    /** Guards against pauses that are seen only once the beat has come, after all that lay unread was judged. */
+    @Test
+    void anOverdueBeatTellsOfThePauseAtOnce() throws IOException {
+        pace.expect(ms(20));
+        shows("on time", 10);
+        shows("within the timer's grain", 24);
+        pace.came(ms(24));
+        pace.expect(ms(44));
+        shows("a beat later", 40);
+        shows("stopped for 300 ms, reads first", 344);
+        pace.came(ms(346));
+        pace.expect(ms(366));
+        shows("the beat has come", 346);
+        shows("on time again", 360);
+        pace.came(ms(366));
+        pace.expect(ms(386));
+        shows("and a beat later", 386);
+        pace.came(ms(386));
+        pace.expect(ms(700));
+        shows("a dial time-out later it is calm", 650);
+        trace.append("longest ").append(pace.longest().toMillis()).append(", then ").append(pace.longest().toMillis())
+                .append("; a turn of 4 ms takes more: ").append(pace.takesMore(ms(1), ms(5)))
+                .append(", of 5 ms: ").append(pace.takesMore(ms(1), ms(6))).append('\n');
+        Scene.compare("pace", trace);
+    }
+
+    /** Guards against a router that takes its own pause for the silence of all nodes, and for their slowness. */
+    @Test
+    void itsOwnPauseIsNoNodesFault() throws IOException {
+        for (boolean told : new boolean[] {false, true}) {
+            Scene s = new Scene(false).three();
+            for (int i = 0; i < 40; i++) {
+                s.to(s.ms + 30);
+                s.well(s.take(Scene.FRESH), 20);
+            }
+            int[] out = {s.take(Scene.FRESH), s.take(Scene.FRESH), s.take(Scene.FRESH)};
+            s.trace.setLength(0);
+            s.note((told ? "told of" : "not told of") + " a pause of 800 ms, with three txns out to the primary");
+            s.ms += 800;
+            s.decide.at(ms(s.ms));
+            if (told) {
+                s.decide.late(ms(780));
+            }
+            s.note("two more before any answer is read");
+            s.take(Scene.FRESH);
+            s.take(Scene.FRESH);
+            s.note("the answers");
+            for (int txn : out) {
+                s.well(txn, 800);
+            }
+            s.note("six more");
+            for (int i = 0; i < 6; i++) {
+                s.take(Scene.FRESH);
+            }
+            trace.append(s.trace);
+        }
+        Scene.compare("own-pause", trace);
+    }
+
+    /** Guards against work for a node that nobody waits for any more, since it lay in line at this router. */
+    @Test
+    void whatLayInLineTooLongIsDeclinedWithATimeToComeBack() throws IOException {
+        Scene s = new Scene(false).three();
+        for (int waited : new int[] {0, 15, 100, 280, 600}) {
+            s.note("waited " + waited + " ms of an SLA time of 400");
+            s.waited = ms(waited);
+            s.take(Scene.FRESH);
+            s.to(s.ms + 30);
+        }
+        Scene.compare("in-line", s.trace);
+    }
+}
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -45,6 +45,8 @@
     private long wakeAt = -1;
     final Decide decide;
     long ms;
+    /** In line at the router, before it is taken. */
+    Duration waited = Duration.ZERO;
     private final Map<Integer, Integer> at = new TreeMap<>();
 
     /** @param nodesRefuse nodes turn away reads that they are too far behind for */
@@ -140,7 +142,7 @@
         int id = txns.size();
         names.add(NAMES[type] + id);
         txns.add(null);
-        txns.set(id, decide.take(id, type, tenant, type == OWN || type == MOVE ? 3 : -1, 7, ms(expiry), token));
+        txns.set(id, decide.take(id, type, tenant, type == OWN || type == MOVE ? 3 : -1, 7, ms(expiry), token, waited));
         return id;
     }
 
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -567,18 +567,22 @@
             Socket other = another();
             client = other;
             say("another's startup", startup(), 1);
+            client = another();
+            Socket third = client;
+            say("a third's startup", startup(), 1);
             // In one turn: a txn is decided, then the loop stands still, then the txn would be sent.
             send(other, busy(200));
             Thread.sleep(50);
-            send(first, ask("any", "drained", 300));
+            send(first, ask("move", "drained", 900));
             Thread.sleep(10);
-            send(other, busy(500));
+            send(third, busy(500));
             Thread.sleep(300);
             told.add(drains());
             client = first;
             trace.append("a txn to a node that drains  ").append(hear(1)).append('\n');
             statementsSeen();
             other.close();
+            third.close();
         }
         counted("committed", "declined", "ended_unsent");
         Scene.compare("router-news-first", trace);
