--- a/src/main/java/dillfront/daemon/Signals.java
+++ b/src/main/java/dillfront/daemon/Signals.java
@@ -9,7 +9,6 @@
     private Signals() {}
 
     /** The type is no promise of the platform, and may go; a proxy round it costs 25 ms of every start. */
-    @SuppressWarnings("sunapi")
     public static void on(String name, Runnable run, Log log) {
         try {
             Signal.handle(new Signal(name), signal -> run.run());
--- a/src/main/java/dillfront/sockets/Ears.java
+++ b/src/main/java/dillfront/sockets/Ears.java
@@ -35,4 +35,9 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) { }
+
+    /** Netty's word against it is meant for handlers of what goes out. */
+    @Override
+    @SuppressWarnings("deprecation")
+    public abstract void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception;
 }
