--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -280,8 +280,8 @@
     }
 
     /**
-     * The caller itself was away for so long, and what nodes said meanwhile is only heard now. Guards against a
-     * router on part of a core that takes its own pause for the silence or the slowness of every node at once.
+     * The caller itself was away for so long, and what nodes said meanwhile is only heard now. Guards against
+     * a router on part of a core that takes its own pause for the silence of every node at once.
      */
     public void late(Duration by) {
         away = away.plus(by);
@@ -373,7 +373,7 @@
         }
         probeCredit = Math.min(nodes.size(), probeCredit + Math.min(1, PROBE_COST / set.probePrice()));
         t.group.spill = Math.min(SPILL_BURST, t.group.spill + (t.type.routed() ? SPILL : 0));
-        // Its time went by in line at this router, which has more to do than it can: no work for a node.
+        // Its time went by in line at this router, which has more to do than it can.
         boolean overdue = t.spare && waited.compareTo(beat) > 0;
         if (overdue || !submit(t)) {
             hold(t);
--- a/src/main/java/dillfront/sockets/Sockets.java
+++ b/src/main/java/dillfront/sockets/Sockets.java
@@ -14,7 +14,7 @@
 
 /**
  * Channels made by hand, on the one loop. Netty's bootstraps would copy themselves, look up names that are numbers here,
- * and load two hundred classes more at every start.
+ * and load classes for all that at every start.
  */
 public final class Sockets {
 
