--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -10,6 +10,7 @@
 import dillfront.port.Result;
 import dillfront.port.Role;
 import dillfront.port.Settings;
+import dillfront.port.Sight;
 import dillfront.port.Standing;
 import dillfront.port.TxnType;
 import java.time.Duration;
@@ -75,6 +76,9 @@
     /** A node with n submissions out is silent after the larger of these, in usual times. */
     private static final double SILENCE = 6;
     private static final double SILENCE_LEAST = 1.5;
+    /** Others doubt a node: its silence is believed after this part of that, and another is taken first. */
+    private static final double DOUBT = 0.5;
+    private static final double DOUBTED = 4;
     /** A node fails when its share of failures is this far above the fleet's median. */
     private static final double FAILING = 0.5;
     /** The part of its absence that a node's position may be behind if it was never down; of cold time. */
@@ -154,6 +158,8 @@
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
+        /** Others say that it is ill, and it has not answered since. */
+        boolean doubted;
         boolean lost;
         /** When it last answered anything, or came into the list. */
         Duration heardAt = NEVER;
@@ -169,6 +175,7 @@
         /** Between its last two sends. */
         Duration gap = Duration.ZERO;
         Duration answeredAt = Duration.ZERO;
+        Duration wellAt = NEVER;
         Duration cutAt = NEVER;
         Duration tryAt = NEVER;
         int trials = 1;
@@ -536,7 +543,7 @@
 
     /** What is spare takes room only where there is plenty, and is never held. */
     private double room(Node n, Txn t) {
-        return t.spare ? n.room * SPARE_ROOM : n.room;
+        return t.spare ? n.room * SPARE_ROOM : n.doubted ? n.room * DOUBT : n.room;
     }
 
     private void hold(Txn t) {
@@ -707,7 +714,7 @@
      * that has nothing out knows no order among its replicas, and many such must not all choose the same.
      */
     private double busy(Node n, double others) {
-        return (n.out + others) / n.size * n.pace * (n.far ? FAR : 1);
+        return (n.out + others) / n.size * n.pace * (n.far ? FAR : 1) * (n.doubted ? DOUBTED : 1);
     }
 
     private boolean listed(Node n) {
@@ -806,6 +813,8 @@
         if (!bad && result != Result.FULL) {
             n.quiet = now;
             n.silent = false;
+            n.doubted = false;
+            n.wellAt = now;
         } else if (result == Result.FULL && since > 1) {
             n.silent = true;
         }
@@ -875,12 +884,31 @@
     /** Silence is judged by how much is out: the more, the sooner an answer should have come. */
     private boolean trusted(Node n) {
         if (!n.silent && n.out > 0) {
-            double wait = Math.max(SILENCE_LEAST, SILENCE / n.out);
-            n.silent = now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
+            n.silent = mute(n, n.doubted ? DOUBT : 1);
         }
         return !n.silent && !failing(n);
     }
 
+    private boolean mute(Node n, double part) {
+        double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.out)) * part;
+        return now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
+    }
+
+    /** What others say of a node is worth a doubt, by dillfront.gossip; or no longer. */
+    public void doubted(int node, boolean doubted) {
+        nodes.get(node).doubted = doubted;
+    }
+
+    /** Others' doubt makes silence suspect sooner; it goes not back to them as this router's evidence. */
+    public Sight sees(int node) {
+        Node n = nodes.get(node);
+        boolean silent = !trusted(n) && n.silent && (n.out == 0 || mute(n, 1));
+        boolean lately = n.wellAt.plus(times(slowest(), PATIENCE)).compareTo(now) > 0;
+        return new Sight(n.lost ? Sight.Health.LOST : failing(n) ? Sight.Health.FAILING
+                : silent ? Sight.Health.SILENT : lately && !n.silent ? Sight.Health.WELL
+                : Sight.Health.UNKNOWN, n.wellAt, n.out);
+    }
+
     private Duration slowest() {
         Duration most = Duration.ZERO;
         for (Type t : types) {
--- /dev/null
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -0,0 +1,408 @@
+package dillfront.gossip;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * What one instance says to others and when: probes, direct and by others' help; words that spread along with them; a new
+ * claim pushed on at once; and tables evened out, also with those held gone, so that a healed partition finds itself.
+ * All within a budget of bytes that does not depend on how many instances there are.
+ *
+ * <p>The caller sets the clocks with at(), calls woken() a few times a period, and tells what came; what goes out leaves by
+ * the Post during the call. Same calls, same seed: same datagrams.
+ */
+public final class Gossip {
+
+    /** An ack is awaited for this part of a period before others are asked for help; the rest is theirs. */
+    private static final double ACK = 0.3;
+    private static final int HELPERS = 3;
+    /** A new claim is pushed to so many at once, by its origin and by each that hears it first. */
+    private static final int FAN = 4;
+    /** Tables are evened out once in so many periods, and one time in so many with one that is held gone. */
+    private static final int EVEN = 5;
+    private static final int EVEN_GONE = 3;
+    /** A longer gap between two calls of woken(), in periods, is this instance's own absence. */
+    private static final double AWAY = 0.5;
+    private static final int WORDS = 6;
+    private static final int WORDS_PUSHED = 4;
+    private static final int TABLE = 8;
+    /** Pings of others that are answered or passed on, a period; above that of a usual load by far. */
+    private static final int ANSWERED = 16;
+    /** Pings that are passed on for others at the same time. */
+    private static final int PASSED = 64;
+    /** Of each origin so many claims are remembered. */
+    private static final int CLAIMS = 32;
+
+    private static final class Passed {
+        final int to;
+        final int number;
+        final Duration at;
+
+        Passed(int to, int number, Duration at) {
+            this.to = to;
+            this.number = number;
+            this.at = at;
+        }
+    }
+
+    private final Tuning tuning;
+    private final int self;
+    private final Post post;
+    private final RandomGenerator chance;
+    private final Members members;
+    private final Rumours rumours = new Rumours();
+    private final Budget budget;
+    /** By origin: its last words on nodes. A row holds CLAIMS at the most, the longest unheard leaves first. */
+    private final Map<Integer, Map<Long, Word>> claims = new LinkedHashMap<>();
+    private final Map<Integer, Passed> passed = new LinkedHashMap<>();
+    private Duration now = Duration.ZERO;
+    private Duration unix = Duration.ZERO;
+    private Duration wokenAt;
+    private Duration probeAt = Duration.ZERO;
+    private int incarnation;
+    private Duration raisedAt;
+    private int number;
+    private int probe;
+    private int probed = -1;
+    private Duration probedAt = Duration.ZERO;
+    private boolean helped;
+    private boolean answered;
+    private int periods;
+    private int taken;
+    private boolean leaving;
+    private Word alive;
+
+    /**
+     * @param instances how many may speak; indices run below it
+     * @param incarnation where to begin: above any that this instance may have had, if it is known
+     */
+    public Gossip(Tuning tuning, int instances, int self, int incarnation, Post post, RandomGenerator chance) {
+        this.tuning = tuning;
+        this.self = self;
+        this.incarnation = incarnation;
+        this.post = post;
+        this.chance = chance;
+        members = new Members(instances, self, tuning.period(), chance);
+        budget = new Budget(tuning.bytesPerSecond());
+    }
+
+    /**
+     * @param clock since the start, never back
+     * @param here Unix time, which others' clocks only resemble
+     */
+    public void at(Duration clock, Duration here) {
+        now = clock;
+        unix = here;
+    }
+
+    public Members members() {
+        return members;
+    }
+
+    public Budget budget() {
+        return budget;
+    }
+
+    public int incarnation() {
+        return incarnation;
+    }
+
+    /** Words that still wait to be sent on. */
+    public int spreading() {
+        return rumours.size();
+    }
+
+    /** Words that gave way to newer ones before they were sent often enough. */
+    public long crowdedOut() {
+        return rumours.dropped();
+    }
+
+    // ---- what this instance says of itself
+
+    /** Asks those named in the operator's file for their tables. */
+    public void join(List<Integer> seeds) {
+        announce();
+        for (int seed : seeds) {
+            if (seed != self) {
+                push(seed, true, List.of(alive), Budget.Use.PROBE);
+            }
+        }
+    }
+
+    /** On purpose: nobody needs to suspect it. */
+    public void leave() {
+        leaving = true;
+        Word word = own(Kind.LEAVING, self, 0, 0, Duration.ZERO);
+        rumours.add(word);
+        for (int peer : members.some(FAN, -1)) {
+            push(peer, false, List.of(word), Budget.Use.PROBE);
+        }
+    }
+
+    /** Claims what this instance saw of a node itself. */
+    public void claim(long node, Symptom symptom, int evidence, Duration since) {
+        Word word = own(Kind.CLAIM, node, symptom.ordinal(), evidence, since);
+        rumours.add(word);
+        spread(-1);
+    }
+
+    private Word own(Kind kind, long subject, int detail, int evidence, Duration since) {
+        return post.seal(Word.of(self, incarnation, ++number, kind, subject, detail, evidence, since, unix));
+    }
+
+    private void announce() {
+        alive = own(Kind.ALIVE, self, 0, 0, Duration.ZERO);
+        members.row(self).alive = alive;
+        members.row(self).incarnation = incarnation;
+        rumours.add(alive);
+    }
+
+    /** Once a period at the most: guards against accusations that make this instance flood others with answers. */
+    private void raise(int above) {
+        if (raisedAt != null && now.minus(raisedAt).compareTo(tuning.period()) < 0 && above < incarnation + 1) {
+            return;
+        }
+        raisedAt = now;
+        incarnation = above + 1;
+        number = 0;
+        announce();
+    }
+
+    // ---- what others say
+
+    /** Each datagram, before its words: its sender signed it just now, so it is there. */
+    public void from(int peer, int itsIncarnation) {
+        Word accusation = members.row(peer).accusation;
+        boolean gone = members.state(peer) == Members.State.GONE;
+        if (gone && itsIncarnation == members.incarnation(peer) && accusation != null) {
+            // It has to speak up itself, so that all who hold it gone hear of it.
+            push(peer, false, List.of(accusation), Budget.Use.PROBE);
+        }
+        if (members.state(peer) != Members.State.LEFT || itsIncarnation > members.incarnation(peer)) {
+            members.there(peer, itsIncarnation, null, now);
+        }
+    }
+
+    public void pinged(int from, int its) {
+        if (taken++ < ANSWERED) {
+            send(from, Budget.Use.PROBE, words -> post.ack(from, its, words));
+        }
+    }
+
+    /** Someone gets no ack of another instance. */
+    public void asked(int from, int about, int its) {
+        if (taken++ >= ANSWERED || passed.size() >= PASSED || about == self) {
+            return;
+        }
+        int mine = ++probe;
+        passed.put(mine, new Passed(from, its, now));
+        send(about, Budget.Use.PROBE, words -> post.ping(about, mine, words));
+    }
+
+    public void acked(int from, int its) {
+        if (its == probe && !answered && probed >= 0) {
+            answered = true;
+            members.better();
+        }
+        Passed on = passed.remove(its);
+        if (on != null) {
+            send(on.to, Budget.Use.PROBE, words -> post.ack(on.to, on.number, words));
+        }
+    }
+
+    /** Its words have been told already; it wants some back. */
+    public void swapped(int from) {
+        if (taken++ < ANSWERED) {
+            push(from, false, table(), Budget.Use.TABLES);
+        }
+    }
+
+    /**
+     * One word, whoever passed it on; its signature has been found right.
+     *
+     * @param from who passed it on
+     */
+    public void word(Word word, int from) {
+        switch (word.kind()) {
+            case ALIVE -> {
+                if (word.origin() == self) {
+                    // Of a former life that is not remembered here, or a replay of it.
+                    if (word.incarnation() > incarnation) {
+                        raise(word.incarnation());
+                    }
+                } else if (members.state(word.origin()) != Members.State.LEFT
+                        || word.incarnation() > members.incarnation(word.origin())) {
+                    boolean had = members.row(word.origin()).alive != null;
+                    if (members.there(word.origin(), word.incarnation(), word, now) || !had) {
+                        rumours.drop(Kind.SILENT, word.origin());
+                        rumours.add(word);
+                    }
+                }
+            }
+            case LEAVING -> {
+                if (word.origin() != self && members.present(word.origin())
+                        && word.incarnation() >= members.incarnation(word.origin())) {
+                    members.left(word.origin(), word.incarnation(), now);
+                    rumours.add(word);
+                }
+            }
+            case SILENT -> {
+                int subject = (int) word.subject();
+                if (subject == self) {
+                    if (word.detail() == incarnation && !leaving) {
+                        members.worse(1);
+                        raise(incarnation);
+                    }
+                } else if (members.accused(subject, word.detail(), word.origin(), null, now)) {
+                    rumours.add(word);
+                }
+            }
+            default -> claimed(word, from);
+        }
+    }
+
+    private void claimed(Word word, int from) {
+        if (word.origin() == self) {
+            return;
+        }
+        Map<Long, Word> its = claims.computeIfAbsent(word.origin(), k -> new LinkedHashMap<>());
+        Word had = its.get(word.subject());
+        if (had != null && !word.replaces(had)) {
+            return;
+        }
+        its.remove(word.subject());
+        its.put(word.subject(), word);
+        if (its.size() > CLAIMS) {
+            its.remove(its.keySet().iterator().next());
+        }
+        post.claimed(word);
+    }
+
+    /** What is worth passing on, the one who hears it decides: a claim that adds nothing to others' spreads no further. */
+    public void passOn(Word word, int from) {
+        rumours.add(word);
+        spread(from);
+    }
+
+    // ---- the clock
+
+    public void woken() {
+        if (wokenAt != null) {
+            Duration gap = now.minus(wokenAt);
+            Duration most = times(tuning.period(), AWAY);
+            if (gap.compareTo(most) > 0) {
+                // Guards against a router that was stopped and then holds all others for silent.
+                Duration away = gap.minus(most);
+                members.away(away);
+                members.worse(2);
+                probeAt = probeAt.plus(away);
+                answered = true;
+            }
+        }
+        wokenAt = now;
+        members.condemn(now);
+        passed.values().removeIf(p -> now.minus(p.at).compareTo(tuning.period()) > 0);
+        Duration ack = members.patient(times(tuning.period(), ACK));
+        if (probed >= 0 && !answered && !helped && now.minus(probedAt).compareTo(ack) > 0) {
+            helped = true;
+            int about = probed;
+            int its = probe;
+            for (int peer : members.some(HELPERS, about)) {
+                send(peer, Budget.Use.PROBE, words -> post.ask(peer, about, its, words));
+            }
+        }
+        if (now.compareTo(probeAt) >= 0 && !leaving) {
+            period();
+        }
+    }
+
+    private void period() {
+        if (probed >= 0 && !answered) {
+            members.worse(1);
+            int incarnationOf = members.incarnation(probed);
+            if (members.present(probed)) {
+                Word word = own(Kind.SILENT, probed, incarnationOf, 0, Duration.ZERO);
+                if (members.accused(probed, incarnationOf, self, word, now)) {
+                    rumours.add(word);
+                }
+            }
+        }
+        taken = 0;
+        // Not all at the same moment, whoever started together.
+        double spread = 0.9 + 0.2 * chance.nextDouble();
+        probeAt = now.plus(times(members.patient(tuning.period()), spread));
+        probed = members.next();
+        answered = false;
+        helped = false;
+        probedAt = now;
+        if (probed >= 0) {
+            int its = ++probe;
+            int to = probed;
+            Word accusation = members.row(to).accusation;
+            if (accusation != null) {
+                rumours.add(accusation);
+            }
+            send(to, Budget.Use.PROBE, words -> post.ping(to, its, words));
+        }
+        if (++periods % EVEN == 0) {
+            int gone = periods / EVEN % EVEN_GONE == 0 ? members.goneOne() : -1;
+            List<Integer> one = gone >= 0 ? List.of(gone) : members.some(1, -1);
+            for (int to : one) {
+                push(to, true, table(), Budget.Use.TABLES);
+            }
+        }
+    }
+
+    // ---- sends
+
+    private interface Sender {
+        void send(List<Word> words);
+    }
+
+    private List<Word> table() {
+        List<Word> words = new ArrayList<>();
+        words.add(alive);
+        words.addAll(members.slice(TABLE - 1));
+        return words;
+    }
+
+    /** With as many spreading words as the budget and the datagram allow. */
+    private void send(int to, Budget.Use use, Sender sender) {
+        List<Word> words = rumours.next(WORDS, members.there());
+        while (post.bytes(words) > tuning.datagram()) {
+            words = words.subList(0, words.size() - 1);
+        }
+        if (budget.takes(post.bytes(words), Budget.Use.WORDS, now)) {
+            sender.send(words);
+        } else if (budget.takes(post.bytes(List.of()), use, now)) {
+            sender.send(List.of());
+        }
+    }
+
+    private void spread(int but) {
+        for (int peer : members.some(FAN, but)) {
+            List<Word> words = rumours.next(WORDS_PUSHED, members.there());
+            if (!words.isEmpty()) {
+                push(peer, false, words, Budget.Use.WORDS);
+            }
+        }
+    }
+
+    private void push(int to, boolean swap, List<Word> words, Budget.Use use) {
+        List<Word> fit = words;
+        while (post.bytes(fit) > tuning.datagram()) {
+            fit = fit.subList(0, fit.size() - 1);
+        }
+        if (budget.takes(post.bytes(fit), use, now)) {
+            post.push(to, swap, fit);
+        }
+    }
+
+    private static Duration times(Duration span, double by) {
+        return Duration.ofNanos((long) (span.toNanos() * by));
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/port/Sight.java
@@ -0,0 +1,19 @@
+package dillfront.port;
+
+import java.time.Duration;
+
+/**
+ * What this router itself knows of a node's health; nothing in it comes from others.
+ *
+ * @param wellAt when a submission there last got an answer that was no refusal for want of room
+ * @param evidence how many submissions tell of it now; zero where only what is past does
+ */
+public record Sight(Health health, Duration wellAt, int evidence) {
+
+    /** UNKNOWN is neither: too little was sent there of late. */
+    public enum Health { WELL, UNKNOWN, SILENT, FAILING, LOST }
+
+    public boolean ill() {
+        return health != Health.WELL && health != Health.UNKNOWN;
+    }
+}
