--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -76,9 +76,11 @@
     /** A node with n submissions out is silent after the larger of these, in usual times. */
     private static final double SILENCE = 6;
     private static final double SILENCE_LEAST = 1.5;
-    /** Others doubt a node: its silence is believed after this part of that, and another is taken first. */
+    /** Others doubt a node: its silence is believed after this part of that, and others are taken first. */
     private static final double DOUBT = 0.5;
     private static final double DOUBTED = 4;
+    /** Silence that is told to others has lasted longer: a false alarm costs them more than this router. */
+    private static final double TOLD = 2;
     /** A node fails when its share of failures is this far above the fleet's median. */
     private static final double FAILING = 0.5;
     /** The part of its absence that a node's position may be behind if it was never down; of cold time. */
@@ -543,7 +545,7 @@
 
     /** What is spare takes room only where there is plenty, and is never held. */
     private double room(Node n, Txn t) {
-        return t.spare ? n.room * SPARE_ROOM : n.doubted ? n.room * DOUBT : n.room;
+        return t.spare ? n.room * SPARE_ROOM : n.room;
     }
 
     private void hold(Txn t) {
@@ -610,7 +612,7 @@
         t.submissions++;
         t.sentAt = now;
         t.sentAway = away;
-        if (trusted(n)) {
+        if (trusted(n) && !n.doubted) {
             n.trials = 1;
         } else {
             // By chance, so that routers do not all try a node that comes back at the same moment.
@@ -732,7 +734,7 @@
         if (cold(n) && n.coldCredit < 1) {
             return false;
         }
-        if (!trusted(n)) {
+        if (!trusted(n) || n.doubted) {
             return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
@@ -894,19 +896,32 @@
         return now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
     }
 
-    /** What others say of a node is worth a doubt, by dillfront.gossip; or no longer. */
+    /**
+     * What others say of a node is worth a doubt, by dillfront.gossip; or no longer. It gets one txn to try,
+     * after a dial time-out or two, and its own answer then ends the doubt.
+     */
     public void doubted(int node, boolean doubted) {
-        nodes.get(node).doubted = doubted;
+        Node n = nodes.get(node);
+        if (doubted && !n.doubted) {
+            n.tryAt = later(n.tryAt, now.plus(times(set.dial(), 1 + chance.nextDouble())));
+        }
+        n.doubted = doubted;
+    }
+
+    /** Others have had its answers again: worth a try before its time, each router at a moment of its own. */
+    public void better(int node) {
+        Node n = nodes.get(node);
+        n.tryAt = earlier(n.tryAt, now.plus(times(set.dial(), chance.nextDouble())));
     }
 
     /** Others' doubt makes silence suspect sooner; it goes not back to them as this router's evidence. */
     public Sight sees(int node) {
         Node n = nodes.get(node);
-        boolean silent = !trusted(n) && n.silent && (n.out == 0 || mute(n, 1));
+        boolean silent = !trusted(n) && n.silent && (n.out == 0 || mute(n, TOLD));
         boolean lately = n.wellAt.plus(times(slowest(), PATIENCE)).compareTo(now) > 0;
         return new Sight(n.lost ? Sight.Health.LOST : failing(n) ? Sight.Health.FAILING
                 : silent ? Sight.Health.SILENT : lately && !n.silent ? Sight.Health.WELL
-                : Sight.Health.UNKNOWN, n.wellAt, n.out);
+                : Sight.Health.UNKNOWN, n.wellAt, n.out > 0 && mute(n, TOLD) ? n.out : 0);
     }
 
     private Duration slowest() {
--- a/src/main/java/dillfront/gossip/Budget.java
+++ b/src/main/java/dillfront/gossip/Budget.java
@@ -12,7 +12,8 @@
     /** Full after so many seconds of silence: a burst spreads a new claim at once. */
     private static final double FULL = 3;
     /** Parts of the full bucket that stay for what matters more. */
-    private static final double LEFT_BY_WORDS = 0.15;
+    private static final double LEFT_BY_CLAIMS = 0.05;
+    private static final double LEFT_BY_WORDS = 0.3;
     private static final double LEFT_BY_TABLES = 0.6;
 
     private final double rate;
@@ -28,7 +29,7 @@
 
     /** What a send is for. */
     enum Use {
-        PROBE(0), WORDS(LEFT_BY_WORDS), TABLES(LEFT_BY_TABLES);
+        PROBE(0), CLAIMS(LEFT_BY_CLAIMS), WORDS(LEFT_BY_WORDS), TABLES(LEFT_BY_TABLES);
 
         private final double left;
 
--- a/src/main/java/dillfront/gossip/Gossip.java
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -22,9 +22,9 @@
     private static final int HELPERS = 3;
     /** A new claim is pushed to so many at once, by its origin and by each that hears it first. */
     private static final int FAN = 4;
-    /** Tables are evened out once in so many periods, and one time in so many with one that is held gone. */
+    /** Tables are evened out once in so many periods. */
     private static final int EVEN = 5;
-    private static final int EVEN_GONE = 3;
+    private static final double KNOWN = 0.9;
     /** A longer gap between two calls of woken(), in periods, is this instance's own absence. */
     private static final double AWAY = 0.5;
     private static final int WORDS = 6;
@@ -73,6 +73,9 @@
     private boolean answered;
     private int periods;
     private int taken;
+    private int heard;
+    private final Skew skew;
+    private long outOfTime;
     private boolean leaving;
     private Word alive;
 
@@ -88,6 +91,7 @@
         this.chance = chance;
         members = new Members(instances, self, tuning.period(), chance);
         budget = new Budget(tuning.bytesPerSecond());
+        skew = new Skew(instances);
     }
 
     /**
@@ -121,6 +125,11 @@
         return rumours.dropped();
     }
 
+    /** Claims that were over when they came, or whose origin's clock is too far from this one's. */
+    public long outOfTime() {
+        return outOfTime;
+    }
+
     // ---- what this instance says of itself
 
     /** Asks those named in the operator's file for their tables. */
@@ -176,12 +185,18 @@
 
     /** Each datagram, before its words: its sender signed it just now, so it is there. */
     public void from(int peer, int itsIncarnation) {
+        heard++;
         Word accusation = members.row(peer).accusation;
         boolean gone = members.state(peer) == Members.State.GONE;
         if (gone && itsIncarnation == members.incarnation(peer) && accusation != null) {
             // It has to speak up itself, so that all who hold it gone hear of it.
             push(peer, false, List.of(accusation), Budget.Use.PROBE);
         }
+        Word former = members.row(peer).alive;
+        if (itsIncarnation < members.incarnation(peer) && former != null && taken++ < ANSWERED) {
+            // Started anew, and has forgotten how far it was.
+            push(peer, false, List.of(former), Budget.Use.PROBE);
+        }
         if (members.state(peer) != Members.State.LEFT || itsIncarnation > members.incarnation(peer)) {
             members.there(peer, itsIncarnation, null, now);
         }
@@ -236,10 +251,11 @@
                     }
                 } else if (members.state(word.origin()) != Members.State.LEFT
                         || word.incarnation() > members.incarnation(word.origin())) {
-                    boolean had = members.row(word.origin()).alive != null;
-                    if (members.there(word.origin(), word.incarnation(), word, now) || !had) {
+                    if (members.there(word.origin(), word.incarnation(), word, now)) {
                         rumours.drop(Kind.SILENT, word.origin());
                         rumours.add(word);
+                    } else {
+                        rumours.heardAgain(word);
                     }
                 }
             }
@@ -257,8 +273,14 @@
                         members.worse(1);
                         raise(incarnation);
                     }
-                } else if (members.accused(subject, word.detail(), word.origin(), null, now)) {
+                    if (!leaving && taken++ < ANSWERED) {
+                        // Who told it is the way to all who hold this instance gone.
+                        push(from, false, List.of(alive), Budget.Use.PROBE);
+                    }
+                } else if (members.accused(subject, word.detail(), word.origin(), word, now)) {
                     rumours.add(word);
+                } else {
+                    rumours.heardAgain(word);
                 }
             }
             default -> claimed(word, from);
@@ -269,9 +291,15 @@
         if (word.origin() == self) {
             return;
         }
+        Duration age = skew.age(word.origin(), word.said(), unix);
+        if (age.isNegative() || age.compareTo(tuning.lasts()) >= 0) {
+            outOfTime++;
+            return;
+        }
         Map<Long, Word> its = claims.computeIfAbsent(word.origin(), k -> new LinkedHashMap<>());
         Word had = its.get(word.subject());
         if (had != null && !word.replaces(had)) {
+            rumours.heardAgain(word);
             return;
         }
         its.remove(word.subject());
@@ -279,7 +307,7 @@
         if (its.size() > CLAIMS) {
             its.remove(its.keySet().iterator().next());
         }
-        post.claimed(word);
+        post.claimed(word, age);
     }
 
     /** What is worth passing on, the one who hears it decides: a claim that adds nothing to others' spreads no further. */
@@ -318,11 +346,18 @@
         if (now.compareTo(probeAt) >= 0 && !leaving) {
             period();
         }
+        // More to tell than probes carry: by datagrams of its own, as far as the budget allows.
+        if (rumours.size() > 2 * WORDS) {
+            for (int to : members.some(1, -1)) {
+                push(to, false, rumours.next(TABLE), Budget.Use.WORDS);
+            }
+        }
     }
 
     private void period() {
         if (probed >= 0 && !answered) {
-            members.worse(1);
+            // Guards against illness by the death of others: who hears anyone at all hears well.
+            members.worse(heard == 0 ? 1 : 0);
             int incarnationOf = members.incarnation(probed);
             if (members.present(probed)) {
                 Word word = own(Kind.SILENT, probed, incarnationOf, 0, Duration.ZERO);
@@ -332,6 +367,7 @@
             }
         }
         taken = 0;
+        heard = 0;
         // Not all at the same moment, whoever started together.
         double spread = 0.9 + 0.2 * chance.nextDouble();
         probeAt = now.plus(times(members.patient(tuning.period()), spread));
@@ -348,13 +384,19 @@
             }
             send(to, Budget.Use.PROBE, words -> post.ping(to, its, words));
         }
-        if (++periods % EVEN == 0) {
-            int gone = periods / EVEN % EVEN_GONE == 0 ? members.goneOne() : -1;
-            List<Integer> one = gone >= 0 ? List.of(gone) : members.some(1, -1);
-            for (int to : one) {
+        // A table that lacks many is evened out in each period, as far as the budget allows.
+        int every = members.there() < KNOWN * members.instances() ? 1 : EVEN;
+        if (++periods % every == 0) {
+            for (int to : members.some(1, -1)) {
                 push(to, true, table(), Budget.Use.TABLES);
             }
         }
+        // As often as one that is gone would be met by chance among all: after a parting each side meets the other soon.
+        if (chance.nextDouble() * (members.there() + members.gone()) < members.gone()) {
+            int gone = members.goneOne();
+            Word accusation = members.row(gone).accusation;
+            push(gone, true, accusation == null ? List.of(alive) : List.of(alive, accusation), Budget.Use.WORDS);
+        }
     }
 
     // ---- sends
@@ -372,11 +414,12 @@
 
     /** With as many spreading words as the budget and the datagram allow. */
     private void send(int to, Budget.Use use, Sender sender) {
-        List<Word> words = rumours.next(WORDS, members.there());
+        List<Word> words = rumours.next(WORDS);
         while (post.bytes(words) > tuning.datagram()) {
             words = words.subList(0, words.size() - 1);
         }
         if (budget.takes(post.bytes(words), Budget.Use.WORDS, now)) {
+            rumours.sent(words, members.there());
             sender.send(words);
         } else if (budget.takes(post.bytes(List.of()), use, now)) {
             sender.send(List.of());
@@ -385,9 +428,9 @@
 
     private void spread(int but) {
         for (int peer : members.some(FAN, but)) {
-            List<Word> words = rumours.next(WORDS_PUSHED, members.there());
+            List<Word> words = rumours.claims(WORDS_PUSHED);
             if (!words.isEmpty()) {
-                push(peer, false, words, Budget.Use.WORDS);
+                push(peer, false, words, Budget.Use.CLAIMS);
             }
         }
     }
@@ -398,6 +441,7 @@
             fit = fit.subList(0, fit.size() - 1);
         }
         if (budget.takes(post.bytes(fit), use, now)) {
+            rumours.sent(fit, members.there());
             post.push(to, swap, fit);
         }
     }
--- a/src/main/java/dillfront/gossip/Hearsay.java
+++ b/src/main/java/dillfront/gossip/Hearsay.java
@@ -57,6 +57,8 @@
 
     private static final class Row {
         final List<Claim> claims = new ArrayList<>();
+        /** Those who claimed it ill and have taken that back, for as long as a claim stands. */
+        final List<Claim> back = new ArrayList<>();
         Duration wellAt = Duration.ofSeconds(-1);
         boolean ill;
     }
@@ -128,6 +130,8 @@
         if (symptom == Symptom.WELL) {
             if (claim != null) {
                 drop(row, claim);
+                claim.said = said;
+                row.back.add(claim);
             }
             return claim != null;
         }
@@ -139,6 +143,7 @@
             if (row.claims.size() >= most && !crowdsOut(row, peer)) {
                 return false;
             }
+            row.back.removeIf(c -> c.peer == peer);
             claim = new Claim(peer);
             row.claims.add(claim);
             claiming[peer]++;
@@ -173,6 +178,7 @@
 
     /** Claims on a node against what this router knows of it: the only way in which credit changes. */
     private void judge(Row row) {
+        row.back.removeIf(c -> c.said.plus(lasts).compareTo(now) <= 0);
         if (row.claims.isEmpty()) {
             return;
         }
@@ -208,6 +214,7 @@
 
     /** Honest instances see nodes each for itself, and are seldom wrong on the same one twice. */
     private void wrongTogether(int a, int b) {
+        apartAt = together.isEmpty() ? now.plus(lasts.multipliedBy(TOGETHER_FOR)) : apartAt;
         long pair = (long) Math.min(a, b) * voice.length + Math.max(a, b);
         int times = together.getOrDefault(pair, 0) + 1;
         together.remove(pair);
@@ -230,14 +237,22 @@
         if (node >= rows.size() || rows.get(node).claims.isEmpty() || rows.get(node).ill) {
             return false;
         }
-        return weight(rows.get(node)) >= CARRIES;
+        return weight(rows.get(node).claims) >= CARRIES && !better(node);
     }
 
-    private double weight(Row row) {
-        double[] voices = new double[row.claims.size()];
+    /**
+     * Whether enough of those who claimed it ill have had an answer of it since. Worth a try sooner where this router
+     * still waits to try it; and no more than that.
+     */
+    public boolean better(int node) {
+        return node < rows.size() && !rows.get(node).back.isEmpty() && weight(rows.get(node).back) >= CARRIES;
+    }
+
+    private double weight(List<Claim> claims) {
+        double[] voices = new double[claims.size()];
         int[] whose = new int[voices.length];
         int n = 0;
-        for (Claim c : row.claims) {
+        for (Claim c : claims) {
             boolean cutOff = claiming[c.peer] > 1 && claiming[c.peer] > CUT_OFF * known;
             double counts = cutOff || credit[c.peer] < HEARD ? 0 : credit[c.peer];
             int at = 0;
@@ -294,6 +309,11 @@
         return credit[peer];
     }
 
+    /** Whether one more claim would add nothing: so many stand that even without the liars' share they carry. */
+    public boolean enough(int node) {
+        return claims(node) >= most;
+    }
+
     /** How many claims stand on a node now. */
     public int claims(int node) {
         return node < rows.size() ? rows.get(node).claims.size() : 0;
--- a/src/main/java/dillfront/gossip/Members.java
+++ b/src/main/java/dillfront/gossip/Members.java
@@ -38,7 +38,7 @@
         Duration since = Duration.ZERO;
         /** Of a suspicion: who accuses, each once. Null where there is none. */
         int[] accusers;
-        /** The own accusation, to be told to the accused. */
+        /** An accusation, to be told to the accused. */
         Word accusation;
     }
 
@@ -46,6 +46,7 @@
     private final int self;
     private final Duration period;
     private int there = 1;
+    private int gone;
     private int ill;
     private final List<Integer> suspects = new ArrayList<>();
     /** The order of probing: all that are there, mixed anew after each round. */
@@ -82,6 +83,16 @@
         return there;
     }
 
+    /** How many are held gone. */
+    public int gone() {
+        return gone;
+    }
+
+    /** How many may speak. */
+    int instances() {
+        return peers.length;
+    }
+
     /** How ill this instance holds itself: zero is well. */
     public int ill() {
         return ill;
@@ -104,22 +115,27 @@
         ill = Math.max(0, ill - 1);
     }
 
-    /** It has said so itself, or just spoken. False where nothing changed. */
+    /**
+     * It has said so itself, by a word that others passed on, or it has just spoken, where no word is given. A word of an
+     * incarnation that was accused since changes nothing: guards against the gone that come back with others' tables.
+     *
+     * @return whether anything changed
+     */
     boolean there(int peer, int incarnation, Word alive, Duration now) {
         Peer p = row(peer);
         if (incarnation < p.incarnation || peer == self) {
             return false;
         }
         boolean newer = incarnation > p.incarnation;
-        boolean changed = newer || p.state != State.ALIVE;
-        if (alive != null && (p.alive == null || newer)) {
-            p.alive = alive;
-        }
+        // Its own datagram may have come before the word that others still lack.
+        boolean news = alive != null && (p.alive == null || incarnation > p.alive.incarnation());
+        boolean changed = newer || p.state == State.UNKNOWN || alive == null && p.state != State.ALIVE;
+        p.alive = news ? alive : p.alive;
         p.incarnation = incarnation;
         if (changed) {
             enter(p, peer, State.ALIVE, now);
         }
-        return changed;
+        return changed || news;
     }
 
     void left(int peer, int incarnation, Duration now) {
@@ -136,7 +152,7 @@
      *
      * @return whether that was new
      */
-    boolean accused(int peer, int incarnation, int by, Word own, Duration now) {
+    boolean accused(int peer, int incarnation, int by, Word word, Duration now) {
         Peer p = row(peer);
         if (incarnation != p.incarnation || p.state != State.ALIVE && p.state != State.SUSPECT) {
             return false;
@@ -157,7 +173,7 @@
             p.accusers = Arrays.copyOf(p.accusers, p.accusers.length + 1);
             p.accusers[p.accusers.length - 1] = by;
         }
-        p.accusation = own != null ? own : p.accusation;
+        p.accusation = word;
         return true;
     }
 
@@ -191,6 +207,7 @@
         boolean was = p.state == State.ALIVE || p.state == State.SUSPECT;
         boolean is = state == State.ALIVE || state == State.SUSPECT;
         there += (is ? 1 : 0) - (was ? 1 : 0);
+        gone += (state == State.GONE ? 1 : 0) - (p.state == State.GONE ? 1 : 0);
         if (p.state == State.SUSPECT) {
             suspects.remove((Integer) peer);
             p.accusers = null;
@@ -222,7 +239,8 @@
         return round.isEmpty() ? -1 : round.remove(round.size() - 1);
     }
 
-    boolean present(int peer) {
+    /** It is there, or only suspected not to be. */
+    public boolean present(int peer) {
         State state = state(peer);
         return state == State.ALIVE || state == State.SUSPECT;
     }
--- a/src/main/java/dillfront/gossip/Post.java
+++ b/src/main/java/dillfront/gossip/Post.java
@@ -1,5 +1,6 @@
 package dillfront.gossip;
 
+import java.time.Duration;
 import java.util.List;
 
 /** Where the decisions of gossip leave: each call is one datagram at the most, and may be lost. */
@@ -21,6 +22,10 @@
     /** Bytes on the wire, IP and UDP headers included, of a datagram with these words. */
     int bytes(List<Word> words);
 
-    /** A claim that is new here, of another instance. */
-    void claimed(Word claim);
+    /**
+     * A claim that is new here, of another instance.
+     *
+     * @param age for how long it has been on its way
+     */
+    void claimed(Word claim, Duration age);
 }
--- a/src/main/java/dillfront/gossip/Tuning.java
+++ b/src/main/java/dillfront/gossip/Tuning.java
@@ -13,5 +13,5 @@
  */
 public record Tuning(Duration period, int bytesPerSecond, int datagram, int liars, Duration lasts) {
 
-    public static final Tuning USUAL = new Tuning(Duration.ofSeconds(1), 3000, 1200, 2, Duration.ofSeconds(5));
+    public static final Tuning USUAL = new Tuning(Duration.ofSeconds(1), 3000, 1200, 1, Duration.ofSeconds(5));
 }
--- /dev/null
+++ b/src/test/java/dillfront/gossip/CrowdTest.java
@@ -0,0 +1,210 @@
+package dillfront.gossip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillfront.lab.Crowd;
+import dillfront.lab.Time;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Many instances in virtual time, and what befalls them. */
+class CrowdTest {
+
+    private final Time time = new Time();
+    private final Set<Integer> heard = new HashSet<>();
+    private Crowd crowd;
+
+    private Crowd crowd(int count, long seed) {
+        crowd = new Crowd(count, Tuning.USUAL, time, seed, (at, claim, age) -> {
+            heard.add(at);
+            crowd.instances[at].gossip.passOn(claim, claim.origin());
+        });
+        crowd.start();
+        return crowd;
+    }
+
+    private void until(double seconds) {
+        time.until(Duration.ofMillis((long) (seconds * 1000)));
+    }
+
+    private double rate(double seconds) {
+        double before = crowd.bytes();
+        until(time.now().toMillis() / 1000.0 + seconds);
+        return (crowd.bytes() - before) / seconds;
+    }
+
+    @Test
+    void findsEachOtherAndTellsAll() {
+        crowd(20, 1);
+        until(10);
+        assertEquals(1.0, crowd.known());
+        Crowd.Instance one = crowd.instances[7];
+        one.at();
+        one.gossip.claim(3, Symptom.HUNG, 4, Duration.ofMillis(80));
+        until(10.1);
+        assertEquals(19, heard.size(), "all others within a tenth of a second");
+        until(60);
+        assertTrue(rate(60) < 1000, "little is said where nothing happens");
+    }
+
+    @Test
+    void staysWithinItsBytesWhateverIsTold() {
+        crowd(100, 2);
+        until(40);
+        for (int i = 0; i < 30; i++) {
+            for (Crowd.Instance one : crowd.instances) {
+                one.at();
+                one.gossip.claim(i, Symptom.HUNG, 4, Duration.ZERO);
+            }
+            until(40 + i);
+        }
+        // What is in the bucket at first, and what flows in.
+        assertTrue(crowd.bytes() <= Tuning.USUAL.bytesPerSecond() * (70 + 3), "sent " + crowd.bytes());
+        for (Crowd.Instance one : crowd.instances) {
+            assertTrue(one.gossip.spreading() <= 64);
+        }
+    }
+
+    @Test
+    void aThirdVanishesAtOnce() {
+        crowd(60, 3);
+        until(40);
+        for (int i = 0; i < 20; i++) {
+            crowd.instances[3 + i].off = true;
+        }
+        until(70);
+        assertTrue(crowd.ghosts() < 0.05, "still held there: " + crowd.ghosts());
+        assertEquals(1.0, crowd.known(), "nobody who is there is held gone");
+    }
+
+    @Test
+    void aPartingHeals() {
+        crowd(40, 4);
+        until(30);
+        for (Crowd.Instance one : crowd.instances) {
+            one.side = one.index % 2;
+        }
+        until(80);
+        assertTrue(crowd.known() < 0.55);
+        for (Crowd.Instance one : crowd.instances) {
+            one.side = 0;
+        }
+        double healing = rate(20);
+        assertEquals(1.0, crowd.known(), "within twenty periods");
+        assertTrue(healing < Tuning.USUAL.bytesPerSecond(), "no storm: " + healing);
+        for (Crowd.Instance one : crowd.instances) {
+            assertTrue(one.gossip.incarnation() <= 3, "few had to speak up more than once");
+        }
+    }
+
+    @Test
+    void startsAnewWithNothingRemembered() {
+        crowd(20, 5);
+        until(15);
+        Crowd.Instance one = crowd.instances[9];
+        for (int life = 0; life < 3; life++) {
+            one.off = true;
+            until(time.now().toSeconds() + 30);
+            one.start(List.of(0));
+            until(time.now().toSeconds() + 15);
+            assertEquals(1.0, crowd.known(), "known again, and knowing all, in life " + life);
+        }
+        heard.clear();
+        one.at();
+        one.gossip.claim(2, Symptom.HUNG, 1, Duration.ZERO);
+        until(time.now().toSeconds() + 2);
+        assertEquals(19, heard.size(), "its words count, though an earlier life used their numbers");
+    }
+
+    @Test
+    void whoStandsStillCondemnsNobody() {
+        crowd(20, 6);
+        until(15);
+        Crowd.Instance one = crowd.instances[4];
+        one.standStill(Duration.ofSeconds(5));
+        until(21);
+        int gone = 0;
+        for (Crowd.Instance other : crowd.instances) {
+            gone += other != one && !one.gossip.members().present(other.index) ? 1 : 0;
+        }
+        assertEquals(0, gone);
+        assertTrue(one.gossip.members().ill() > 0, "it doubts itself first");
+        until(50);
+        assertEquals(1.0, crowd.known(), "nor is it condemned for good");
+    }
+
+    @Test
+    void livesWithALossyNetwork() {
+        crowd = crowd(30, 7);
+        crowd.lost = 0.3;
+        crowd.doubled = 0.1;
+        until(40);
+        double least = 1;
+        for (int s = 41; s < 160; s++) {
+            until(s);
+            least = Math.min(least, crowd.known());
+        }
+        assertTrue(least > 0.97, "held there at the least: " + least);
+    }
+
+    @Test
+    void clocksDiffer() {
+        crowd = new Crowd(12, Tuning.USUAL, time, 8, (at, claim, age) -> {
+            heard.add(at);
+            assertTrue(age.compareTo(Duration.ofSeconds(1)) < 0, "age " + age);
+            crowd.instances[at].gossip.passOn(claim, claim.origin());
+        });
+        for (Crowd.Instance one : crowd.instances) {
+            one.clock = Duration.ofSeconds(one.index - 6);
+        }
+        // Beyond what is believed.
+        crowd.instances[11].clock = Duration.ofSeconds(50);
+        crowd.start();
+        until(10);
+        crowd.instances[0].at();
+        crowd.instances[0].gossip.claim(1, Symptom.HUNG, 1, Duration.ZERO);
+        until(12);
+        assertEquals(10, heard.size(), "all but the one whose clock is nowhere near");
+        heard.clear();
+        crowd.instances[11].at();
+        crowd.instances[11].gossip.claim(1, Symptom.HUNG, 1, Duration.ZERO);
+        until(14);
+        assertEquals(0, heard.size());
+        long dropped = 0;
+        for (Crowd.Instance one : crowd.instances) {
+            dropped += one.gossip.outOfTime();
+        }
+        assertTrue(dropped > 1, "counted where it was dropped");
+    }
+
+    @Test
+    void leavesOnPurpose() {
+        crowd(15, 9);
+        until(10);
+        crowd.instances[5].at();
+        crowd.instances[5].gossip.leave();
+        crowd.instances[5].off = true;
+        until(14);
+        for (Crowd.Instance other : crowd.instances) {
+            if (other.index != 5) {
+                assertEquals(Members.State.LEFT, other.gossip.members().state(5));
+            }
+        }
+    }
+
+    @Test
+    void sameSeedSameWords() {
+        crowd(30, 10);
+        until(30);
+        double first = crowd.bytes();
+        Time again = new Time();
+        Crowd second = new Crowd(30, Tuning.USUAL, again, 10, (at, claim, age) -> { });
+        second.start();
+        again.until(Duration.ofSeconds(30));
+        assertEquals(first, second.bytes());
+    }
+}
