Signed datagrams between routers: key ring, codec, replay window, UDP on the one loop

Need: the words of gossip must reach others, and nobody may say one in another's name. Change: dillfront.peers, on Netty's UDP: Ed25519 from the JDK for each datagram (bound to receiver, number and time) and each word (passed on as it was signed); several keys of an instance at once, each with its time; looks in the order of cost, checks of signatures bounded for each sender; nothing allocated by a length that was told. Accusations are said anew instead of kept: old ones are refused by their time.

--- a/src/main/java/dillfront/gossip/Gossip.java
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -163,6 +163,11 @@
         return post.seal(Word.of(self, incarnation, ++number, kind, subject, detail, evidence, since, unix));
     }
 
+    /** Told to the accused alone: said anew each time, since old words are not believed. */
+    private Word accusation(int peer) {
+        return own(Kind.SILENT, peer, members.incarnation(peer), 0, Duration.ZERO);
+    }
+
     private void announce() {
         alive = own(Kind.ALIVE, self, 0, 0, Duration.ZERO);
         members.row(self).alive = alive;
@@ -186,11 +191,9 @@
     /** Each datagram, before its words: its sender signed it just now, so it is there. */
     public void from(int peer, int itsIncarnation) {
         heard++;
-        Word accusation = members.row(peer).accusation;
-        boolean gone = members.state(peer) == Members.State.GONE;
-        if (gone && itsIncarnation == members.incarnation(peer) && accusation != null) {
+        if (members.state(peer) == Members.State.GONE && itsIncarnation == members.incarnation(peer)) {
             // It has to speak up itself, so that all who hold it gone hear of it.
-            push(peer, false, List.of(accusation), Budget.Use.PROBE);
+            push(peer, false, List.of(accusation(peer)), Budget.Use.PROBE);
         }
         Word former = members.row(peer).alive;
         if (itsIncarnation < members.incarnation(peer) && former != null && taken++ < ANSWERED) {
@@ -277,7 +280,7 @@
                         // Who told it is the way to all who hold this instance gone.
                         push(from, false, List.of(alive), Budget.Use.PROBE);
                     }
-                } else if (members.accused(subject, word.detail(), word.origin(), word, now)) {
+                } else if (members.accused(subject, word.detail(), word.origin(), now)) {
                     rumours.add(word);
                 } else {
                     rumours.heardAgain(word);
@@ -361,7 +364,7 @@
             int incarnationOf = members.incarnation(probed);
             if (members.present(probed)) {
                 Word word = own(Kind.SILENT, probed, incarnationOf, 0, Duration.ZERO);
-                if (members.accused(probed, incarnationOf, self, word, now)) {
+                if (members.accused(probed, incarnationOf, self, now)) {
                     rumours.add(word);
                 }
             }
@@ -378,9 +381,8 @@
         if (probed >= 0) {
             int its = ++probe;
             int to = probed;
-            Word accusation = members.row(to).accusation;
-            if (accusation != null) {
-                rumours.add(accusation);
+            if (members.state(to) == Members.State.SUSPECT) {
+                push(to, false, List.of(accusation(to)), Budget.Use.WORDS);
             }
             send(to, Budget.Use.PROBE, words -> post.ping(to, its, words));
         }
@@ -394,8 +396,7 @@
         // As often as one that is gone would be met by chance among all: after a parting each side meets the other soon.
         if (chance.nextDouble() * (members.there() + members.gone()) < members.gone()) {
             int gone = members.goneOne();
-            Word accusation = members.row(gone).accusation;
-            push(gone, true, accusation == null ? List.of(alive) : List.of(alive, accusation), Budget.Use.WORDS);
+            push(gone, true, List.of(alive, accusation(gone)), Budget.Use.WORDS);
         }
     }
 
--- a/src/main/java/dillfront/gossip/Members.java
+++ b/src/main/java/dillfront/gossip/Members.java
@@ -38,8 +38,6 @@
         Duration since = Duration.ZERO;
         /** Of a suspicion: who accuses, each once. Null where there is none. */
         int[] accusers;
-        /** An accusation, to be told to the accused. */
-        Word accusation;
     }
 
     private final Peer[] peers;
@@ -152,7 +150,7 @@
      *
      * @return whether that was new
      */
-    boolean accused(int peer, int incarnation, int by, Word word, Duration now) {
+    boolean accused(int peer, int incarnation, int by, Duration now) {
         Peer p = row(peer);
         if (incarnation != p.incarnation || p.state != State.ALIVE && p.state != State.SUSPECT) {
             return false;
@@ -173,7 +171,6 @@
             p.accusers = Arrays.copyOf(p.accusers, p.accusers.length + 1);
             p.accusers[p.accusers.length - 1] = by;
         }
-        p.accusation = word;
         return true;
     }
 
@@ -212,9 +209,6 @@
             suspects.remove((Integer) peer);
             p.accusers = null;
         }
-        if (state == State.ALIVE) {
-            p.accusation = null;
-        }
         if (is && !was) {
             // Somewhere in what is left of the round, so that those who come at once are not probed at once.
             round.add(round.isEmpty() ? 0 : chance.nextInt(round.size() + 1), peer);
--- /dev/null
+++ b/src/main/java/dillfront/peers/Codec.java
@@ -0,0 +1,290 @@
+package dillfront.peers;
+
+import dillfront.gossip.Kind;
+import dillfront.gossip.Word;
+import io.netty.buffer.ByteBuf;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.PrivateKey;
+import java.security.Signature;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Datagrams between instances, version 1. All numbers big-endian. A datagram, 117 bytes and 113 for each word:
+ *
+ * <pre>
+ *   2 'd' 'f'   1 version   1 form   8 key id of the sender   4 its incarnation   8 number, rising from its start on
+ *   8 sent, Unix microseconds   8 hash of the name it is sent to   4 probe   8 hash of the name it is about
+ *   1 words   words   64 Ed25519 signature of all before, behind the text "dillfront datagram 1"
+ * </pre>
+ *
+ * A word: 8 key id of who said it, 4 incarnation, 4 number, 1 kind, 8 subject, 4 detail, 2 evidence, 4 milliseconds since,
+ * 8 said, Unix microseconds, 4 and 2 address and port where ALIVE, 64 Ed25519 signature of these behind "dillfront word 1".
+ *
+ * <p>What comes is looked at in the order of cost, and nothing is allocated by a length that it names: the count of words
+ * must fit the size that came. Signatures of words that were checked before are known by their bytes.
+ */
+public final class Codec {
+
+    static final int HEAD = 53;
+    static final int WORD = 113;
+    static final int SIGNATURE = 64;
+    /** Of IP and UDP. */
+    static final int BELOW = 28;
+    private static final int SIGNED = WORD - SIGNATURE;
+    private static final byte[] DATAGRAM_TEXT = "dillfront datagram 1".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] WORD_TEXT = "dillfront word 1".getBytes(StandardCharsets.US_ASCII);
+    private static final int CHECKED = 1024;
+    /** Clocks further apart than this, or datagrams kept back for longer, are not believed. */
+    private static final Duration APART = Duration.ofSeconds(30);
+
+    /** What a datagram is for. */
+    public enum Form { PING, ACK, ASK, PUSH, SWAP }
+
+    /** Takes what was read and found right. */
+    public interface Reader {
+        /** @param about index of the instance that the sender asks about; -1 where there is none */
+        void read(int from, int incarnation, Form form, int probe, int about, List<Word> words);
+
+        /** An instance's own word tells where it is. */
+        void at(int peer, int incarnation, InetSocketAddress address);
+
+        void dropped(Drop why);
+    }
+
+    private final Ring ring;
+    private final int self;
+    private final long selfHash;
+    private final long keyId;
+    private final PrivateKey key;
+    private final InetSocketAddress address;
+    private final int datagram;
+    private final Window window;
+    private final Signature signing;
+    private final Signature checking;
+    /** Words whose signature was found right, by all their bytes; the oldest leaves first. */
+    private final Map<ByteBuffer, Boolean> checked = new LinkedHashMap<>();
+    private long number;
+
+    /**
+     * @param keyId which of this instance's keys in the ring the private one belongs to
+     * @param address where others reach this instance
+     * @param datagram bytes of the largest, those below UDP left out
+     * @param first the first datagram's number, above any of an earlier life: microseconds of Unix time
+     */
+    public Codec(Ring ring, int self, long keyId, PrivateKey key, InetSocketAddress address, int datagram, long first) {
+        this.ring = ring;
+        this.self = self;
+        this.keyId = keyId;
+        this.key = key;
+        this.address = address;
+        this.datagram = datagram;
+        selfHash = Ring.hash(ring.name(self));
+        number = first;
+        window = new Window(ring.size());
+        try {
+            signing = Signature.getInstance("Ed25519");
+            checking = Signature.getInstance("Ed25519");
+        } catch (GeneralSecurityException none) {
+            throw new IllegalStateException(none);
+        }
+    }
+
+    /** Bytes on the wire of a datagram with so many words. */
+    public static int bytes(int words) {
+        return BELOW + HEAD + words * WORD + SIGNATURE;
+    }
+
+    // ---- out
+
+    /** Signs an own word. */
+    public Word seal(Word word) {
+        ByteBuffer out = ByteBuffer.allocate(WORD);
+        out.putLong(keyId).putInt(word.incarnation()).putInt(word.number()).put((byte) word.kind().ordinal());
+        out.putLong(word.kind() == Kind.CLAIM ? word.subject() : Ring.hash(ring.name((int) word.subject())));
+        out.putInt(word.detail()).putShort((short) Math.min(word.evidence(), Short.MAX_VALUE));
+        out.putInt((int) Math.min(word.since().toMillis(), Integer.MAX_VALUE)).putLong(micros(word.said()));
+        out.put(word.kind() == Kind.ALIVE ? address.getAddress().getAddress() : new byte[4]);
+        out.putShort((short) (word.kind() == Kind.ALIVE ? address.getPort() : 0));
+        out.put(sign(WORD_TEXT, out.array(), SIGNED));
+        return word.sealed(out.array());
+    }
+
+    /** One datagram; the buffer is the caller's. */
+    public void write(ByteBuf out, int to, int incarnation, Form form, int probe, int about, List<Word> words,
+            Duration unix) {
+        int start = out.writerIndex();
+        out.writeByte('d').writeByte('f').writeByte(1).writeByte(form.ordinal());
+        out.writeLong(keyId).writeInt(incarnation).writeLong(++number).writeLong(micros(unix));
+        out.writeLong(Ring.hash(ring.name(to))).writeInt(probe).writeLong(about < 0 ? 0 : Ring.hash(ring.name(about)));
+        out.writeByte(words.size());
+        for (Word word : words) {
+            out.writeBytes(word.sealed());
+        }
+        byte[] all = new byte[out.writerIndex() - start];
+        out.getBytes(start, all);
+        out.writeBytes(sign(DATAGRAM_TEXT, all, all.length));
+    }
+
+    private byte[] sign(byte[] text, byte[] bytes, int length) {
+        try {
+            signing.initSign(key);
+            signing.update(text);
+            signing.update(bytes, 0, length);
+            return signing.sign();
+        } catch (GeneralSecurityException bad) {
+            throw new IllegalStateException(bad);
+        }
+    }
+
+    // ---- in
+
+    /**
+     * Reads one datagram; the buffer stays the caller's. Never throws for what came.
+     *
+     * @param now since the start
+     * @param unix this instance's Unix time
+     */
+    public void read(ByteBuf in, Duration now, Duration unix, Reader reader) {
+        int start = in.readerIndex();
+        int size = in.readableBytes();
+        if (size < HEAD + SIGNATURE || size > datagram || in.getByte(start) != 'd' || in.getByte(start + 1) != 'f'
+                || in.getByte(start + 2) != 1 || in.getUnsignedByte(start + 3) >= Form.values().length) {
+            reader.dropped(Drop.FORM);
+            return;
+        }
+        int count = in.getUnsignedByte(start + HEAD - 1);
+        if (size != HEAD + count * WORD + SIGNATURE) {
+            reader.dropped(Drop.FORM);
+            return;
+        }
+        if (in.getLong(start + 32) != selfHash) {
+            reader.dropped(Drop.NOT_MINE);
+            return;
+        }
+        Ring.Key from = ring.key(in.getLong(start + 4), unix);
+        if (from == null || from.peer() == self) {
+            reader.dropped(from == null ? Drop.KEY : Drop.NOT_MINE);
+            return;
+        }
+        long apart = micros(unix) - in.getLong(start + 24);
+        if (Math.abs(apart) > APART.toMillis() * 1000) {
+            reader.dropped(Drop.CLOCK);
+            return;
+        }
+        long its = in.getLong(start + 16);
+        if (its < 0 || !window.mayBeNew(from.peer(), its, now)) {
+            reader.dropped(Drop.REPLAY);
+            return;
+        }
+        if (!window.mayCheck(from.peer(), now)) {
+            reader.dropped(Drop.FLOOD);
+            return;
+        }
+        byte[] all = new byte[size];
+        in.getBytes(start, all);
+        if (!right(from, DATAGRAM_TEXT, all, 0, size - SIGNATURE)) {
+            reader.dropped(Drop.SIGNATURE);
+            return;
+        }
+        window.read(from.peer(), its, now);
+        int about = ring.peer(in.getLong(start + 44));
+        Word[] words = new Word[count];
+        int good = 0;
+        for (int i = 0; i < count; i++) {
+            Word word = word(all, HEAD + i * WORD, from.peer(), now, unix, reader);
+            if (word == null) {
+                reader.dropped(Drop.WORD);
+            } else {
+                words[good++] = word;
+            }
+        }
+        reader.read(from.peer(), in.getInt(start + 12), Form.values()[in.getByte(start + 3)], in.getInt(start + 40), about,
+                List.of(java.util.Arrays.copyOf(words, good)));
+    }
+
+    /** Null where it is not as its origin said it. */
+    private Word word(byte[] all, int at, int from, Duration now, Duration unix, Reader reader) {
+        ByteBuffer in = ByteBuffer.wrap(all, at, WORD);
+        Ring.Key key = ring.key(in.getLong(), unix);
+        int incarnation = in.getInt();
+        int its = in.getInt();
+        int kindNumber = in.get();
+        if (key == null || kindNumber < 0 || kindNumber >= Kind.values().length || incarnation < 0 || its < 0) {
+            return null;
+        }
+        Kind kind = Kind.values()[kindNumber];
+        long subject = in.getLong();
+        if (kind != Kind.CLAIM) {
+            subject = ring.peer(subject);
+            boolean own = subject == key.peer();
+            if (subject < 0 || own != (kind != Kind.SILENT)) {
+                return null;
+            }
+        }
+        int detail = in.getInt();
+        int evidence = in.getShort();
+        int since = in.getInt();
+        long said = in.getLong();
+        // Accusations and claims are of this moment; that one is there is told for as long as it is.
+        boolean old = kind == Kind.SILENT || kind == Kind.CLAIM ? Math.abs(micros(unix) - said) > APART.toMillis() * 1000
+                : false;
+        if (old || evidence < 0 || since < 0 || said < 0
+                || kind == Kind.CLAIM && (detail < 0 || detail >= dillfront.gossip.Symptom.values().length)) {
+            return null;
+        }
+        byte[] bytes = java.util.Arrays.copyOfRange(all, at, at + WORD);
+        ByteBuffer known = ByteBuffer.wrap(bytes);
+        if (!checked.containsKey(known)) {
+            if (!window.mayCheck(from, now) || !right(key, WORD_TEXT, bytes, 0, SIGNED)) {
+                return null;
+            }
+            checked.put(known, true);
+            if (checked.size() > CHECKED) {
+                checked.remove(checked.keySet().iterator().next());
+            }
+        }
+        if (kind == Kind.ALIVE) {
+            where(key.peer(), incarnation, bytes, reader);
+        }
+        return new Word(key.peer(), incarnation, its, kind, subject, detail, evidence, Duration.ofMillis(since),
+                Duration.ofNanos(said * 1000), bytes);
+    }
+
+    private static void where(int peer, int incarnation, byte[] word, Reader reader) {
+        ByteBuffer in = ByteBuffer.wrap(word, SIGNED - 6, 6);
+        byte[] ip = new byte[4];
+        in.get(ip);
+        int port = in.getShort() & 0xffff;
+        if (port > 0) {
+            try {
+                reader.at(peer, incarnation, new InetSocketAddress(InetAddress.getByAddress(ip), port));
+            } catch (UnknownHostException none) {
+                throw new IllegalStateException(none);
+            }
+        }
+    }
+
+    private boolean right(Ring.Key by, byte[] text, byte[] bytes, int from, int length) {
+        try {
+            checking.initVerify(by.key());
+            checking.update(text);
+            checking.update(bytes, from, length);
+            return checking.verify(bytes, from + length, SIGNATURE);
+        } catch (GeneralSecurityException bad) {
+            // What is no signature at all is not right either.
+            return false;
+        }
+    }
+
+    private static long micros(Duration unix) {
+        return unix.toNanos() / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/peers/Neighbours.java
@@ -0,0 +1,136 @@
+package dillfront.peers;
+
+import dillfront.gossip.Gossip;
+import dillfront.gossip.Hearsay;
+import dillfront.gossip.Symptom;
+import dillfront.gossip.Tuning;
+import dillfront.gossip.Witness;
+import dillfront.gossip.Word;
+import dillfront.port.Sight;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Between the decisions and gossip: at each beat what the router sees of its nodes goes to those who weigh and tell it, and
+ * what others' words are worth comes back as a doubt or a try. Nodes go by a hash of their id on the wire, since each
+ * router has indices of its own. Rows are as many as the router has rows for nodes.
+ */
+public final class Neighbours {
+
+    /** The decisions, as far as gossip has to do with them. */
+    public interface Decisions {
+        Sight sees(int node);
+
+        void doubted(int node, boolean doubted);
+
+        void better(int node);
+    }
+
+    private final Decisions decisions;
+    private final Hearsay hearsay;
+    private final Witness witness;
+    private final Map<Long, Integer> nodes = new HashMap<>();
+    private final List<Long> keys = new ArrayList<>();
+    private final List<Boolean> doubted = new ArrayList<>();
+    private final List<Boolean> better = new ArrayList<>();
+    private Gossip gossip;
+    private Duration now = Duration.ZERO;
+
+    public Neighbours(Tuning tuning, int instances, Decisions decisions) {
+        this.decisions = decisions;
+        hearsay = new Hearsay(tuning, instances);
+        witness = new Witness(tuning);
+    }
+
+    public void speaksBy(Gossip by) {
+        gossip = by;
+    }
+
+    public Hearsay hearsay() {
+        return hearsay;
+    }
+
+    /** A node of the list. */
+    public void known(int node, String id) {
+        while (keys.size() <= node) {
+            keys.add(null);
+            doubted.add(false);
+            better.add(false);
+        }
+        long key = Ring.hash(id);
+        if (keys.get(node) == null || keys.get(node) != key) {
+            forget(node);
+            keys.set(node, key);
+            nodes.put(key, node);
+        }
+        hearsay.nodes(nodes.size());
+    }
+
+    public void forget(int node) {
+        if (node < keys.size() && keys.get(node) != null) {
+            nodes.remove(keys.get(node));
+            keys.set(node, null);
+            doubted.set(node, false);
+            better.set(node, false);
+            hearsay.forget(node);
+            witness.forget(node);
+            hearsay.nodes(nodes.size());
+        }
+    }
+
+    /** The clock's beat; gossip's own clocks were set. */
+    public void beat(Duration clock) {
+        now = clock;
+        hearsay.at(now);
+        for (int node = 0; node < keys.size(); node++) {
+            if (keys.get(node) == null) {
+                continue;
+            }
+            long key = keys.get(node);
+            Sight sight = decisions.sees(node);
+            hearsay.seen(node, sight);
+            if (gossip != null) {
+                witness.seen(node, sight, hearsay.enough(node), now, (n, symptom, evidence, since) ->
+                        gossip.claim(key, symptom, evidence, since));
+            }
+            weigh(node);
+        }
+        hearsay.woken();
+    }
+
+    /** A new claim of another instance. Of nodes that this router does not know it passes nothing on. */
+    public void claimed(Word word, Duration age, Duration clock) {
+        Integer node = nodes.get(word.subject());
+        if (node == null) {
+            return;
+        }
+        now = clock;
+        hearsay.at(now);
+        if (hearsay.heard(word.origin(), node, Symptom.values()[word.detail()], age, word.since())) {
+            gossip.passOn(word, word.origin());
+        }
+        weigh(node);
+    }
+
+    private void weigh(int node) {
+        boolean doubts = hearsay.doubted(node);
+        // Said again at each beat: the node's own answer has ended it meanwhile, unless the doubt is newer.
+        if (doubts || doubted.get(node)) {
+            decisions.doubted(node, doubts);
+        }
+        doubted.set(node, doubts);
+        boolean isBetter = hearsay.better(node);
+        if (isBetter && !better.get(node)) {
+            decisions.better(node);
+        }
+        better.set(node, isBetter);
+    }
+
+    /** Whether hearsay doubts it now. */
+    public boolean doubts(int node) {
+        return node < doubted.size() && doubted.get(node);
+    }
+}
