--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # A command as the operators have it.
 deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
 
-.PHONY: build test lint run clean measure-cost
+.PHONY: build test lint run clean measure-cost measure-gossip
 
 # The text that a measurement compares with, built into a folder of its own.
 BEFORE ?= 6172edf
@@ -33,3 +33,7 @@
 	    git archive $(BEFORE) | tar -x -C target/before && (cd target/before && $(call deployed,build)) && \
 	    touch target/before/$(BEFORE); }
 	java -cp target/dillfront.jar dillfront.bench.Cost . target/before
+
+# What gossip brings, what it costs, and what a liar can do, in virtual time and once on loopback; under 50 s.
+measure-gossip: build
+	java -Xmx1g -cp target/dillfront.jar dillfront.lab.GossipMeasure
--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -8,29 +8,25 @@
 import dillfront.drill.Drill;
 import dillfront.log.Log;
 import dillfront.log.Silence;
+import dillfront.operator.Operator;
 import java.io.IOException;
 import java.util.List;
 
 /** The command line: one subcommand a way of running the decisions. */
 public final class Main {
 
-    private static final String USAGE = "usage: java -jar dillfront.jar drill|serve|rehearse\n"
-            + "  drill   decide on the simulator's wire, from standard input to standard output\n"
-            + "  serve   be one router, as LB_CONFIG and the other LB_ variables say\n"
-            + "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads";
-
     private Main() {}
 
     public static void main(String[] args) {
         if (args.length != 1 || !List.of("drill", "serve", "rehearse").contains(args[0])) {
-            System.err.println(USAGE);
-            System.exit(2);
+            // Not for what the platform starts: the library's classes would cost each start.
+            System.exit(Commands.run(args));
         }
         try {
             if (args[0].equals("serve")) {
                 Log log = new Log(System.err);
                 Silence.over(log);
-                Daemon daemon = new Daemon(Config.read(System.getenv()), log);
+                Daemon daemon = new Daemon(Config.read(System.getenv()), Operator.of(System.getenv()), log);
                 // Before the start: the JVM's own answer to SIGHUP is to end.
                 daemon.hear(() -> Config.again(System.getenv()));
                 daemon.start();
@@ -45,6 +41,9 @@
         } catch (BadConfig bad) {
             System.err.println("dillfront: " + bad.getMessage());
             System.exit(1);
+        } catch (Operator.BadOperator bad) {
+            System.err.println("dillfront: LB_OPERATOR " + bad.getMessage());
+            System.exit(1);
         } catch (BadInput bad) {
             System.err.println("dillfront: " + bad.getMessage());
             System.exit(1);
--- /dev/null
+++ b/src/main/java/dillfront/control/Control.java
@@ -0,0 +1,115 @@
+package dillfront.control;
+
+import dillfront.log.Log;
+import dillfront.sockets.Ears;
+import dillfront.sockets.Sockets;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+
+/**
+ * A door on loopback where the operator asks this instance about itself: one line in, a text out, and the end. A few at a
+ * time, a short line, and a second for it: what asks badly costs no more than that.
+ */
+public final class Control {
+
+    private static final int MOST = 4;
+    private static final int LONGEST = 64;
+    private static final long PATIENCE_MS = 1000;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Log log;
+    private final UnaryOperator<String> answers;
+    private Channel door;
+    private int open;
+
+    /** @param answers a text for a question, without the end of its line */
+    public Control(EventLoop loop, InetSocketAddress address, Log log, UnaryOperator<String> answers) {
+        this.loop = loop;
+        this.address = address;
+        this.log = log;
+        this.answers = answers;
+    }
+
+    /** On the loop. */
+    public void open() {
+        Sockets.listen(loop, address, MOST, WriteBufferWaterMark.DEFAULT, Question::new).addListener(done -> {
+            if (!done.isSuccess()) {
+                log.warn("control-not-bound", "address", address, "fault", done.cause());
+            }
+        }).addListener((ChannelFutureListener) done -> door = done.channel());
+    }
+
+    public void close() {
+        if (door != null) {
+            door.close();
+        }
+    }
+
+    /** One connection; gives its place back in channelInactive. */
+    private final class Question extends Ears {
+
+        private final StringBuilder line = new StringBuilder();
+        private ScheduledFuture<?> patience;
+        private boolean counted;
+        private boolean answered;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (open >= MOST) {
+                ctx.close();
+                return;
+            }
+            open++;
+            counted = true;
+            patience = loop.schedule(() -> ctx.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object read) {
+            ByteBuf bytes = (ByteBuf) read;
+            try {
+                while (bytes.isReadable() && !answered) {
+                    char c = (char) bytes.readUnsignedByte();
+                    if (c == '\n') {
+                        answered = true;
+                        String text = answers.apply(line.toString().strip());
+                        ctx.writeAndFlush(ByteBufUtil.encodeString(ctx.alloc(), java.nio.CharBuffer.wrap(text),
+                                StandardCharsets.UTF_8)).addListener(ChannelFutureListener.CLOSE);
+                    } else if (line.length() >= LONGEST) {
+                        ctx.close();
+                        return;
+                    } else {
+                        line.append(c);
+                    }
+                }
+            } finally {
+                bytes.release();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (counted) {
+                counted = false;
+                open--;
+                patience.cancel(false);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import dillfront.list.Watch;
 import dillfront.log.Counters;
 import dillfront.log.Log;
+import dillfront.operator.Operator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -43,6 +44,7 @@
     /** Up to here there was one thread: it has taken as much of its core as of the time. */
     private final Duration beganCpu = cpu();
     private final Config config;
+    private final Operator operator;
     private final Log log;
     private final Counters counters = new Counters();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -53,9 +55,16 @@
     private Router router;
     private Clients clients;
     private Watch watch;
+    /** Gossip and the questions about it; null where the operator's file does not ask for it. */
+    private Side side;
 
     public Daemon(Config config, Log log) {
+        this(config, Operator.NONE, log);
+    }
+
+    public Daemon(Config config, Operator operator, Log log) {
         this.config = config;
+        this.operator = operator;
         this.log = log;
         discovery = config.discovery();
     }
@@ -79,6 +88,7 @@
                 router = new Router(config, new Clock(), counters, log, loop, share);
                 clients = new Clients(router, router.pace(), router.clock(), counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
                         config.setup().settings().dial());
+                side = operator == Operator.NONE ? null : new Side(operator, config.name(), config.seed(), router, loop, log);
                 boolean known = !config.known().list("instances").isEmpty();
                 if (known) {
                     router.list(config.known());
@@ -87,6 +97,7 @@
                         known ? config.known().whole("generation") : -1, router);
                 router.watch(watch);
                 watch.start();
+                return null;
             }).sync();
             // What discovery has told is known before the door opens; if it says nothing, the known list will do.
             long due = System.nanoTime() + NEWS_DIALS * config.setup().settings().dial().toNanos();
@@ -99,8 +110,14 @@
             throw new BadConfig("interrupted");
         } catch (Exception fault) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            if (fault instanceof Operator.BadOperator) {
+                throw new BadConfig("LB_OPERATOR: " + fault.getMessage());
+            }
             throw new BadConfig("LB_LISTEN " + config.listen() + ": " + fault.getMessage());
         }
+        if (side != null) {
+            loop.execute(side::open);
+        }
         log.info("serving", "name", config.name(), "listen", config.listen());
     }
 
@@ -186,6 +203,9 @@
     private void lookIfOver() {
         if (clients.empty() && counters.txns == 0) {
             watch.close();
+            if (side != null) {
+                side.close();
+            }
             router.close();
             ended.countDown();
         } else {
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -14,10 +14,12 @@
 import dillfront.log.Counters;
 import dillfront.log.Log;
 import dillfront.pace.Pace;
+import dillfront.peers.Neighbours;
 import dillfront.pgwire.Statement;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Report;
+import dillfront.port.Sight;
 import dillfront.servers.Fleet;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -30,7 +32,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The module and what it drives: words of the network become its calls, its results go out again. */
-final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener {
+final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener, Neighbours.Decisions {
 
     /** The part of the memory that one answer may take: 2 MB where it is 128. */
     private static final int LONGEST_PART = 64;
@@ -52,6 +54,8 @@
     private final Set<Long> ids = new HashSet<>();
     private boolean listed;
     private final List<Integer> free = new ArrayList<>();
+    /** Null where gossip is off. */
+    private Neighbours neighbours;
 
     Router(Config config, Clock clock, Counters counters, Log log, EventLoop loop, int nodeConnections) {
         this.setup = config.setup();
@@ -77,6 +81,11 @@
         fleet.news(watch::look);
     }
 
+    /** Others' words on nodes come through these. Before the first list. */
+    void hears(Neighbours others) {
+        neighbours = others;
+    }
+
     void close() {
         fleet.close();
     }
@@ -113,6 +122,9 @@
             rows.add(m.row());
         }
         decide.list(list.flag("reset"), rows);
+        if (neighbours != null) {
+            read.forEach(m -> neighbours.known(m.row().node(), m.id()));
+        }
         forget();
     }
 
@@ -122,6 +134,9 @@
             boolean over = decide.forget(node);
             if (over) {
                 fleet.forget(node);
+                if (neighbours != null) {
+                    neighbours.forget(node);
+                }
             }
             return over;
         });
@@ -182,6 +197,25 @@
         decide.probed(node, answered, report);
     }
 
+    // ---- what others say
+
+    @Override
+    public Sight sees(int node) {
+        return decide.sees(node);
+    }
+
+    @Override
+    public void doubted(int node, boolean doubted) {
+        tick();
+        decide.doubted(node, doubted);
+    }
+
+    @Override
+    public void better(int node) {
+        tick();
+        decide.better(node);
+    }
+
     // ---- results of the module
 
     @Override
@@ -223,6 +257,9 @@
                 pace.came(clock.now());
                 counters.longestTurnMs = Math.max(counters.longestTurnMs, pace.longest().toMillis());
                 decide.woken();
+                if (neighbours != null) {
+                    neighbours.beat(clock.now());
+                }
                 forget();
             } catch (RuntimeException fault) {
                 // A timer's fault would vanish in its future, and the clock's beat with it.
--- /dev/null
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -0,0 +1,62 @@
+package dillfront.daemon;
+
+import dillfront.control.Control;
+import dillfront.log.Log;
+import dillfront.operator.Operator;
+import dillfront.peers.Datagrams;
+import dillfront.peers.Neighbours;
+import dillfront.peers.Ring;
+import dillfront.peers.Standing;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.SplittableRandom;
+
+/** What the operator's file adds to a router: gossip, and a door for questions on loopback. On the loop but for its making. */
+final class Side {
+
+    private final Neighbours neighbours;
+    private final Datagrams datagrams;
+    private final Control control;
+
+    Side(Operator operator, String name, long seed, Router router, EventLoop loop, Log log) throws Operator.BadOperator {
+        Operator.GossipPart gossip = operator.gossip();
+        if (gossip == null) {
+            neighbours = null;
+            datagrams = null;
+        } else {
+            int self = gossip.self(name);
+            Ring ring = gossip.ring();
+            neighbours = new Neighbours(gossip.tuning(), ring.size(), router);
+            datagrams = new Datagrams(gossip.tuning(), ring, self, Ring.id(HexFormat.of().parseHex(gossip.publicKey())), gossip.key(),
+                    loop, log, router.clock()::now, () -> Duration.ofMillis(router.clock().unixMillis()),
+                    new SplittableRandom(~seed), (word, age) -> neighbours.claimed(word, age, router.clock().now()));
+            neighbours.speaksBy(datagrams::gossip);
+            router.hears(neighbours);
+        }
+        control = operator.control() == null ? null : new Control(loop, operator.control(), log, question ->
+                switch (question) {
+                    case "peers" -> datagrams == null ? "gossip is off\n" : Standing.table(datagrams, neighbours);
+                    case "peers json" -> datagrams == null ? "{}\n" : Standing.json(datagrams, neighbours);
+                    default -> "unknown question; known: peers, peers json\n";
+                });
+    }
+
+    void open() {
+        if (datagrams != null) {
+            datagrams.open();
+        }
+        if (control != null) {
+            control.open();
+        }
+    }
+
+    void close() {
+        if (datagrams != null) {
+            datagrams.close();
+        }
+        if (control != null) {
+            control.close();
+        }
+    }
+}
--- a/src/main/java/dillfront/gossip/Hearsay.java
+++ b/src/main/java/dillfront/gossip/Hearsay.java
@@ -152,7 +152,12 @@
         claim.symptom = symptom;
         claim.said = said;
         judge(row);
-        return row.claims.size() < most;
+        // Who is not counted here is not passed on either: a liar pays for his words with his own bytes alone.
+        return row.claims.size() < most && !cutOff(peer) && credit[peer] >= HEARD;
+    }
+
+    private boolean cutOff(int peer) {
+        return claiming[peer] > 1 && claiming[peer] > CUT_OFF * known;
     }
 
     /** A voice of more credit takes the place of the least: guards against places kept by those who only lie. */
@@ -253,8 +258,7 @@
         int[] whose = new int[voices.length];
         int n = 0;
         for (Claim c : claims) {
-            boolean cutOff = claiming[c.peer] > 1 && claiming[c.peer] > CUT_OFF * known;
-            double counts = cutOff || credit[c.peer] < HEARD ? 0 : credit[c.peer];
+            double counts = cutOff(c.peer) || credit[c.peer] < HEARD ? 0 : credit[c.peer];
             int at = 0;
             while (at < n && whose[at] != voice[c.peer]) {
                 at++;
--- a/src/main/java/dillfront/lab/Time.java
+++ b/src/main/java/dillfront/lab/Time.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due runs in the order of its time, and of its asking where times are equal. */
-public final class Time {
+public final class Time implements Clockwork {
 
     private record Due(long nanos, long order, Runnable work) {}
 
@@ -13,10 +13,12 @@
     private long now;
     private long asked;
 
+    @Override
     public Duration now() {
         return Duration.ofNanos(now);
     }
 
+    @Override
     public void after(Duration span, Runnable work) {
         due.add(new Due(now + Math.max(0, span.toNanos()), asked++, work));
     }
--- a/src/main/java/dillfront/lab/World.java
+++ b/src/main/java/dillfront/lab/World.java
@@ -1,11 +1,11 @@
 package dillfront.lab;
 
 import dillfront.Decide;
-import dillfront.gossip.Hearsay;
+import dillfront.gossip.Gossip;
 import dillfront.gossip.Symptom;
 import dillfront.gossip.Tuning;
-import dillfront.gossip.Witness;
-import dillfront.gossip.Word;
+import dillfront.peers.Neighbours;
+import dillfront.peers.Ring;
 import dillfront.port.Effect;
 import dillfront.port.Handle;
 import dillfront.port.ListRole;
@@ -21,6 +21,7 @@
 import dillfront.port.TxnType;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -55,69 +56,98 @@
     /** A router that sends one txn after such a gap, with nothing else out there, only tries the node. */
     private static final Duration TRIAL = DIAL;
     private static final Duration CLIENT = Duration.ofMillis(750);
+    private static final double[] VALUES = {3, 2, 6};
+
+    /** By what the routers of a world speak with each other. */
+    interface Wire {
+
+        /** Starts them; their new claims go to the routers. */
+        void start(List<Router> routers);
+
+        /** Its clocks set. */
+        Gossip of(int router);
+
+        /** The mean of what one has sent, in bytes. */
+        double bytes();
+    }
 
     private final Script script;
-    private final Time time = new Time();
     private final Tuning tuning = Tuning.USUAL;
-    private final RandomGenerator chance;
     private final List<Router> routers = new ArrayList<>();
-    private final Crowd crowd;
-    private Duration firstEvidence;
-    private Duration lastPour = Duration.ZERO;
-    private int poured;
-    private double asked;
-    private double earned;
-    private long beats;
-    private long falseDoubts;
-
-    private World(Script script) {
+    private final Wire wire;
+
+    /** @param times one a router */
+    World(Script script, List<? extends Clockwork> times, Wire wire) {
         this.script = script;
-        chance = new SplittableRandom(script.seed);
+        this.wire = wire;
         for (int i = 0; i < script.routers; i++) {
-            routers.add(new Router(i));
+            routers.add(new Router(i, times.get(i)));
         }
-        crowd = !script.gossip ? null : new Crowd(script.routers, tuning, time, script.seed + 1,
-                (at, claim, age) -> routers.get(at).claimed(claim, age));
     }
 
+    /** In virtual time. */
     public static Outcome play(Script script) {
-        return new World(script).play();
+        Time time = new Time();
+        World[] world = new World[1];
+        Crowd crowd = new Crowd(script.routers, Tuning.USUAL, time, script.seed + 1,
+                (at, claim, age) -> world[0].routers.get(at).neighbours.claimed(claim, age, time.now()));
+        world[0] = new World(script, Collections.nCopies(script.routers, time), new Wire() {
+            @Override
+            public void start(List<Router> routers) {
+                crowd.start();
+            }
+
+            @Override
+            public Gossip of(int router) {
+                crowd.instances[router].at();
+                return crowd.instances[router].gossip;
+            }
+
+            @Override
+            public double bytes() {
+                return crowd.bytes();
+            }
+        });
+        world[0].start();
+        time.until(script.end);
+        return world[0].outcome();
     }
 
-    private Outcome play() {
-        if (crowd != null) {
-            crowd.start();
+    /** Each router's part begins on its own clockwork. */
+    void start() {
+        if (script.gossip) {
+            wire.start(routers);
         }
         for (Router router : routers) {
-            router.list();
-            router.arrive();
-            router.beat();
+            router.time.after(Duration.ZERO, router::begin);
         }
-        if (script.lie != Lie.NONE) {
-            time.after(script.hangs.dividedBy(2), this::lie);
-        }
-        time.until(script.end);
-        Duration stopped = firstEvidence == null || lastPour.compareTo(firstEvidence) < 0 ? Duration.ZERO
-                : lastPour.minus(firstEvidence);
-        return new Outcome(earned / asked, stopped, poured, falseDoubts / (double) Math.max(1, beats),
-                crowd == null ? 0 : crowd.bytes() / (time.now().toNanos() / 1e9));
     }
 
-    private void lie() {
-        Crowd.Instance liar = crowd.instances[script.routers - 1];
-        liar.at();
-        for (int node = 0; node < nodes(); node++) {
-            boolean says = switch (script.lie) {
-                case ALL -> true;
-                case PRIMARIES -> node % script.members == 0;
-                case HALF -> node < nodes() / 2;
-                default -> false;
-            };
-            if (says) {
-                liar.gossip.claim(node, Symptom.HUNG, 5, Duration.ofSeconds(1));
+    /** Once all is over. */
+    Outcome outcome() {
+        double asked = 0;
+        double earned = 0;
+        long beats = 0;
+        long falseDoubts = 0;
+        int poured = 0;
+        Duration first = null;
+        Duration last = Duration.ZERO;
+        for (Router r : routers) {
+            asked += r.asked;
+            earned += r.earned;
+            beats += r.beats;
+            falseDoubts += r.falseDoubts;
+            first = r.evidence == null || first != null && first.compareTo(r.evidence) < 0 ? first : r.evidence;
+            last = r.lastPour.compareTo(last) > 0 ? r.lastPour : last;
+        }
+        for (Router r : routers) {
+            for (Duration at : r.pours) {
+                poured += first != null && at.compareTo(first) > 0 ? 1 : 0;
             }
         }
-        time.after(tuning.period(), this::lie);
+        Duration stopped = first == null || last.compareTo(first) < 0 ? Duration.ZERO : last.minus(first);
+        return new Outcome(earned / asked, stopped, poured, falseDoubts / (double) Math.max(1, beats),
+                script.gossip ? wire.bytes() / (script.end.toNanos() / 1e9) : 0);
     }
 
     private int nodes() {
@@ -141,115 +171,136 @@
                                 CLIENT, CLIENT, 6, 0)), List.of());
     }
 
-    private final class Txn {
+    private static final class Txn {
         final int type;
-        final Duration came = time.now();
+        final Duration came;
         Handle handle;
-        int submission;
         boolean over;
 
-        Txn(int type) {
+        Txn(int type, Duration came) {
             this.type = type;
+            this.came = came;
         }
     }
 
-    private final class Router implements Outlet {
+    /** One router; all of it on its own clockwork. */
+    final class Router implements Outlet, Neighbours.Decisions {
 
-        private final int index;
+        final int index;
+        final Clockwork time;
+        final Neighbours neighbours;
         private final Decide decide;
         private final RandomGenerator mine;
-        private final Hearsay hearsay;
-        private final Witness witness = new Witness(tuning);
         private final List<Txn> txns = new ArrayList<>();
         /** At the node that hangs: the last send, or the begin of a doubt; and how many are out. */
         private Duration heldBack;
         private boolean doubts;
-        private final boolean[] better = new boolean[nodes()];
         private int outAtHung;
+        private Duration evidence;
+        private Duration lastPour = Duration.ZERO;
+        private final List<Duration> pours = new ArrayList<>();
+        private double asked;
+        private double earned;
+        private long beats;
+        private long falseDoubts;
 
-        Router(int index) {
+        Router(int index, Clockwork time) {
             this.index = index;
+            this.time = time;
             mine = new SplittableRandom(script.seed * 1_000_003 + index);
             decide = new Decide(settings(script.routers), this, new SplittableRandom(mine.nextLong()));
-            hearsay = new Hearsay(tuning, script.routers);
+            neighbours = new Neighbours(tuning, script.routers, this);
+            neighbours.speaksBy(() -> wire.of(index));
+        }
+
+        private boolean lies() {
+            return script.lie != Lie.NONE && index == script.routers - 1;
         }
 
-        void list() {
+        private void begin() {
             List<NodeRow> rows = new ArrayList<>();
             for (int n = 0; n < nodes(); n++) {
                 rows.add(new NodeRow(n, n / script.members, 0, 1, n % script.members == 0, null, Standing.READY));
+                neighbours.known(n, "node-" + n);
             }
             decide.at(time.now());
             decide.list(true, rows);
-            hearsay.nodes(rows.size());
+            arrive();
+            beat();
+            if (lies()) {
+                time.after(script.hangs.dividedBy(2), this::lie);
+            }
         }
 
-        void arrive() {
+        private void lie() {
+            for (int node = 0; node < nodes(); node++) {
+                boolean says = switch (script.lie) {
+                    case ALL -> true;
+                    case PRIMARIES -> node % script.members == 0;
+                    case HALF -> node < nodes() / 2;
+                    default -> false;
+                };
+                if (says) {
+                    wire.of(index).claim(Ring.hash("node-" + node), Symptom.HUNG, 5, Duration.ofSeconds(1));
+                }
+            }
+            time.after(tuning.period(), this::lie);
+        }
+
+        private void arrive() {
             Duration gap = Duration.ofNanos((long) (-Math.log(1 - mine.nextDouble()) / script.txnsPerSecond * 1e9));
             time.after(gap, () -> {
                 double kind = mine.nextDouble();
                 int type = kind < 0.2 ? 0 : kind < 0.85 ? 1 : 2;
-                Txn txn = new Txn(type);
+                Txn txn = new Txn(type, time.now());
                 txns.add(txn);
-                asked += type == 0 ? 3 : type == 1 ? 2 : 6;
+                asked += VALUES[type];
                 decide.at(time.now());
                 int id = txns.size() - 1;
-                Handle handle = decide.take(id, type, -1, -1, mine.nextInt(script.groups), CLIENT, null, Duration.ZERO);
-                txn.handle = handle;
+                txn.handle = decide.take(id, type, -1, -1, mine.nextInt(script.groups), CLIENT, null, Duration.ZERO);
                 arrive();
             });
         }
 
         /** What the daemon does at its beat, and nothing more. */
-        void beat() {
+        private void beat() {
             time.after(BEAT, () -> {
                 decide.at(time.now());
-                hearsay.at(time.now());
-                for (int n = 0; n < nodes(); n++) {
-                    Sight sight = decide.sees(n);
-                    if (sight.ill() && n == script.hung && firstEvidence == null && hangs(n, time.now())) {
-                        firstEvidence = time.now();
-                    }
-                    if (crowd != null) {
-                        hearsay.seen(n, sight);
-                        crowd.instances[index].at();
-                        if (script.lie == Lie.NONE || index < script.routers - 1) {
-                            witness.seen(n, sight, hearsay.enough(n), time.now(),
-                                    (node, symptom, evidence, since) ->
-                                            crowd.instances[index].gossip.claim(node, symptom, evidence, since));
-                        }
-                        boolean doubted = hearsay.doubted(n);
-                        doubt(n, doubted);
+                if (evidence == null && hangs(script.hung, time.now()) && decide.sees(script.hung).ill()) {
+                    evidence = time.now();
+                }
+                // He who lies does not take it back by telling what he sees.
+                if (script.gossip && !lies()) {
+                    neighbours.beat(time.now());
+                    for (int n = 0; n < nodes(); n++) {
                         beats++;
-                        falseDoubts += doubted && !hangs(n, time.now()) && (n != script.hung
-                                || time.now().compareTo(script.hangs) < 0) ? 1 : 0;
+                        boolean well = n != script.hung || time.now().compareTo(script.hangs) < 0;
+                        falseDoubts += neighbours.doubts(n) && well ? 1 : 0;
                     }
                 }
-                hearsay.woken();
                 beat();
             });
         }
 
-        void claimed(Word word, Duration age) {
-            hearsay.at(time.now());
-            int node = (int) word.subject();
-            if (hearsay.heard(word.origin(), node, Symptom.values()[word.detail()], age, word.since())) {
-                crowd.instances[index].gossip.passOn(word, word.origin());
-            }
-            decide.at(time.now());
-            doubt(node, hearsay.doubted(node));
+        @Override
+        public Sight sees(int node) {
+            return decide.sees(node);
         }
 
-        private void doubt(int node, boolean doubted) {
+        @Override
+        public void doubted(int node, boolean doubted) {
             if (node == script.hung) {
                 heldBack = doubted && !doubts && heldBack == null ? time.now() : heldBack;
                 doubts = doubted;
             }
+            decide.at(time.now());
             decide.doubted(node, doubted);
-            if (hearsay.better(node) && !better[node]) {
-                decide.better(node);
-            }
-            better[node] = hearsay.better(node);
+        }
+
+        @Override
+        public void better(int node) {
+            decide.at(time.now());
+            decide.better(node);
         }
 
         @Override
@@ -260,7 +311,7 @@
                 boolean tries = heldBack != null && outAtHung == 0 && now.minus(heldBack).compareTo(TRIAL) >= 0;
                 heldBack = now;
                 lastPour = tries ? lastPour : now;
-                poured += firstEvidence == null ? 0 : 1;
+                pours.add(now);
             }
             outAtHung += node == script.hung ? 1 : 0;
             Duration work = Duration.ofNanos((long) (WORK.toNanos() * (0.5 + mine.nextDouble())));
@@ -274,7 +325,7 @@
                 if (first) {
                     txn.over = true;
                     boolean timely = time.now().minus(txn.came).toMillis() <= (txn.type == 2 ? 750 : 300);
-                    earned += timely ? txn.type == 0 ? 3 : txn.type == 1 ? 2 : 6 : 0;
+                    earned += timely ? VALUES[txn.type] : 0;
                 }
                 Report note = answers ? new Report(position, role) : Report.NOTHING;
                 txn.handle.ended(node, answers ? Result.COMMITTED : Result.TIMED_OUT, time.now().minus(now), txn.over,
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -77,7 +77,7 @@
             int node = nodes.computeIfAbsent(id, k -> free.isEmpty() ? indices++ : free.poll());
             groups.add((int) entry.whole("cell"));
             long startedMs = entry.whole("startedAtMs");
-            members.add(new Member(new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
+            members.add(new Member(id, new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
                     entry.number("weight", 1), entry.text("role").equals("leader"),
                     startedMs == 0 ? null : clock.since(startedMs), standing), address, startedMs));
         }
--- a/src/main/java/dillfront/peers/Datagrams.java
+++ b/src/main/java/dillfront/peers/Datagrams.java
@@ -73,7 +73,9 @@
         gossip = new Gossip(tuning, ring.size(), self, 0, this, chance);
     }
 
+    /** On the loop, with its clocks set. */
     public Gossip gossip() {
+        at();
         return gossip;
     }
 
@@ -235,6 +237,14 @@
 
     // ---- what is counted
 
+    public Ring ring() {
+        return ring;
+    }
+
+    public int self() {
+        return self;
+    }
+
     public long datagramsRead() {
         return read;
     }
--- a/src/main/java/dillfront/peers/Neighbours.java
+++ b/src/main/java/dillfront/peers/Neighbours.java
@@ -12,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 /**
  * Between the decisions and gossip: at each beat what the router sees of its nodes goes to those who weigh and tell it, and
@@ -34,9 +36,10 @@
     private final Witness witness;
     private final Map<Long, Integer> nodes = new HashMap<>();
     private final List<Long> keys = new ArrayList<>();
+    private final List<String> ids = new ArrayList<>();
     private final List<Boolean> doubted = new ArrayList<>();
     private final List<Boolean> better = new ArrayList<>();
-    private Gossip gossip;
+    private Supplier<Gossip> gossip;
     private Duration now = Duration.ZERO;
 
     public Neighbours(Tuning tuning, int instances, Decisions decisions) {
@@ -45,7 +48,8 @@
         witness = new Witness(tuning);
     }
 
-    public void speaksBy(Gossip by) {
+    /** By whom it speaks, its clocks set. */
+    public void speaksBy(Supplier<Gossip> by) {
         gossip = by;
     }
 
@@ -57,6 +61,7 @@
     public void known(int node, String id) {
         while (keys.size() <= node) {
             keys.add(null);
+            ids.add(null);
             doubted.add(false);
             better.add(false);
         }
@@ -64,6 +69,7 @@
         if (keys.get(node) == null || keys.get(node) != key) {
             forget(node);
             keys.set(node, key);
+            ids.set(node, id);
             nodes.put(key, node);
         }
         hearsay.nodes(nodes.size());
@@ -81,7 +87,7 @@
         }
     }
 
-    /** The clock's beat; gossip's own clocks were set. */
+    /** The clock's beat. */
     public void beat(Duration clock) {
         now = clock;
         hearsay.at(now);
@@ -94,7 +100,7 @@
             hearsay.seen(node, sight);
             if (gossip != null) {
                 witness.seen(node, sight, hearsay.enough(node), now, (n, symptom, evidence, since) ->
-                        gossip.claim(key, symptom, evidence, since));
+                        gossip.get().claim(key, symptom, evidence, since));
             }
             weigh(node);
         }
@@ -110,7 +116,7 @@
         now = clock;
         hearsay.at(now);
         if (hearsay.heard(word.origin(), node, Symptom.values()[word.detail()], age, word.since())) {
-            gossip.passOn(word, word.origin());
+            gossip.get().passOn(word, word.origin());
         }
         weigh(node);
     }
@@ -129,6 +135,15 @@
         better.set(node, isBetter);
     }
 
+    /** Each node that is known, by its id and its index. */
+    public void nodes(BiConsumer<String, Integer> each) {
+        for (int node = 0; node < keys.size(); node++) {
+            if (keys.get(node) != null) {
+                each.accept(ids.get(node), node);
+            }
+        }
+    }
+
     /** Whether hearsay doubts it now. */
     public boolean doubts(int node) {
         return node < doubted.size() && doubted.get(node);
--- a/src/main/java/dillfront/peers/Ring.java
+++ b/src/main/java/dillfront/peers/Ring.java
@@ -77,13 +77,13 @@
         }
     }
 
-    /** The 32 bytes of a public key. */
+    /** The 32 bytes of a public key, as `dillfront keygen` prints them. */
     public static byte[] raw(PublicKey key) {
         byte[] x509 = key.getEncoded();
         return java.util.Arrays.copyOfRange(x509, x509.length - KEY_BYTES, x509.length);
     }
 
-    static long id(byte[] raw) {
+    public static long id(byte[] raw) {
         return first(raw);
     }
 
--- /dev/null
+++ b/src/main/java/dillfront/script/Token.java
@@ -0,0 +1,27 @@
+package dillfront.script;
+
+/**
+ * One word of a script.
+ *
+ * @param text as it stands there; of a string, what it says
+ */
+record Token(Kind kind, String text, int line, int column) {
+
+    enum Kind { NAME, NUMBER, STRING, SIGN, NEWLINE, INDENT, DEDENT, END }
+
+    boolean is(String sign) {
+        return (kind == Kind.SIGN || kind == Kind.NAME) && text.equals(sign);
+    }
+
+    /** As an error names it. */
+    String shown() {
+        return switch (kind) {
+            case NEWLINE -> "the end of the line";
+            case INDENT -> "an indented line";
+            case DEDENT -> "a line further left";
+            case END -> "the end of the file";
+            case STRING -> "a string";
+            default -> "'" + text + "'";
+        };
+    }
+}
