Old words of a stranger are not taken as fresh; joining knocks at a few, until one is there

Cause: the first word of an origin set the measure of its clock, so after a parting a claim that had been on its way for seconds counted as new; and all who joined asked the same first seeds, once. Change: until a datagram has come from the origin itself its clock is taken as equal; seeds are chosen by chance and asked again.

--- a/src/main/java/dillfront/gossip/Gossip.java
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -25,6 +25,8 @@
     /** Tables are evened out once in so many periods. */
     private static final int EVEN = 5;
     private static final double KNOWN = 0.9;
+    /** Seeds that are asked at once. */
+    private static final int KNOCKS = 5;
     /** A longer gap between two calls of woken(), in periods, is this instance's own absence. */
     private static final double AWAY = 0.5;
     private static final int WORDS = 6;
@@ -73,6 +75,7 @@
     private boolean answered;
     private int periods;
     private int taken;
+    private List<Integer> seeds = List.of();
     private int heard;
     private final Skew skew;
     private long outOfTime;
@@ -120,6 +123,15 @@
         return rumours.size();
     }
 
+    /** Claims of others that are remembered, over all origins. */
+    public int remembered() {
+        int sum = 0;
+        for (Map<Long, Word> its : claims.values()) {
+            sum += its.size();
+        }
+        return sum;
+    }
+
     /** Words that gave way to newer ones before they were sent often enough. */
     public long crowdedOut() {
         return rumours.dropped();
@@ -132,13 +144,19 @@
 
     // ---- what this instance says of itself
 
-    /** Asks those named in the operator's file for their tables. */
-    public void join(List<Integer> seeds) {
+    /**
+     * Asks some of those whose address the operator's file tells for their tables, by chance: guards against the first of
+     * a long list that all ask at once. Asks on until someone is there.
+     */
+    public void join(List<Integer> from) {
+        seeds = from.stream().filter(s -> s != self).toList();
         announce();
-        for (int seed : seeds) {
-            if (seed != self) {
-                push(seed, true, List.of(alive), Budget.Use.PROBE);
-            }
+        knock();
+    }
+
+    private void knock() {
+        for (int i = 0; i < Math.min(KNOCKS, seeds.size()); i++) {
+            push(seeds.get(seeds.size() <= KNOCKS ? i : chance.nextInt(seeds.size())), true, List.of(alive), Budget.Use.PROBE);
         }
     }
 
@@ -188,8 +206,13 @@
 
     // ---- what others say
 
-    /** Each datagram, before its words: its sender signed it just now, so it is there. */
-    public void from(int peer, int itsIncarnation) {
+    /**
+     * Each datagram, before its words: its sender signed it just now, so it is there.
+     *
+     * @param sent by its clock, since the zero of Unix time
+     */
+    public void from(int peer, int itsIncarnation, Duration sent) {
+        skew.direct(peer, sent, unix);
         heard++;
         if (members.state(peer) == Members.State.GONE && itsIncarnation == members.incarnation(peer)) {
             // It has to speak up itself, so that all who hold it gone hear of it.
@@ -386,6 +409,9 @@
             }
             send(to, Budget.Use.PROBE, words -> post.ping(to, its, words));
         }
+        if (members.there() <= 1) {
+            knock();
+        }
         // A table that lacks many is evened out in each period, as far as the budget allows.
         int every = members.there() < KNOWN * members.instances() ? 1 : EVEN;
         if (++periods % every == 0) {
--- a/src/main/java/dillfront/peers/Codec.java
+++ b/src/main/java/dillfront/peers/Codec.java
@@ -50,8 +50,11 @@
 
     /** Takes what was read and found right. */
     public interface Reader {
-        /** @param about index of the instance that the sender asks about; -1 where there is none */
-        void read(int from, int incarnation, Form form, int probe, int about, List<Word> words);
+        /**
+         * @param sent by the sender's clock, since the zero of Unix time
+         * @param about index of the instance that the sender asks about; -1 where there is none
+         */
+        void read(int from, int incarnation, Duration sent, Form form, int probe, int about, List<Word> words);
 
         /** An instance's own word tells where it is. */
         void at(int peer, int incarnation, InetSocketAddress address);
@@ -206,7 +209,7 @@
                 words[good++] = word;
             }
         }
-        reader.read(from.peer(), in.getInt(start + 12), Form.values()[in.getByte(start + 3)], in.getInt(start + 40), about,
+        reader.read(from.peer(), in.getInt(start + 12), Duration.ofNanos(in.getLong(start + 24) * 1000), Form.values()[in.getByte(start + 3)], in.getInt(start + 40), about,
                 List.of(java.util.Arrays.copyOf(words, good)));
     }
 
--- a/src/main/java/dillfront/peers/Datagrams.java
+++ b/src/main/java/dillfront/peers/Datagrams.java
@@ -152,13 +152,13 @@
     }
 
     @Override
-    public void read(int from, int incarnation, Codec.Form form, int probe, int about, List<Word> words) {
+    public void read(int from, int incarnation, Duration at, Codec.Form form, int probe, int about, List<Word> words) {
         read++;
         // It is where its own fresh datagram came from.
         ring.address(from, sender);
         addressOf[from] = Math.max(addressOf[from], incarnation);
         at();
-        gossip.from(from, incarnation);
+        gossip.from(from, incarnation, at);
         words.forEach(w -> gossip.word(w, from));
         switch (form) {
             case PING -> gossip.pinged(from, probe);
--- a/src/test/java/dillfront/gossip/CrowdTest.java
+++ b/src/test/java/dillfront/gossip/CrowdTest.java
@@ -196,6 +196,76 @@
         }
     }
 
+    @Test
+    void claimsOfBothSidesEndAfterAParting() {
+        Hearsay[] weighs = new Hearsay[20];
+        for (int i = 0; i < weighs.length; i++) {
+            weighs[i] = new Hearsay(Tuning.USUAL, weighs.length);
+            weighs[i].nodes(8);
+        }
+        crowd = new Crowd(weighs.length, Tuning.USUAL, time, 11, (at, claim, age) -> {
+            weighs[at].at(time.now());
+            if (weighs[at].heard(claim.origin(), (int) claim.subject(), Symptom.values()[claim.detail()], age, claim.since())) {
+                crowd.instances[at].gossip.passOn(claim, claim.origin());
+            }
+        });
+        crowd.start();
+        until(10);
+        for (Crowd.Instance one : crowd.instances) {
+            one.side = one.index % 2;
+        }
+        // Each side holds a node of its own for hung, up to the moment at which they meet again.
+        for (int s = 11; s < 60; s++) {
+            until(s);
+            for (int i = 0; i < 8; i++) {
+                crowd.instances[i].at();
+                crowd.instances[i].gossip.claim(1 + i % 2, Symptom.HUNG, 1, Duration.ofSeconds(s - 11));
+            }
+        }
+        assertTrue(weighs[18].doubted(1) && !weighs[18].doubted(2));
+        for (Crowd.Instance one : crowd.instances) {
+            one.side = 0;
+        }
+        until(60 + Tuning.USUAL.lasts().toSeconds());
+        for (Hearsay one : weighs) {
+            one.at(time.now());
+            one.woken();
+            assertTrue(!one.doubted(1) && !one.doubted(2), "nobody has evidence of his own");
+        }
+        until(90);
+        for (Hearsay one : weighs) {
+            one.at(time.now());
+            one.woken();
+            assertEquals(0, one.claims(1) + one.claims(2), "nor does an old word come back");
+        }
+    }
+
+    @Test
+    void tablesStayWithinTheirBoundsAllDay() {
+        Tuning slow = new Tuning(Duration.ofSeconds(10), 3000, 1200, 1, Duration.ofSeconds(50));
+        crowd = new Crowd(10, slow, time, 12, (at, claim, age) -> crowd.instances[at].gossip.passOn(claim, claim.origin()));
+        crowd.start();
+        int most = 0;
+        long node = 0;
+        for (int minute = 1; minute <= 24 * 60; minute++) {
+            until(60 * minute);
+            Crowd.Instance one = crowd.instances[minute % 10];
+            if (minute % 7 == 0) {
+                one.start(List.of((minute + 1) % 10));
+            }
+            one.at();
+            // Nodes come and go: a new one each time.
+            one.gossip.claim(node++, Symptom.UNREACHABLE, 1, Duration.ZERO);
+            for (Crowd.Instance each : crowd.instances) {
+                most = Math.max(most, each.gossip.remembered());
+                assertTrue(each.gossip.spreading() <= 64);
+            }
+        }
+        assertTrue(most <= 9 * 32, "remembered " + most);
+        until(24 * 3600 + 200);
+        assertEquals(1.0, crowd.known());
+    }
+
     @Test
     void sameSeedSameWords() {
         crowd(30, 10);
