Callers prove who they are: TLS, signed tokens, rights at each txn, all by the operator's file

Need: a partner's billing job must not read another hotel's history, tablets must not post charges. Change: identity(), role(), allow(), deny(), principal() in the operator's file; TLS 1.2 and 1.3 by PostgreSQL's SSLRequest (netty-handler, the JDK's engine), nothing taken that was sent behind the request in the clear; a JWT as the password (nimbus-jose-jwt), algorithms pinned by key; files read by a thread of their own four times a second, which also does handshakes' and signatures' arithmetic; tenants reach Decide.take at last.

--- a/src/main/java/dillfront/clients/ClientConnection.java
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -3,6 +3,8 @@
 import dillfront.exchange.Answer;
 import dillfront.exchange.Asker;
 import dillfront.exchange.Exchange;
+import dillfront.identity.Gate;
+import dillfront.identity.Refusal;
 import dillfront.pgwire.BadFrame;
 import dillfront.pgwire.BadStatement;
 import dillfront.pgwire.Frames;
@@ -10,8 +12,10 @@
 import dillfront.pgwire.Statement;
 import dillfront.sockets.Ears;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 
 /** One client: queries taken one after another, each answered before the next is looked at. */
@@ -21,6 +25,12 @@
     private final Frames frames = new Frames();
     private ChannelHandlerContext ctx;
     private boolean started;
+    /** Where callers are asked: the name given, until it is proven; who is in; whether its txn is out. */
+    private String user;
+    private boolean proving;
+    private boolean encrypted;
+    private Gate.Session session;
+    private boolean counted;
     /** After a message of the extended protocol, until its Sync. */
     private boolean skipping;
     /** The txn that is out; the connection owes its answer. */
@@ -124,22 +134,106 @@
 
     private void startup(ByteBuf message) {
         int code = message.getInt(message.readerIndex() + 4);
+        String name = code == Messages.VERSION && clients.callers != null ? Messages.user(message) : null;
         message.release();
         switch (code) {
-            case Messages.SSL, Messages.GSS -> ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte('N'));
+            case Messages.SSL -> encrypt();
+            case Messages.GSS -> ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte('N'));
             case Messages.CANCEL -> close();
             case Messages.VERSION -> {
                 started = true;
                 frames.typed();
-                ctx.writeAndFlush(Messages.welcome(ctx.alloc().buffer(192)));
+                if (clients.callers != null) {
+                    prove(name);
+                } else {
+                    ctx.writeAndFlush(Messages.welcome(ctx.alloc().buffer(192)));
+                }
             }
             default -> refuse("0A000", "protocol version " + (code >>> 16) + "." + (code & 0xffff));
         }
     }
 
+    /** The one byte in the clear that says whether TLS begins; what came with the question would pass for a part of it. */
+    private void encrypt() {
+        ChannelHandler tls = clients.callers == null || encrypted ? null : clients.callers.tls();
+        if (tls != null && frames.waiting() > 0) {
+            refuse(Messages.VIOLATION, "bytes behind the request for TLS");
+            return;
+        }
+        ctx.writeAndFlush(ctx.alloc().buffer(1).writeByte(tls == null ? 'N' : 'S'));
+        if (tls != null) {
+            encrypted = true;
+            ctx.pipeline().addFirst(tls);
+        }
+    }
+
+    /** Asks for the token, as a password (AuthenticationCleartextPassword), over TLS alone where there is TLS. */
+    private void prove(String name) {
+        if (clients.callers.tlsAlone() && !encrypted) {
+            refuse(Refusal.UNKNOWN.code(), "only over TLS");
+            return;
+        }
+        Duration wait = clients.callers.wait(address(), name);
+        if (!wait.isZero()) {
+            refuse(Refusal.PENALTY.code(), "failed too often, to be tried again in " + Math.max(1, wait.toMillis()) + " ms");
+            return;
+        }
+        user = name;
+        proving = true;
+        ctx.writeAndFlush(ctx.alloc().buffer(9).writeByte('R').writeInt(8).writeInt(3));
+    }
+
+    private String address() {
+        return ctx.channel().remoteAddress() instanceof InetSocketAddress at ? at.getAddress().getHostAddress() : "";
+    }
+
+    private void proof(ByteBuf message) {
+        if ((char) message.getByte(message.readerIndex()) != 'p' || !proving) {
+            message.release();
+            refuse(Messages.VIOLATION, "expected a password message");
+            return;
+        }
+        proving = false;
+        String token = Messages.password(message);
+        message.release();
+        // Nothing else is looked at until it is known who this is.
+        owes = true;
+        clients.callers.enter(address(), user, token, new Callers.Entry() {
+            @Override
+            public void entered(Gate.Session in) {
+                if (closed) {
+                    in.leave();
+                    return;
+                }
+                session = in;
+                owes = false;
+                // Who has proven himself is no stranger.
+                clients.taken(ClientConnection.this);
+                since = System.nanoTime();
+                ctx.writeAndFlush(Messages.welcome(ctx.alloc().buffer(192)));
+                if (frames.waiting() > 0) {
+                    clients.line(ClientConnection.this);
+                }
+            }
+
+            @Override
+            public void refused(Refusal why, String text) {
+                if (!closed) {
+                    owes = false;
+                    // Why in full stands in the log alone.
+                    refuse(why.code(), "not let in: " + why.name().toLowerCase(java.util.Locale.ROOT));
+                }
+            }
+        });
+    }
+
     /** Takes one message over. */
     private void message(ByteBuf message) {
         char type = (char) message.getByte(message.readerIndex());
+        if (clients.callers != null && session == null) {
+            proof(message);
+            return;
+        }
         if (type == 'Q' && !skipping) {
             query(message);
             return;
@@ -188,10 +282,14 @@
             error(Messages.OUT_OF_FORM, bad.getMessage(), null);
             return;
         }
+        if (session != null && !mayTake(statement, message)) {
+            return;
+        }
         owes = true;
-        Exchange taken = clients.desk.take(statement, message, this, waited);
+        Exchange taken = clients.desk.take(statement, message, this, waited, session == null ? -1 : session.tenant());
         if (taken == null) {
             owes = false;
+            uncount();
             message.release();
             clients.counters.outOfForm++;
             clients.log.warn("query-unknown", "type", statement.type, "group", statement.group);
@@ -202,6 +300,43 @@
         }
     }
 
+    /** Whether this session may have this txn begun; if not, it has been told, and the message is gone. */
+    private boolean mayTake(Statement statement, ByteBuf message) {
+        clients.callers.tick();
+        int type = clients.desk.type(statement.type);
+        Refusal no = session.take(type, statement.write, statement.group, statement);
+        if (no == null) {
+            counted = true;
+            return true;
+        }
+        String cause = no == Refusal.NO_RIGHT ? session.cause(type, statement.write, statement.group, statement) : "-";
+        clients.callers.denied(session, no, statement.type, statement.write, statement.group, cause);
+        message.release();
+        if (no.endsSession()) {
+            refuse(no.code(), "no longer let in: " + no.name().toLowerCase(java.util.Locale.ROOT));
+        } else {
+            Duration pause = no == Refusal.BUSY ? session.comeBack() : Duration.ZERO;
+            error(no.code(), no == Refusal.BUSY ? "beyond this user's share" : "no right to this",
+                    pause.isZero() ? null : Long.toString(Math.max(1, pause.toMillis())));
+        }
+        return false;
+    }
+
+    /** Has it end, where it is idle and no longer let in. */
+    void lookAgain() {
+        if (session != null && !closed && idle() && session.over() != null) {
+            refuse(session.over().code(), "no longer let in: " + session.over().name().toLowerCase(java.util.Locale.ROOT));
+        }
+    }
+
+    /** Its txn is over, for its share. */
+    private void uncount() {
+        if (counted) {
+            counted = false;
+            session.done();
+        }
+    }
+
     private void known() {
         served = true;
         since = System.nanoTime();
@@ -245,6 +380,7 @@
 
     /** What comes next is looked at once the module has returned. */
     private void answered() {
+        uncount();
         exchange = null;
         owes = false;
         since = System.nanoTime();
@@ -273,6 +409,11 @@
         waits();
         clients.closed(this);
         owes = false;
+        uncount();
+        if (session != null) {
+            session.leave();
+            session = null;
+        }
         if (exchange != null) {
             clients.counters.left++;
             Exchange out = exchange;
@@ -283,7 +424,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof IOException)) {
+        // What is no TLS, where TLS was asked for, is the client's fault.
+        if (!(cause instanceof IOException) && !(cause.getCause() instanceof IOException)) {
             clients.log.warn("client-connection", "fault", cause);
         }
         context.close();
--- a/src/main/java/dillfront/clients/Clients.java
+++ b/src/main/java/dillfront/clients/Clients.java
@@ -49,6 +49,8 @@
     /** Bytes of messages that are not whole yet. */
     private long waiting;
     private Channel door;
+    /** Null where all are served. */
+    Callers callers;
     private boolean leaving;
 
     /**
@@ -72,6 +74,11 @@
         loop.scheduleWithFixedDelay(this::closeOld, dialNanos, dialNanos, TimeUnit.NANOSECONDS);
     }
 
+    /** From now on those who come are asked who they are; before the door opens. */
+    public void ask(Callers who) {
+        callers = who;
+    }
+
     public ChannelFuture open(InetSocketAddress address) {
         ChannelFuture bound = Sockets.listen(loop, address, 2 * most, new WriteBufferWaterMark(1 << 15, 1 << 16),
                 () -> new ClientConnection(this));
@@ -222,6 +229,11 @@
 
     /** Strangers have their time; so has a message to be sent to its end; who is idle goes while the house is half full. */
     private void closeOld() {
+        if (callers != null) {
+            callers.tick();
+            List.copyOf(known).forEach(ClientConnection::lookAgain);
+            List.copyOf(strangers).forEach(ClientConnection::lookAgain);
+        }
         for (Set<ClientConnection> some : List.of(strangers, known)) {
             for (ClientConnection client : List.copyOf(some)) {
                 boolean stays = some == known && client.idle() && size() <= most / 2;
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -88,7 +88,7 @@
                 router = new Router(config, new Clock(), counters, log, loop, share);
                 clients = new Clients(router, router.pace(), router.clock(), counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
                         config.setup().settings().dial());
-                side = operator == Operator.NONE ? null : new Side(operator, config.name(), config.seed(), router, loop, log);
+                side = operator == Operator.NONE ? null : new Side(operator, config, router, clients, loop, log);
                 boolean known = !config.known().list("instances").isEmpty();
                 if (known) {
                     router.list(config.known());
--- /dev/null
+++ b/src/main/java/dillfront/daemon/Doorkeeper.java
@@ -0,0 +1,227 @@
+package dillfront.daemon;
+
+import dillfront.clients.Callers;
+import dillfront.config.Clock;
+import dillfront.config.Setup;
+import dillfront.identity.Gate;
+import dillfront.identity.Penalty;
+import dillfront.identity.Policy;
+import dillfront.identity.Refusal;
+import dillfront.log.Log;
+import dillfront.operator.Operator;
+import dillfront.tokens.Tokens;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.EventLoop;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslProvider;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * Keeps the gate's state as the operator's files have it, and the door's TLS. Files are looked at and read by a thread of
+ * their own, four times a second; what they say comes to the loop as one object. Handshakes' arithmetic is done by that
+ * thread too, so that a storm of them takes none of the loop's turns; so many at once, and the next are turned away.
+ */
+final class Doorkeeper implements Callers {
+
+    private static final Duration LOOK = Duration.ofMillis(250);
+    private static final int HANDSHAKES = 64;
+    private static final Duration HANDSHAKE = Duration.ofSeconds(2);
+
+    /** All that one look at the files gave. */
+    private record Read(Policy policy, Tokens tokens, SslContext tls) {}
+
+    private final Path operatorFile;
+    private final Setup setup;
+    private final Clock clock;
+    private final EventLoop loop;
+    private final Log log;
+    private final Gate gate = new Gate();
+    private final Penalty penalty;
+    private final ScheduledThreadPoolExecutor reader =
+            new ScheduledThreadPoolExecutor(1, new DefaultThreadFactory("identity", true));
+    private String seen = "";
+    private String fault = "";
+    private Tokens tokens;
+    private SslContext tls;
+    private boolean tlsAlone = true;
+    private int handshakes;
+
+    /** Reads the files once, or says what is wrong with them. */
+    Doorkeeper(Path operatorFile, Operator operator, Setup setup, long seed, Clock clock, EventLoop loop, Log log)
+            throws Operator.BadOperator {
+        this.operatorFile = operatorFile;
+        this.setup = setup;
+        this.clock = clock;
+        this.loop = loop;
+        this.log = log;
+        penalty = new Penalty(seed);
+        seen = stamps(operator.identity());
+        take(read(operator.identity()));
+        ((ThreadPoolExecutor) reader).setKeepAliveTime(1, TimeUnit.SECONDS);
+        reader.scheduleWithFixedDelay(this::look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    void close() {
+        reader.shutdownNow();
+    }
+
+    // ---- on the reader's thread
+
+    /** Sizes and times of all files: when one differs they are read again. */
+    private String stamps(Operator.IdentityPart part) {
+        List<Path> files = new ArrayList<>(part.files());
+        files.add(operatorFile);
+        StringBuilder all = new StringBuilder();
+        for (Path file : files) {
+            try {
+                all.append(file).append(' ').append(Files.getLastModifiedTime(file).toInstant()).append(' ')
+                        .append(Files.size(file)).append('\n');
+            } catch (IOException none) {
+                all.append(file).append(" not there\n");
+            }
+        }
+        return all.toString();
+    }
+
+    private void look() {
+        String now = "";
+        String wrong = "";
+        Read read = null;
+        try {
+            Operator operator = Operator.read(operatorFile);
+            if (operator.identity() == null) {
+                throw new Operator.BadOperator(operatorFile + ": identity() is gone; that waits for a start");
+            }
+            now = stamps(operator.identity());
+            if (now.equals(seen) && fault.isEmpty()) {
+                return;
+            }
+            read = read(operator.identity());
+        } catch (Operator.BadOperator bad) {
+            wrong = bad.getMessage();
+        } catch (RuntimeException bad) {
+            wrong = String.valueOf(bad);
+        }
+        boolean said = wrong.equals(fault);
+        fault = wrong;
+        seen = wrong.isEmpty() ? now : seen;
+        Read good = read;
+        String why = wrong;
+        loop.execute(() -> {
+            tick();
+            if (good != null) {
+                take(good);
+                log.info("identity-read", "principals", good.policy.principals().size(), "keys", good.policy.keys());
+            } else {
+                gate.unreadable();
+                if (!said) {
+                    log.warn("identity-unreadable", "fault", why);
+                }
+            }
+        });
+    }
+
+    private Read read(Operator.IdentityPart part) throws Operator.BadOperator {
+        try {
+            Tokens next = new Tokens(Files.readString(part.jwks()), part.issuer(), part.audience());
+            Set<String> revoked = part.revoked() == null ? Set.of()
+                    : Files.readAllLines(part.revoked(), StandardCharsets.UTF_8).stream().map(String::strip)
+                            .filter(l -> !l.isEmpty() && !l.startsWith("#")).collect(Collectors.toSet());
+            SslContext context = part.certificate() == null ? null : SslContextBuilder.forServer(part.certificate().toFile(),
+                    part.privateKey().toFile()).sslProvider(SslProvider.JDK).protocols("TLSv1.3", "TLSv1.2").build();
+            return new Read(part.policy(setup.types(), setup.tenants(), next.ids(), revoked), next, context);
+        } catch (Tokens.BadToken bad) {
+            throw new Operator.BadOperator(part.jwks() + ": " + bad.getMessage());
+        } catch (IOException | IllegalArgumentException bad) {
+            throw new Operator.BadOperator("identity: " + bad);
+        }
+    }
+
+    // ---- on the loop
+
+    private void take(Read read) {
+        tokens = read.tokens;
+        tls = read.tls;
+        tlsAlone = read.tls != null;
+        gate.read(read.policy);
+    }
+
+    @Override
+    public void tick() {
+        gate.at(clock.now(), Duration.ofMillis(clock.unixMillis()));
+        penalty.at(clock.now());
+    }
+
+    @Override
+    public boolean tlsAlone() {
+        return tlsAlone;
+    }
+
+    @Override
+    public ChannelHandler tls() {
+        if (tls == null || handshakes >= HANDSHAKES) {
+            return null;
+        }
+        SslHandler handler = new SslHandler(tls.newEngine(io.netty.buffer.ByteBufAllocator.DEFAULT), reader);
+        handler.setHandshakeTimeoutMillis(HANDSHAKE.toMillis());
+        handshakes++;
+        handler.handshakeFuture().addListener(done -> handshakes--);
+        return handler;
+    }
+
+    @Override
+    public Duration wait(String address, String user) {
+        tick();
+        return penalty.wait(address, user);
+    }
+
+    /** The signature is checked by the reader's thread; what it says is weighed here. */
+    @Override
+    public void enter(String address, String user, String token, Entry entry) {
+        Tokens by = tokens;
+        reader.execute(() -> {
+            Gate.Credential credential = null;
+            String wrong = null;
+            try {
+                credential = by.read(token);
+                wrong = credential.principal().equals(user) ? null : "the token is for '" + credential.principal() + "'";
+            } catch (Tokens.BadToken bad) {
+                wrong = bad.getMessage();
+            }
+            Gate.Credential said = credential;
+            String fault = wrong;
+            loop.execute(() -> {
+                tick();
+                Object in = fault != null ? Refusal.UNKNOWN : gate.enter(said);
+                if (in instanceof Gate.Session session) {
+                    penalty.right(address, user);
+                    entry.entered(session);
+                    return;
+                }
+                penalty.failed(address, user);
+                String why = fault != null ? fault : String.valueOf(in).toLowerCase(java.util.Locale.ROOT);
+                log.warn("login-refused", "user", user, "address", address, "why", why);
+                entry.refused((Refusal) in, why);
+            });
+        });
+    }
+
+    @Override
+    public void denied(Gate.Session session, Refusal why, String type, boolean write, int group, String cause) {
+        log.warn("denied", "who", session.name(), "why", why, "type", type, "write", write, "group", group, "rule", cause);
+    }
+}
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -150,7 +150,7 @@
     }
 
     @Override
-    public Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited) {
+    public Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited, int tenant) {
         Integer type = setup.types().get(statement.type);
         if (type == null || !members.mayHave(statement.group)) {
             return null;
@@ -172,11 +172,16 @@
         Duration now = clock.now();
         Duration token = !setup.tokensCarried() ? null
                 : statement.afterMs == 0 ? Duration.ZERO : now.minus(clock.since(statement.afterMs));
-        exchange.taken(decide.take(slot, type, -1, Setup.session(statement.key), statement.group,
+        exchange.taken(decide.take(slot, type, tenant, Setup.session(statement.key), statement.group,
                 patience(statement, type), token, waited));
         return exchange;
     }
 
+    @Override
+    public int type(String name) {
+        return setup.types().getOrDefault(name, -1);
+    }
+
     /** Nobody waits longer than the settings let his type wait, whatever he says. */
     private Duration patience(Statement statement, int type) {
         long longest = setup.settings().types().get(type).longest().toMillis();
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -1,5 +1,7 @@
 package dillfront.daemon;
 
+import dillfront.clients.Clients;
+import dillfront.config.Config;
 import dillfront.control.Control;
 import dillfront.log.Log;
 import dillfront.operator.Operator;
@@ -18,8 +20,16 @@
     private final Neighbours neighbours;
     private final Datagrams datagrams;
     private final Control control;
+    private final Doorkeeper doorkeeper;
 
-    Side(Operator operator, String name, long seed, Router router, EventLoop loop, Log log) throws Operator.BadOperator {
+    Side(Operator operator, Config config, Router router, Clients clients, EventLoop loop, Log log) throws Operator.BadOperator {
+        String name = config.name();
+        long seed = config.seed();
+        doorkeeper = operator.identity() == null ? null
+                : new Doorkeeper(operator.file(), operator, config.setup(), seed, router.clock(), loop, log);
+        if (doorkeeper != null) {
+            clients.ask(doorkeeper);
+        }
         Operator.GossipPart gossip = operator.gossip();
         if (gossip == null) {
             neighbours = null;
@@ -58,5 +68,8 @@
         if (control != null) {
             control.close();
         }
+        if (doorkeeper != null) {
+            doorkeeper.close();
+        }
     }
 }
--- a/src/main/java/dillfront/exchange/Desk.java
+++ b/src/main/java/dillfront/exchange/Desk.java
@@ -11,9 +11,13 @@
      * Takes a txn, and the message that holds its statement. The answer may come during the call.
      *
      * @param waited how long ago its last byte may have come
+     * @param tenant index of its client's tenant; -1 where it has none
      * @return null where nothing was taken: no such txn type or group is known, or a txn of this id is out, and the message is still the caller's
      */
-    Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited);
+    Exchange take(Statement statement, ByteBuf message, Asker asker, Duration waited, int tenant);
+
+    /** The index of a txn type by its name; -1 where it is unknown. */
+    int type(String name);
 
     /** Sets the module's clock: called before each word to a handle. */
     void tick();
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -2,6 +2,10 @@
 
 import dillfront.config.Address;
 import dillfront.gossip.Tuning;
+import dillfront.identity.Policy;
+import dillfront.identity.Principal;
+import dillfront.identity.Rights;
+import dillfront.identity.Rule;
 import dillfront.peers.Ring;
 import dillfront.script.Script;
 import dillfront.script.ScriptError;
@@ -18,14 +22,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the operator's own file says; without one, nothing of it is on. The file is a script (dillfront.script) that may
- * call gossip(), peer() and control(), in any order:
+ * call these words, roles before the principals that have them:
  *
  * <pre>
  *   gossip(key = "/etc/dillfront/r1.key", public = "64 hex digits", period = "1s", bytes_per_second = 3000, liars = 1,
@@ -33,14 +39,19 @@
  *   peer("r1", address = "10.0.0.4:7946", keys = ["64 hex digits", {"key": "...", "from": "2026-12-01T00:00:00Z",
  *        "until": "2027-01-01T00:00:00Z"}])
  *   control("127.0.0.1:9946")
+ *   identity(jwks = "keys.json", issuer = "depot", certificate = "door.pem", key = "door.key", revoked = "revoked.txt")
+ *   role("reader", [allow(types = ["history"], access = "r", prefix = "hotel-7/"), deny(prefix = "hotel-7/safe")])
+ *   principal("billing-7", tenant = "hotel-7", roles = ["reader"], rate = 50, at_once = 8)
  * </pre>
  *
  * @param gossip null where it is off
+ * @param identity null where all are served
+ * @param file where it was read
  * @param control where the instance answers questions about itself, on a loopback address; null where it does not
  */
-public record Operator(GossipPart gossip, InetSocketAddress control) {
+public record Operator(GossipPart gossip, InetSocketAddress control, IdentityPart identity, Path file) {
 
-    public static final Operator NONE = new Operator(null, null);
+    public static final Operator NONE = new Operator(null, null, null, null);
 
     /**
      * @param keyFile of this instance's private key, PKCS #8 in PEM
@@ -74,11 +85,66 @@
         }
     }
 
+    /** One allow() or deny(), names not yet looked up. */
+    public record RuleText(boolean allow, List<String> types, String access, int group, String prefix, String from) {}
+
+    /** One principal(). */
+    public record PrincipalText(String name, String tenant, List<String> roles, double rate, int atOnce, String from) {}
+
+    /**
+     * @param jwks file of the public keys that sign tokens
+     * @param revoked file of ids that count no more, one a line; null where there is none
+     * @param certificate file of the door's certificate chain in PEM, and its private key; null where the door has no TLS
+     */
+    public record IdentityPart(Path jwks, String issuer, String audience, Path revoked, Path certificate, Path privateKey,
+            Duration overlap, Duration holds, Map<String, List<RuleText>> roles, List<PrincipalText> principals) {
+
+        /** All files that it is made of but for the operator's own. */
+        public List<Path> files() {
+            return java.util.stream.Stream.of(jwks, revoked, certificate, privateKey).filter(java.util.Objects::nonNull).toList();
+        }
+
+        /**
+         * @param types and tenants by their names in the settings
+         */
+        public Policy policy(Map<String, Integer> types, Map<String, Integer> tenants, Set<String> keys, Set<String> revokedIds)
+                throws BadOperator {
+            Map<String, Principal> named = new HashMap<>();
+            for (PrincipalText one : principals) {
+                List<Rule> rules = new ArrayList<>();
+                for (String role : one.roles) {
+                    for (RuleText text : roles.get(role)) {
+                        rules.add(rule(text, types));
+                    }
+                }
+                if (one.tenant != null && !tenants.containsKey(one.tenant)) {
+                    throw new BadOperator(one.from + ": no tenant '" + one.tenant + "' in the settings");
+                }
+                named.put(one.name, new Principal(one.name, one.tenant == null ? -1 : tenants.get(one.tenant), new Rights(rules),
+                        one.rate, one.atOnce));
+            }
+            return new Policy(named, keys, revokedIds, overlap, holds);
+        }
+
+        private static Rule rule(RuleText text, Map<String, Integer> types) throws BadOperator {
+            int bits = text.types.isEmpty() ? Rule.ALL : 0;
+            for (String type : text.types) {
+                Integer index = types.get(type);
+                if (index == null || index >= Rule.TYPES) {
+                    throw new BadOperator(text.from + ": no txn type '" + type + "' in the settings");
+                }
+                bits |= 1 << index;
+            }
+            return new Rule(text.allow, bits, text.access.contains("r"), text.access.contains("w"), text.group,
+                    text.prefix.getBytes(StandardCharsets.UTF_8), text.from);
+        }
+    }
+
     /** What is wrong, with the file, the line and the column where it is known. */
     public static final class BadOperator extends Exception {
         private static final long serialVersionUID = 1;
 
-        BadOperator(String fault) {
+        public BadOperator(String fault) {
             super(fault);
         }
     }
@@ -91,6 +157,96 @@
         private Path keyFile;
         private String publicKey;
         private InetSocketAddress control;
+        private final String file;
+        private IdentityPart identity;
+        private final Map<String, List<RuleText>> roles = new HashMap<>();
+        private final List<PrincipalText> principals = new ArrayList<>();
+
+        Saying(String file) {
+            this.file = file;
+        }
+
+        Object identity(Script.Arguments given) throws ScriptError {
+            if (identity != null) {
+                throw given.error("", "identity() is there twice");
+            }
+            String jwks = given.text("jwks", null);
+            String issuer = given.text("issuer", null);
+            String audience = given.text("audience", "dillfront");
+            String revoked = given.text("revoked", null);
+            String certificate = given.text("certificate", null);
+            String key = given.text("key", null);
+            Duration overlap = span(given, "overlap", Duration.ofSeconds(30));
+            Duration holds = span(given, "holds", Duration.ofMinutes(10));
+            given.done();
+            if (jwks == null || issuer == null) {
+                throw given.error("", "identity() needs '" + (jwks == null ? "jwks" : "issuer") + "'");
+            }
+            if ((certificate == null) != (key == null)) {
+                throw given.error("certificate", "'certificate' and 'key' go together");
+            }
+            identity = new IdentityPart(Path.of(jwks), issuer, audience, revoked == null ? null : Path.of(revoked),
+                    certificate == null ? null : Path.of(certificate), key == null ? null : Path.of(key), overlap, holds, roles,
+                    principals);
+            return null;
+        }
+
+        Object rule(boolean allow, Script.Arguments given) throws ScriptError {
+            List<?> types = given.list("types");
+            String access = given.text("access", "rw");
+            String prefix = given.text("prefix", "");
+            long group = number(given, "group", -1, -1, Integer.MAX_VALUE);
+            given.done();
+            if (!access.matches("r|w|rw")) {
+                throw given.error("access", "expected \"r\", \"w\" or \"rw\", found \"" + access + "\"");
+            }
+            if (!types.stream().allMatch(t -> t instanceof String)) {
+                throw given.error("types", "expected a list of names of txn types");
+            }
+            if (prefix.getBytes(StandardCharsets.UTF_8).length > 255) {
+                throw given.error("prefix", "a prefix longer than 255 bytes");
+            }
+            Map<String, Object> row = new HashMap<>();
+            row.put("rule", new RuleText(allow, types.stream().map(String::valueOf).toList(), access, (int) group, prefix,
+                    file + ":" + given.line()));
+            return row;
+        }
+
+        Object role(Script.Arguments given) throws ScriptError {
+            String name = given.text("name", "");
+            List<RuleText> rules = new ArrayList<>();
+            for (Object one : given.list("rules")) {
+                if (!(one instanceof Map<?, ?> row && row.get("rule") instanceof RuleText rule)) {
+                    throw given.error("rules", "expected a list of allow() and deny()");
+                }
+                rules.add(rule);
+            }
+            given.done();
+            if (name.isEmpty() || roles.put(name, rules) != null) {
+                throw given.error("name", name.isEmpty() ? "a role without a name" : "role '" + name + "' is there twice");
+            }
+            return null;
+        }
+
+        Object principal(Script.Arguments given) throws ScriptError {
+            String name = given.text("name", "");
+            String tenant = given.text("tenant", null);
+            List<?> its = given.list("roles");
+            long rate = number(given, "rate", 0, 0, 1_000_000);
+            long atOnce = number(given, "at_once", 0, 0, 1_000_000);
+            given.done();
+            for (Object role : its) {
+                if (!roles.containsKey(role)) {
+                    throw given.error("roles", "no role '" + role + "' above");
+                }
+            }
+            if (name.isEmpty() || principals.stream().anyMatch(p -> p.name.equals(name))) {
+                throw given.error("name", name.isEmpty() ? "a principal without a name" : "principal '" + name + "' is there twice");
+            }
+            principals.add(new PrincipalText(name, tenant, its.stream().map(String::valueOf).toList(), rate, (int) atOnce,
+                    file + ":" + given.line()));
+            return null;
+        }
 
         Object gossip(Script.Arguments given) throws ScriptError {
             if (tuning != null) {
@@ -196,8 +352,11 @@
             if (tuning == null && ring.size() > 0) {
                 throw new BadOperator("peers, but no gossip(): nothing would be on");
             }
+            if (identity == null && !principals.isEmpty()) {
+                throw new BadOperator("principals, but no identity(): all would be served");
+            }
             if (tuning == null) {
-                return new Operator(null, control);
+                return new Operator(null, control, identity, Path.of(file));
             }
             if (ring.size() < 2) {
                 throw new BadOperator("gossip() with " + ring.size() + " peers: expected this instance and another");
@@ -205,7 +364,7 @@
             if (3 * tuning.liars() > ring.size()) {
                 throw new BadOperator("liars = " + tuning.liars() + " of " + ring.size() + " peers: expected a third at the most");
             }
-            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey), control);
+            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey), control, identity, Path.of(file));
         }
     }
 
@@ -227,11 +386,16 @@
 
     /** @param name of the file, for errors */
     public static Operator read(String name, String text) throws BadOperator {
-        Saying saying = new Saying();
+        Saying saying = new Saying(name);
         Map<String, Script.Word> words = new HashMap<>();
         words.put("gossip", saying::gossip);
         words.put("peer", saying::peer);
         words.put("control", saying::control);
+        words.put("identity", saying::identity);
+        words.put("allow", given -> saying.rule(true, given));
+        words.put("deny", given -> saying.rule(false, given));
+        words.put("role", saying::role);
+        words.put("principal", saying::principal);
         try {
             Script.run(text, words);
             return saying.said();
--- a/src/main/java/dillfront/pgwire/Messages.java
+++ b/src/main/java/dillfront/pgwire/Messages.java
@@ -98,6 +98,35 @@
     }
 
     /** The code of an error message; empty where it holds none. */
+    /** The user that a startup message names; empty where it names none. */
+    public static String user(ByteBuf message) {
+        int at = message.readerIndex() + 8;
+        int end = message.writerIndex();
+        while (at < end && message.getByte(at) != 0) {
+            int nameTo = zero(message, at, end);
+            int valueTo = zero(message, Math.min(end, nameTo + 1), end);
+            if (nameTo - at == 4 && message.toString(at, 4, StandardCharsets.US_ASCII).equals("user")) {
+                return message.toString(nameTo + 1, Math.max(0, Math.min(valueTo - nameTo - 1, 256)), StandardCharsets.UTF_8);
+            }
+            at = valueTo + 1;
+        }
+        return "";
+    }
+
+    private static int zero(ByteBuf message, int from, int end) {
+        int at = from;
+        while (at < end && message.getByte(at) != 0) {
+            at++;
+        }
+        return at;
+    }
+
+    /** What a password message says. */
+    public static String password(ByteBuf message) {
+        int from = message.readerIndex() + 5;
+        return message.toString(from, zero(message, from, message.writerIndex()) - from, StandardCharsets.UTF_8);
+    }
+
     public static String code(ByteBuf message) {
         int at = message.readerIndex() + 5;
         while (at < message.writerIndex() && message.getByte(at) != 0) {
--- a/src/main/java/dillfront/pgwire/Statement.java
+++ b/src/main/java/dillfront/pgwire/Statement.java
@@ -1,5 +1,6 @@
 package dillfront.pgwire;
 
+import dillfront.identity.KeyBytes;
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
@@ -7,7 +8,7 @@
  * A client's statement, read in place. Keeps numbers, and the places in the message where the waiting time
  * stands, never the bytes.
  */
-public final class Statement {
+public final class Statement implements KeyBytes {
 
     private static final byte[] SELECT = ascii("SELECT body FROM objects WHERE oid = '");
     private static final byte[] INSERT = ascii("INSERT INTO objects (oid, body) VALUES ('");
@@ -36,6 +37,10 @@
     public int waitFrom;
     public int waitTo;
 
+    /** Where the key begins in the message, and its bytes. */
+    private int keyFrom;
+    private int keyLength;
+
     private final ByteBuf message;
     private final int end;
     private int at;
@@ -53,6 +58,17 @@
         return statement;
     }
 
+    /** Of the key, while the message is still whoever's it was when it was read. */
+    @Override
+    public int length() {
+        return keyLength;
+    }
+
+    @Override
+    public byte at(int index) {
+        return message.getByte(keyFrom + index);
+    }
+
     private static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
@@ -73,6 +89,8 @@
             throw new BadStatement("no key");
         }
         key = hash(from, at);
+        keyFrom = from;
+        keyLength = at - from;
         if (write) {
             expect(VALUE);
             int digits = at;
--- a/src/main/java/dillfront/script/Script.java
+++ b/src/main/java/dillfront/script/Script.java
@@ -84,6 +84,11 @@
             }
         }
 
+        /** Line of the call. */
+        public int line() {
+            return at.line();
+        }
+
         /** At the argument of this name, or at the call. */
         public ScriptError error(String name, String fault) {
             return new ScriptError(where.getOrDefault(name, at), fault);
