--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # A command as the operators have it.
 deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
 
-.PHONY: build test lint run clean measure-cost measure-gossip
+.PHONY: build test lint run clean measure-cost measure-gossip measure-identity
 
 # The text that a measurement compares with, built into a folder of its own.
 BEFORE ?= 6172edf
@@ -37,3 +37,7 @@
 # What gossip brings, what it costs, and what a liar can do, in virtual time and once on loopback; under 50 s.
 measure-gossip: build
 	java -Xmx1g -cp target/dillfront.jar dillfront.lab.GossipMeasure
+
+# What a verdict on a txn costs, by the index and by a plain list; under 50 s.
+measure-identity: build
+	java -cp target/dillfront.jar dillfront.bench.IdentityMeasure
--- /dev/null
+++ b/src/main/java/dillfront/cli/Keys.java
@@ -0,0 +1,131 @@
+package dillfront.cli;
+
+import com.nimbusds.jose.JOSEException;
+import com.nimbusds.jose.JWSAlgorithm;
+import com.nimbusds.jose.JWSHeader;
+import com.nimbusds.jose.crypto.ECDSASigner;
+import com.nimbusds.jose.jwk.Curve;
+import com.nimbusds.jose.jwk.ECKey;
+import com.nimbusds.jose.jwk.JWK;
+import com.nimbusds.jose.jwk.JWKSet;
+import com.nimbusds.jose.jwk.gen.ECKeyGenerator;
+import com.nimbusds.jwt.JWTClaimsSet;
+import com.nimbusds.jwt.SignedJWT;
+import java.io.IOException;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.text.ParseException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Date;
+import java.util.List;
+import java.util.UUID;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Keys that sign callers' tokens, and tokens for a try-out; nothing here talks to a router. */
+@Command(name = "keys", description = "Makes and publishes keys that sign tokens, and signs tokens.", mixinStandardHelpOptions = true)
+final class Keys implements Runnable {
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "expected new, public, token or revoke");
+    }
+
+    private static int fault(String text) {
+        System.err.println("dillfront: " + text);
+        return 1;
+    }
+
+    private static ECKey read(Path file) throws IOException {
+        try {
+            JWK key = JWK.parse(Files.readString(file));
+            if (key instanceof ECKey ec && ec.isPrivate()) {
+                return ec;
+            }
+        } catch (ParseException bad) {
+            // Told below, without what the file says: it may be a secret.
+        }
+        throw new IOException(file + ": no signing key as `dillfront keys new` writes it");
+    }
+
+    @Command(name = "new", description = "Makes a signing key (ES256): the private one into FILE, which must not be there yet.")
+    int make(@Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--id", required = true, paramLabel = "ID", description = "its name in key sets and tokens") String id)
+            throws JOSEException {
+        ECKey key = new ECKeyGenerator(Curve.P_256).keyID(id).algorithm(JWSAlgorithm.ES256).generate();
+        try {
+            Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            Files.writeString(file, key.toJSONString() + "\n");
+            return 0;
+        } catch (FileAlreadyExistsException there) {
+            return fault(file + ": is there already, and is left as it is");
+        } catch (IOException bad) {
+            return fault(file + ": " + bad.getMessage());
+        }
+    }
+
+    @Command(name = "public", description = "Writes the key set that routers read: the public parts of all these keys.")
+    int publish(@Option(names = "--to", required = true, paramLabel = "SET", description = "replaced in one step") Path to,
+            @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files) {
+        try {
+            List<JWK> keys = new ArrayList<>();
+            for (Path file : files) {
+                keys.add(read(file).toPublicJWK());
+            }
+            // Beside it and then moved: a router never reads half of it.
+            Path half = to.resolveSibling(to.getFileName() + ".new");
+            Files.writeString(half, new JWKSet(keys).toString() + "\n");
+            Files.move(half, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            return 0;
+        } catch (IOException bad) {
+            return fault(bad.getMessage());
+        }
+    }
+
+    @Command(name = "token", description = "Signs a token and prints it; its id goes to standard error, for `revoke`.")
+    int token(@Parameters(paramLabel = "FILE", description = "the signing key") Path file,
+            @Option(names = "--for", required = true, paramLabel = "NAME", description = "the principal") String name,
+            @Option(names = "--issuer", required = true, paramLabel = "ISSUER") String issuer,
+            @Option(names = "--audience", defaultValue = "dillfront", paramLabel = "AUDIENCE") String audience,
+            @Option(names = "--minutes", defaultValue = "60", paramLabel = "N", description = "good for so long") int minutes)
+            throws JOSEException {
+        try {
+            ECKey key = read(file);
+            String id = UUID.randomUUID().toString();
+            Instant now = Instant.now();
+            SignedJWT jwt = new SignedJWT(new JWSHeader.Builder(JWSAlgorithm.ES256).keyID(key.getKeyID()).build(),
+                    new JWTClaimsSet.Builder().subject(name).issuer(issuer).audience(audience).jwtID(id).issueTime(Date.from(now))
+                            .expirationTime(Date.from(now.plus(Duration.ofMinutes(minutes)))).build());
+            jwt.sign(new ECDSASigner(key));
+            System.out.println(jwt.serialize());
+            System.err.println("id " + id);
+            return 0;
+        } catch (IOException bad) {
+            return fault(bad.getMessage());
+        }
+    }
+
+    @Command(name = "revoke", description = "Adds ids of tokens to the list of those that count no more.")
+    int revoke(@Option(names = "--list", required = true, paramLabel = "LIST") Path list,
+            @Parameters(paramLabel = "ID", arity = "1..*") List<String> ids) {
+        try {
+            Path half = list.resolveSibling(list.getFileName() + ".new");
+            String before = Files.exists(list) ? Files.readString(list) : "";
+            Files.writeString(half, before + (before.isEmpty() || before.endsWith("\n") ? "" : "\n") + String.join("\n", ids) + "\n");
+            Files.move(half, list, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            return 0;
+        } catch (IOException bad) {
+            return fault(bad.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dillfront/pgwire/KeyTest.java
@@ -0,0 +1,51 @@
+package dillfront.pgwire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+
+/** What rights are asked about is what a node reads as the key: all between the quotes, byte for byte. */
+class KeyTest {
+
+    private static final String BEFORE = "SELECT body FROM objects WHERE oid = '";
+    private static final String BEHIND = "' /* id=9b1f,c=history,d=480,cluster=2 */";
+
+    @Property(tries = 1000, seed = "51")
+    void theKeyIsAllBetweenTheQuotes(@ForAll @Size(max = 40) byte[] key, @ForAll boolean quoted) {
+        if (quoted && key.length > 2) {
+            key[key.length / 2] = '\'';
+        }
+        // As a message comes: behind others in the buffer that was read into.
+        ByteBuf message = Unpooled.buffer().writeZero(7);
+        message.readerIndex(7);
+        message.writeByte('Q').writeInt(0);
+        message.writeBytes(BEFORE.getBytes(StandardCharsets.US_ASCII)).writeBytes(key)
+                .writeBytes(BEHIND.getBytes(StandardCharsets.US_ASCII)).writeByte(0);
+        message.setInt(8, message.readableBytes() - 1);
+        boolean plain = key.length > 0;
+        for (byte b : key) {
+            plain &= b != '\'';
+        }
+        Statement read;
+        try {
+            read = Statement.read(message);
+        } catch (BadStatement bad) {
+            assertEquals(false, plain, bad.getMessage());
+            return;
+        }
+        // A key that holds a quote is no key that could be read in two ways.
+        assertEquals(true, plain);
+        byte[] seen = new byte[read.length()];
+        for (int i = 0; i < seen.length; i++) {
+            seen[i] = read.at(i);
+        }
+        assertArrayEquals(key, seen, Arrays.toString(seen));
+    }
+}
