Tenants have shares of what may be out at once, and lend what they leave

Need: a tenant that floods must take nothing from another's share. Change: dillfront.identity.Shares: each tenant's part by weight; others borrow what is left but for what is kept back, all of a part whose tenant was here within 5 s, a quarter of another's; at_once and shares of identity() set it. Off as before.

--- a/src/main/java/dillfront/identity/Gate.java
+++ b/src/main/java/dillfront/identity/Gate.java
@@ -35,11 +35,13 @@
     /** Keys that count for those who are in, until then. */
     private final Map<String, Duration> ending = new HashMap<>();
     private final Map<String, Use> uses = new HashMap<>();
+    private final Shares shares = new Shares();
 
     /** @param here Unix time, for what credentials say of their own */
     public void at(Duration clock, Duration here) {
         now = clock;
         unix = here;
+        shares.at(now);
     }
 
     /** The files were read: this holds from now on. */
@@ -54,6 +56,7 @@
         ending.keySet().removeAll(next.keys());
         ending.values().removeIf(until -> until.compareTo(now) <= 0);
         policy = next;
+        shares.set(next.shares());
         readAt = now;
         failing = false;
         epoch++;
@@ -120,6 +123,7 @@
         private long seen = -1;
         private Refusal over;
         private Duration endsAt;
+        private int takenFor = -1;
 
         private Session(Credential credential) {
             this.credential = credential;
@@ -180,12 +184,24 @@
                 if (use.allowance < 1) {
                     return Refusal.BUSY;
                 }
+                if (!lends()) {
+                    return Refusal.BUSY;
+                }
                 use.allowance--;
+            } else if (!lends()) {
+                return Refusal.BUSY;
             }
             use.out++;
             return null;
         }
 
+        /** One txn of a session at a time: its tenant is remembered until it is done. */
+        private boolean lends() {
+            boolean may = shares.take(principal.tenant());
+            takenFor = may ? principal.tenant() : takenFor;
+            return may;
+        }
+
         private void fill() {
             double most = Math.max(1, principal.rate() * AHEAD.toNanos() / 1e9);
             double seconds = use.filledAt.isZero() ? most / principal.rate() : now.minus(use.filledAt).toNanos() / 1e9;
@@ -210,6 +226,7 @@
         /** A txn that was taken has its final answer, or its client is gone. */
         public void done() {
             use.out--;
+            shares.done(takenFor);
         }
 
         public void leave() {
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -6,6 +6,7 @@
 import dillfront.identity.Principal;
 import dillfront.identity.Rights;
 import dillfront.identity.Rule;
+import dillfront.identity.Shares;
 import dillfront.peers.Ring;
 import dillfront.script.Script;
 import dillfront.script.ScriptError;
@@ -97,7 +98,8 @@
      * @param certificate file of the door's certificate chain in PEM, and its private key; null where the door has no TLS
      */
     public record IdentityPart(Path jwks, String issuer, String audience, Path revoked, Path certificate, Path privateKey,
-            Duration overlap, Duration holds, Map<String, List<RuleText>> roles, List<PrincipalText> principals) {
+            Duration overlap, Duration holds, Map<String, List<RuleText>> roles, List<PrincipalText> principals, int atOnce,
+            Map<String, Long> weights, String from) {
 
         /** All files that it is made of but for the operator's own. */
         public List<Path> files() {
@@ -123,7 +125,15 @@
                 named.put(one.name, new Principal(one.name, one.tenant == null ? -1 : tenants.get(one.tenant), new Rights(rules),
                         one.rate, one.atOnce));
             }
-            return new Policy(named, keys, revokedIds, overlap, holds);
+            double[] shares = new double[tenants.size()];
+            for (Map.Entry<String, Long> one : weights.entrySet()) {
+                Integer tenant = tenants.get(one.getKey());
+                if (tenant == null) {
+                    throw new BadOperator(from + ": no tenant '" + one.getKey() + "' in the settings");
+                }
+                shares[tenant] = one.getValue();
+            }
+            return new Policy(named, keys, revokedIds, overlap, holds, new Shares.Setting(atOnce, shares));
         }
 
         private static Rule rule(RuleText text, Map<String, Integer> types) throws BadOperator {
@@ -176,6 +186,8 @@
             String revoked = given.text("revoked", null);
             String certificate = given.text("certificate", null);
             String key = given.text("key", null);
+            long atOnce = number(given, "at_once", 0, 0, 1_000_000);
+            Map<String, Long> weights = weights(given);
             Duration overlap = span(given, "overlap", Duration.ofSeconds(30));
             Duration holds = span(given, "holds", Duration.ofMinutes(10));
             given.done();
@@ -187,10 +199,28 @@
             }
             identity = new IdentityPart(Path.of(jwks), issuer, audience, revoked == null ? null : Path.of(revoked),
                     certificate == null ? null : Path.of(certificate), key == null ? null : Path.of(key), overlap, holds, roles,
-                    principals);
+                    principals, (int) atOnce, weights, file + ":" + given.line());
             return null;
         }
 
+        private static Map<String, Long> weights(Script.Arguments given) throws ScriptError {
+            Object shares = given.take("shares");
+            Map<String, Long> weights = new java.util.TreeMap<>();
+            if (shares == null) {
+                return weights;
+            }
+            if (shares instanceof Map<?, ?> map) {
+                for (Map.Entry<?, ?> one : map.entrySet()) {
+                    if (!(one.getKey() instanceof String name && one.getValue() instanceof Long weight && weight > 0)) {
+                        throw given.error("shares", "expected tenants' names and weights above 0");
+                    }
+                    weights.put(name, weight);
+                }
+                return weights;
+            }
+            throw given.error("shares", "expected a dict of tenants and weights");
+        }
+
         Object rule(boolean allow, Script.Arguments given) throws ScriptError {
             List<?> types = given.list("types");
             String access = given.text("access", "rw");
