A key that is not its own ends the start with a line that says so

Cause: gossip()'s public key was not compared with the ring, nor the private one with it; a mistyped one ended in an exception or in datagrams that all others drop.

--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -69,10 +69,22 @@
             if (ring.address(self) == null) {
                 throw new BadOperator("peer '" + name + "', which this instance is, has no address");
             }
+            if (!ring.has(self, publicKey)) {
+                throw new BadOperator("'public' of gossip() is none of the keys of peer '" + name + "'");
+            }
             return self;
         }
 
+        /** After self(): the public key is in the ring. */
         public PrivateKey key() throws BadOperator {
+            PrivateKey mine = fromFile();
+            if (!ring.pair(mine, publicKey)) {
+                throw new BadOperator("key " + keyFile + ": does not belong to 'public' of gossip()");
+            }
+            return mine;
+        }
+
+        private PrivateKey fromFile() throws BadOperator {
             try {
                 String pem = Files.readString(keyFile, StandardCharsets.US_ASCII);
                 String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
--- a/src/main/java/dillfront/peers/Ring.java
+++ b/src/main/java/dillfront/peers/Ring.java
@@ -100,6 +100,32 @@
         }
     }
 
+    /** Whether this is one of a peer's keys, whenever it counts. */
+    public boolean has(int peer, String hex) {
+        for (Key key : keys.values()) {
+            if (key.peer == peer && HexFormat.of().formatHex(raw(key.key)).equalsIgnoreCase(hex)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether the private key is the one that belongs to this public one. */
+    public boolean pair(java.security.PrivateKey mine, String hex) {
+        try {
+            Key key = keys.get(id(HexFormat.of().parseHex(hex)));
+            java.security.Signature signature = java.security.Signature.getInstance("Ed25519");
+            signature.initSign(mine);
+            signature.update(raw(key.key));
+            byte[] signed = signature.sign();
+            signature.initVerify(key.key);
+            signature.update(raw(key.key));
+            return signature.verify(signed);
+        } catch (GeneralSecurityException bad) {
+            return false;
+        }
+    }
+
     public int size() {
         return names.size();
     }
