--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -1,5 +1,7 @@
 package dillfront;
 
+import static dillfront.port.Spans.times;
+
 import dillfront.port.Effect;
 import dillfront.port.Handle;
 import dillfront.port.ListRole;
@@ -612,7 +614,7 @@
         t.submissions++;
         t.sentAt = now;
         t.sentAway = away;
-        if (trusted(n) && !n.doubted) {
+        if (!onTrial(n)) {
             n.trials = 1;
         } else {
             // By chance, so that routers do not all try a node that comes back at the same moment.
@@ -734,7 +736,7 @@
         if (cold(n) && n.coldCredit < 1) {
             return false;
         }
-        if (!trusted(n) || n.doubted) {
+        if (onTrial(n)) {
             return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
@@ -891,6 +893,11 @@
         return !n.silent && !failing(n);
     }
 
+    /** It gets single txns to try, at growing gaps. */
+    private boolean onTrial(Node n) {
+        return !trusted(n) || n.doubted;
+    }
+
     private boolean mute(Node n, double part) {
         double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.out)) * part;
         return now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
@@ -1064,10 +1071,6 @@
 
     // ---- spans
 
-    private static Duration times(Duration span, double by) {
-        return Duration.ofNanos((long) (span.toNanos() * by));
-    }
-
     private static double ratio(Duration a, Duration b) {
         return (double) a.toNanos() / (b.toNanos() + 1);
     }
--- a/src/main/java/dillfront/bench/Cost.java
+++ b/src/main/java/dillfront/bench/Cost.java
@@ -60,9 +60,9 @@
             Thread hand = new Thread(() -> {
                 try {
                     while (load.isAlive()) {
-                        signal("STOP", router.pid());
+                        router.signal("STOP");
                         Thread.sleep(60);
-                        signal("CONT", router.pid());
+                        router.signal("CONT");
                         Thread.sleep(20);
                     }
                 } catch (IOException | InterruptedException over) {
@@ -91,10 +91,6 @@
         return worst;
     }
 
-    private static void signal(String name, long pid) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
-    }
-
     private static Taken middle(List<Taken> of) {
         return new Taken(median(of.stream().map(Taken::start).toList()), median(of.stream().map(Taken::first).toList()),
                 median(of.stream().map(Taken::warm).toList()), median(of.stream().map(Taken::idle).toList()));
--- a/src/main/java/dillfront/bench/Drive.java
+++ b/src/main/java/dillfront/bench/Drive.java
@@ -23,9 +23,7 @@
 
     /** @param command what starts it, from this folder, with LB_CONFIG set */
     Drive(List<String> command, Path folder, StandIns round, double cores) throws IOException, InterruptedException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = freePort();
         config = Files.createTempFile("dillfront", ".json");
         Files.writeString(config, round.config(port, cores));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
@@ -57,9 +55,16 @@
         }
     }
 
-    /** The process's number. */
-    long pid() {
-        return process.pid();
+    /** One that nobody listens on now. */
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Sends the process a signal by its name; 0 where it was sent. */
+    int signal(String name) throws IOException, InterruptedException {
+        return new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
     /** What all threads of it have used so far, in microseconds. */
--- a/src/main/java/dillfront/bench/IdentityMeasure.java
+++ b/src/main/java/dillfront/bench/IdentityMeasure.java
@@ -24,19 +24,6 @@
     private static final int SESSIONS = 1000;
     private static final int KEYS = 1024;
 
-    private record Key(byte[] bytes) implements KeyBytes {
-
-        @Override
-        public int length() {
-            return bytes.length;
-        }
-
-        @Override
-        public byte at(int index) {
-            return bytes[index];
-        }
-    }
-
     /** One size's figures, in nanoseconds a verdict, and bytes allocated by one of the index. */
     private record Row(double index, double list, double bytes) {}
 
@@ -50,9 +37,9 @@
                     ("hotel-" + chance.nextInt(rules) + "/").getBytes(StandardCharsets.UTF_8), "rule " + i));
         }
         Rights rights = new Rights(all);
-        Key[] keys = new Key[KEYS];
+        KeyBytes[] keys = new KeyBytes[KEYS];
         for (int i = 0; i < KEYS; i++) {
-            keys[i] = new Key(("hotel-" + chance.nextInt(2 * rules) + "/2026-11/" + i).getBytes(StandardCharsets.UTF_8));
+            keys[i] = KeyBytes.of(("hotel-" + chance.nextInt(2 * rules) + "/2026-11/" + i).getBytes(StandardCharsets.UTF_8));
         }
         com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
         int allowed = 0;
@@ -92,7 +79,7 @@
     private static double revoked() {
         Principal who = new Principal("p", -1, new Rights(List.of(new Rule(true, Rule.ALL, true, true, Rule.ANY, new byte[0], "r"))), 0, 0);
         Duration unix = Duration.ofDays(20_000);
-        Key key = new Key(new byte[] {'k'});
+        KeyBytes key = KeyBytes.of(new byte[] {'k'});
         double[] spans = new double[9];
         for (int pass = 0; pass < spans.length; pass++) {
             Gate gate = new Gate();
--- a/src/main/java/dillfront/cli/Keys.java
+++ b/src/main/java/dillfront/cli/Keys.java
@@ -12,11 +12,9 @@
 import com.nimbusds.jwt.JWTClaimsSet;
 import com.nimbusds.jwt.SignedJWT;
 import java.io.IOException;
-import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.text.ParseException;
 import java.time.Duration;
 import java.time.Instant;
@@ -41,9 +39,11 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "expected new, public, token or revoke");
     }
 
-    private static int fault(String text) {
-        System.err.println("dillfront: " + text);
-        return 1;
+    /** Beside it and then moved: a router never reads half of it. */
+    private static void replace(Path file, String text) throws IOException {
+        Path half = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(half, text);
+        Files.move(half, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
     private static ECKey read(Path file) throws IOException {
@@ -63,15 +63,7 @@
             @Option(names = "--id", required = true, paramLabel = "ID", description = "its name in key sets and tokens") String id)
             throws JOSEException {
         ECKey key = new ECKeyGenerator(Curve.P_256).keyID(id).algorithm(JWSAlgorithm.ES256).generate();
-        try {
-            Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
-            Files.writeString(file, key.toJSONString() + "\n");
-            return 0;
-        } catch (FileAlreadyExistsException there) {
-            return fault(file + ": is there already, and is left as it is");
-        } catch (IOException bad) {
-            return fault(file + ": " + bad.getMessage());
-        }
+        return Commands.secret(file, key.toJSONString() + "\n");
     }
 
     @Command(name = "public", description = "Writes the key set that routers read: the public parts of all these keys.")
@@ -82,13 +74,10 @@
             for (Path file : files) {
                 keys.add(read(file).toPublicJWK());
             }
-            // Beside it and then moved: a router never reads half of it.
-            Path half = to.resolveSibling(to.getFileName() + ".new");
-            Files.writeString(half, new JWKSet(keys).toString() + "\n");
-            Files.move(half, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            replace(to, new JWKSet(keys).toString() + "\n");
             return 0;
         } catch (IOException bad) {
-            return fault(bad.getMessage());
+            return Commands.fault(bad.getMessage());
         }
     }
 
@@ -111,7 +100,7 @@
             System.err.println("id " + id);
             return 0;
         } catch (IOException bad) {
-            return fault(bad.getMessage());
+            return Commands.fault(bad.getMessage());
         }
     }
 
@@ -119,13 +108,11 @@
     int revoke(@Option(names = "--list", required = true, paramLabel = "LIST") Path list,
             @Parameters(paramLabel = "ID", arity = "1..*") List<String> ids) {
         try {
-            Path half = list.resolveSibling(list.getFileName() + ".new");
             String before = Files.exists(list) ? Files.readString(list) : "";
-            Files.writeString(half, before + (before.isEmpty() || before.endsWith("\n") ? "" : "\n") + String.join("\n", ids) + "\n");
-            Files.move(half, list, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            replace(list, before + (before.isEmpty() || before.endsWith("\n") ? "" : "\n") + String.join("\n", ids) + "\n");
             return 0;
         } catch (IOException bad) {
-            return fault(bad.getMessage());
+            return Commands.fault(bad.getMessage());
         }
     }
 }
--- a/src/main/java/dillfront/clients/ClientConnection.java
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -221,7 +221,7 @@
                 if (!closed) {
                     owes = false;
                     // Why in full stands in the log alone.
-                    refuse(why.code(), "not let in: " + why.name().toLowerCase(java.util.Locale.ROOT));
+                    refuse(why.code(), "not let in: " + why.word());
                 }
             }
         });
@@ -313,7 +313,7 @@
         clients.callers.denied(session, no, statement.type, statement.write, statement.group, cause);
         message.release();
         if (no.endsSession()) {
-            refuse(no.code(), "no longer let in: " + no.name().toLowerCase(java.util.Locale.ROOT));
+            dismiss(no);
         } else {
             Duration pause = no == Refusal.BUSY ? session.comeBack() : Duration.ZERO;
             error(no.code(), no == Refusal.BUSY ? "beyond this user's share" : "no right to this",
@@ -325,10 +325,14 @@
     /** Has it end, where it is idle and no longer let in. */
     void lookAgain() {
         if (session != null && !closed && idle() && session.over() != null) {
-            refuse(session.over().code(), "no longer let in: " + session.over().name().toLowerCase(java.util.Locale.ROOT));
+            dismiss(session.over());
         }
     }
 
+    private void dismiss(Refusal why) {
+        refuse(why.code(), "no longer let in: " + why.word());
+    }
+
     /** Its txn is over, for its share. */
     private void uncount() {
         if (counted) {
--- a/src/main/java/dillfront/daemon/Doorkeeper.java
+++ b/src/main/java/dillfront/daemon/Doorkeeper.java
@@ -26,7 +26,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -53,11 +52,12 @@
     private final Penalty penalty;
     private final ScheduledThreadPoolExecutor reader =
             new ScheduledThreadPoolExecutor(1, new DefaultThreadFactory("identity", true));
-    private String seen = "";
+    /** What was read last and was good, and the files of it as they were then. */
+    private Operator.IdentityPart part;
+    private String seen;
     private String fault = "";
     private Tokens tokens;
     private SslContext tls;
-    private boolean tlsAlone = true;
     private int handshakes;
 
     /** Reads the files once, or says what is wrong with them. */
@@ -69,9 +69,9 @@
         this.loop = loop;
         this.log = log;
         penalty = new Penalty(seed);
-        seen = stamps(operator.identity());
-        take(read(operator.identity()));
-        ((ThreadPoolExecutor) reader).setKeepAliveTime(1, TimeUnit.SECONDS);
+        part = operator.identity();
+        seen = stamps(part);
+        take(read(part));
         reader.scheduleWithFixedDelay(this::look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -82,8 +82,8 @@
     // ---- on the reader's thread
 
     /** Sizes and times of all files: when one differs they are read again. */
-    private String stamps(Operator.IdentityPart part) {
-        List<Path> files = new ArrayList<>(part.files());
+    private String stamps(Operator.IdentityPart of) {
+        List<Path> files = new ArrayList<>(of.files());
         files.add(operatorFile);
         StringBuilder all = new StringBuilder();
         for (Path file : files) {
@@ -98,7 +98,9 @@
     }
 
     private void look() {
-        String now = "";
+        if (fault.isEmpty() && stamps(part).equals(seen)) {
+            return;
+        }
         String wrong = "";
         Read read = null;
         try {
@@ -106,11 +108,10 @@
             if (operator.identity() == null) {
                 throw new Operator.BadOperator(operatorFile + ": identity() is gone; that waits for a start");
             }
-            now = stamps(operator.identity());
-            if (now.equals(seen) && fault.isEmpty()) {
-                return;
-            }
+            String now = stamps(operator.identity());
             read = read(operator.identity());
+            part = operator.identity();
+            seen = now;
         } catch (Operator.BadOperator bad) {
             wrong = bad.getMessage();
         } catch (RuntimeException bad) {
@@ -118,7 +119,6 @@
         }
         boolean said = wrong.equals(fault);
         fault = wrong;
-        seen = wrong.isEmpty() ? now : seen;
         Read good = read;
         String why = wrong;
         loop.execute(() -> {
@@ -135,17 +135,17 @@
         });
     }
 
-    private Read read(Operator.IdentityPart part) throws Operator.BadOperator {
+    private Read read(Operator.IdentityPart of) throws Operator.BadOperator {
         try {
-            Tokens next = new Tokens(Files.readString(part.jwks()), part.issuer(), part.audience());
-            Set<String> revoked = part.revoked() == null ? Set.of()
-                    : Files.readAllLines(part.revoked(), StandardCharsets.UTF_8).stream().map(String::strip)
+            Tokens next = new Tokens(Files.readString(of.jwks()), of.issuer(), of.audience());
+            Set<String> revoked = of.revoked() == null ? Set.of()
+                    : Files.readAllLines(of.revoked(), StandardCharsets.UTF_8).stream().map(String::strip)
                             .filter(l -> !l.isEmpty() && !l.startsWith("#")).collect(Collectors.toSet());
-            SslContext context = part.certificate() == null ? null : SslContextBuilder.forServer(part.certificate().toFile(),
-                    part.privateKey().toFile()).sslProvider(SslProvider.JDK).protocols("TLSv1.3", "TLSv1.2").build();
-            return new Read(part.policy(setup.types(), setup.tenants(), next.ids(), revoked), next, context);
+            SslContext context = of.certificate() == null ? null : SslContextBuilder.forServer(of.certificate().toFile(),
+                    of.privateKey().toFile()).sslProvider(SslProvider.JDK).protocols("TLSv1.3", "TLSv1.2").build();
+            return new Read(of.policy(setup.types(), setup.tenants(), next.ids(), revoked), next, context);
         } catch (Tokens.BadToken bad) {
-            throw new Operator.BadOperator(part.jwks() + ": " + bad.getMessage());
+            throw new Operator.BadOperator(of.jwks() + ": " + bad.getMessage());
         } catch (IOException | IllegalArgumentException bad) {
             throw new Operator.BadOperator("identity: " + bad);
         }
@@ -156,7 +156,6 @@
     private void take(Read read) {
         tokens = read.tokens;
         tls = read.tls;
-        tlsAlone = read.tls != null;
         gate.read(read.policy);
     }
 
@@ -168,7 +167,7 @@
 
     @Override
     public boolean tlsAlone() {
-        return tlsAlone;
+        return tls != null;
     }
 
     @Override
@@ -213,7 +212,7 @@
                     return;
                 }
                 penalty.failed(address, user);
-                String why = fault != null ? fault : String.valueOf(in).toLowerCase(java.util.Locale.ROOT);
+                String why = fault != null ? fault : ((Refusal) in).word();
                 log.warn("login-refused", "user", user, "address", address, "why", why);
                 entry.refused((Refusal) in, why);
             });
--- a/src/main/java/dillfront/gossip/Gossip.java
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -1,5 +1,7 @@
 package dillfront.gossip;
 
+import static dillfront.port.Spans.times;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -24,6 +26,7 @@
     private static final int FAN = 4;
     /** Tables are evened out once in so many periods. */
     private static final int EVEN = 5;
+    /** Of the ring: below this part the table lacks many. */
     private static final double KNOWN = 0.9;
     /** Seeds that are asked at once. */
     private static final int KNOCKS = 5;
@@ -39,17 +42,8 @@
     /** Of each origin so many claims are remembered. */
     private static final int CLAIMS = 32;
 
-    private static final class Passed {
-        final int to;
-        final int number;
-        final Duration at;
-
-        Passed(int to, int number, Duration at) {
-            this.to = to;
-            this.number = number;
-            this.at = at;
-        }
-    }
+    /** A ping on behalf of another: whose it is, under which number there, and since when. */
+    private record Passed(int to, int number, Duration at) {}
 
     private final Tuning tuning;
     private final int self;
@@ -181,7 +175,7 @@
         return post.seal(Word.of(self, incarnation, ++number, kind, subject, detail, evidence, since, unix));
     }
 
-    /** Told to the accused alone: said anew each time, since old words are not believed. */
+    /** Said anew each time, since old words are not believed. */
     private Word accusation(int peer) {
         return own(Kind.SILENT, peer, members.incarnation(peer), 0, Duration.ZERO);
     }
@@ -309,11 +303,11 @@
                     rumours.heardAgain(word);
                 }
             }
-            default -> claimed(word, from);
+            default -> claimed(word);
         }
     }
 
-    private void claimed(Word word, int from) {
+    private void claimed(Word word) {
         if (word.origin() == self) {
             return;
         }
@@ -384,12 +378,8 @@
         if (probed >= 0 && !answered) {
             // Guards against illness by the death of others: who hears anyone at all hears well.
             members.worse(heard == 0 ? 1 : 0);
-            int incarnationOf = members.incarnation(probed);
-            if (members.present(probed)) {
-                Word word = own(Kind.SILENT, probed, incarnationOf, 0, Duration.ZERO);
-                if (members.accused(probed, incarnationOf, self, now)) {
-                    rumours.add(word);
-                }
+            if (members.accused(probed, members.incarnation(probed), self, now)) {
+                rumours.add(accusation(probed));
             }
         }
         taken = 0;
@@ -441,10 +431,7 @@
 
     /** With as many spreading words as the budget and the datagram allow. */
     private void send(int to, Budget.Use use, Sender sender) {
-        List<Word> words = rumours.next(WORDS);
-        while (post.bytes(words) > tuning.datagram()) {
-            words = words.subList(0, words.size() - 1);
-        }
+        List<Word> words = fitting(rumours.next(WORDS));
         if (budget.takes(post.bytes(words), Budget.Use.WORDS, now)) {
             rumours.sent(words, members.there());
             sender.send(words);
@@ -453,6 +440,15 @@
         }
     }
 
+    /** As many of the first as one datagram holds. */
+    private List<Word> fitting(List<Word> words) {
+        List<Word> fit = words;
+        while (post.bytes(fit) > tuning.datagram()) {
+            fit = fit.subList(0, fit.size() - 1);
+        }
+        return fit;
+    }
+
     private void spread(int but) {
         for (int peer : members.some(FAN, but)) {
             List<Word> words = rumours.claims(WORDS_PUSHED);
@@ -463,17 +459,10 @@
     }
 
     private void push(int to, boolean swap, List<Word> words, Budget.Use use) {
-        List<Word> fit = words;
-        while (post.bytes(fit) > tuning.datagram()) {
-            fit = fit.subList(0, fit.size() - 1);
-        }
+        List<Word> fit = fitting(words);
         if (budget.takes(post.bytes(fit), use, now)) {
             rumours.sent(fit, members.there());
             post.push(to, swap, fit);
         }
     }
-
-    private static Duration times(Duration span, double by) {
-        return Duration.ofNanos((long) (span.toNanos() * by));
-    }
 }
--- a/src/main/java/dillfront/gossip/Members.java
+++ b/src/main/java/dillfront/gossip/Members.java
@@ -1,5 +1,7 @@
 package dillfront.gossip;
 
+import static dillfront.port.Spans.times;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,7 +19,14 @@
 public final class Members {
 
     /** What this instance holds of another. */
-    public enum State { UNKNOWN, ALIVE, SUSPECT, GONE, LEFT }
+    public enum State {
+        UNKNOWN, ALIVE, SUSPECT, GONE, LEFT;
+
+        /** It is there, or only suspected not to be. */
+        boolean present() {
+            return this == ALIVE || this == SUSPECT;
+        }
+    }
 
     /** Accusers beyond the first that shorten a suspicion (Lifeguard, section IV-B). */
     private static final int ACCUSERS = 3;
@@ -152,7 +161,7 @@
      */
     boolean accused(int peer, int incarnation, int by, Duration now) {
         Peer p = row(peer);
-        if (incarnation != p.incarnation || p.state != State.ALIVE && p.state != State.SUSPECT) {
+        if (incarnation != p.incarnation || !p.state.present()) {
             return false;
         }
         if (p.state == State.ALIVE) {
@@ -197,12 +206,12 @@
         double shortest = SUSPICION * Math.max(1, Math.log10(there + 1));
         double longest = shortest * SUSPICION_LONGEST;
         double part = Math.log(accusers) / Math.log(ACCUSERS + 1);
-        return Duration.ofNanos((long) (period.toNanos() * (longest - (longest - shortest) * Math.min(1, part))));
+        return times(period, longest - (longest - shortest) * Math.min(1, part));
     }
 
     private void enter(Peer p, int peer, State state, Duration now) {
-        boolean was = p.state == State.ALIVE || p.state == State.SUSPECT;
-        boolean is = state == State.ALIVE || state == State.SUSPECT;
+        boolean was = p.state.present();
+        boolean is = state.present();
         there += (is ? 1 : 0) - (was ? 1 : 0);
         gone += (state == State.GONE ? 1 : 0) - (p.state == State.GONE ? 1 : 0);
         if (p.state == State.SUSPECT) {
@@ -235,8 +244,7 @@
 
     /** It is there, or only suspected not to be. */
     public boolean present(int peer) {
-        State state = state(peer);
-        return state == State.ALIVE || state == State.SUSPECT;
+        return state(peer).present();
     }
 
     /** Up to so many others that are there and not suspect, each once, by chance; never the one that is left out. */
@@ -244,22 +252,22 @@
         List<Integer> found = new ArrayList<>(most);
         int tries = 4 * most + 8;
         while (found.size() < most && tries-- > 0) {
-            int peer = chance.nextInt(peers.length);
-            if (peer != self && peer != but && state(peer) == State.ALIVE && !found.contains(peer)) {
-                found.add(peer);
-            }
+            find(chance.nextInt(peers.length), but, found);
         }
         // Few are there of many that may be: looked for in order, from a place by chance.
         int from = chance.nextInt(peers.length);
         for (int i = 0; found.size() < Math.min(most, there - 1) && i < peers.length; i++) {
-            int peer = (from + i) % peers.length;
-            if (peer != self && peer != but && state(peer) == State.ALIVE && !found.contains(peer)) {
-                found.add(peer);
-            }
+            find((from + i) % peers.length, but, found);
         }
         return found;
     }
 
+    private void find(int peer, int but, List<Integer> found) {
+        if (peer != self && peer != but && state(peer) == State.ALIVE && !found.contains(peer)) {
+            found.add(peer);
+        }
+    }
+
     /** One that was there once and is held gone, by chance; -1 where there is none. */
     int goneOne() {
         int from = chance.nextInt(peers.length);
--- a/src/main/java/dillfront/gossip/Skew.java
+++ b/src/main/java/dillfront/gossip/Skew.java
@@ -13,7 +13,7 @@
 public final class Skew {
 
     /** Clocks further apart than this are not believed: a word kept back for longer can't be told from a new one. */
-    static final Duration MOST = Duration.ofSeconds(30);
+    public static final Duration MOST = Duration.ofSeconds(30);
     /** How fast the least difference gives way, as a part of the time. */
     private static final double DRIFT = 0.001;
 
--- a/src/main/java/dillfront/gossip/Witness.java
+++ b/src/main/java/dillfront/gossip/Witness.java
@@ -1,5 +1,7 @@
 package dillfront.gossip;
 
+import static dillfront.port.Spans.times;
+
 import dillfront.port.Sight;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -76,8 +78,4 @@
             rows.set(node, new Row());
         }
     }
-
-    private static Duration times(Duration span, double by) {
-        return Duration.ofNanos((long) (span.toNanos() * by));
-    }
 }
--- a/src/main/java/dillfront/identity/Gate.java
+++ b/src/main/java/dillfront/identity/Gate.java
@@ -179,18 +179,14 @@
             if (principal.atOnce() > 0 && use.out >= principal.atOnce()) {
                 return Refusal.BUSY;
             }
-            if (principal.rate() > 0) {
+            boolean rated = principal.rate() > 0;
+            if (rated) {
                 fill();
-                if (use.allowance < 1) {
-                    return Refusal.BUSY;
-                }
-                if (!lends()) {
-                    return Refusal.BUSY;
-                }
-                use.allowance--;
-            } else if (!lends()) {
+            }
+            if (rated && use.allowance < 1 || !lends()) {
                 return Refusal.BUSY;
             }
+            use.allowance -= rated ? 1 : 0;
             use.out++;
             return null;
         }
--- a/src/main/java/dillfront/identity/KeyBytes.java
+++ b/src/main/java/dillfront/identity/KeyBytes.java
@@ -6,4 +6,18 @@
     int length();
 
     byte at(int index);
+
+    static KeyBytes of(byte[] bytes) {
+        return new KeyBytes() {
+            @Override
+            public int length() {
+                return bytes.length;
+            }
+
+            @Override
+            public byte at(int index) {
+                return bytes[index];
+            }
+        };
+    }
 }
--- a/src/main/java/dillfront/identity/Refusal.java
+++ b/src/main/java/dillfront/identity/Refusal.java
@@ -1,5 +1,7 @@
 package dillfront.identity;
 
+import java.util.Locale;
+
 /** Why someone is not let in, or his txn is not taken. */
 public enum Refusal {
     /** His name is in no principal's. */
@@ -30,6 +32,11 @@
         return code;
     }
 
+    /** As people are told. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
     /** The session itself is over by it, once what it has out is answered. */
     public boolean endsSession() {
         return this == UNKNOWN || this == EXPIRED || this == KEY_ENDED || this == REVOKED;
--- a/src/main/java/dillfront/identity/Rights.java
+++ b/src/main/java/dillfront/identity/Rights.java
@@ -1,6 +1,5 @@
 package dillfront.identity;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
@@ -177,15 +176,4 @@
         }
         return allowed ? Verdict.ALLOWED : Verdict.NO_RULE;
     }
-
-    public int size() {
-        return rules.size();
-    }
-
-    /** These, and the others: denials of both hold. */
-    public Rights with(Rights others) {
-        List<Rule> both = new ArrayList<>(rules);
-        both.addAll(others.rules);
-        return new Rights(both);
-    }
 }
--- a/src/main/java/dillfront/identity/Rule.java
+++ b/src/main/java/dillfront/identity/Rule.java
@@ -26,7 +26,8 @@
         }
     }
 
-    static Rule of(boolean allow, int types, String access, int group, String prefix, String from) {
+    /** @param access r, w or rw */
+    public static Rule of(boolean allow, int types, String access, int group, String prefix, String from) {
         return new Rule(allow, types, access.contains("r"), access.contains("w"), group,
                 prefix.getBytes(StandardCharsets.UTF_8), from);
     }
--- a/src/main/java/dillfront/lab/Crowd.java
+++ b/src/main/java/dillfront/lab/Crowd.java
@@ -4,6 +4,7 @@
 import dillfront.gossip.Post;
 import dillfront.gossip.Tuning;
 import dillfront.gossip.Word;
+import dillfront.peers.Codec;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,9 +17,6 @@
  */
 public final class Crowd {
 
-    /** Bytes of a datagram without words, IP and UDP headers included, and of a word; as the codec writes them. */
-    public static final int DATAGRAM = 145;
-    public static final int WORD = 113;
     /** Looks at the clock, a period; as many as on sockets. */
     private static final int LOOKS = 10;
     private static final Duration EPOCH = Duration.ofDays(20_000);
@@ -149,7 +147,7 @@
 
         @Override
         public int bytes(List<Word> words) {
-            return DATAGRAM + WORD * words.size();
+            return Codec.bytes(words.size());
         }
 
         @Override
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -7,6 +7,7 @@
 import dillfront.identity.Rights;
 import dillfront.identity.Rule;
 import dillfront.identity.Shares;
+import dillfront.peers.KeyFile;
 import dillfront.peers.Ring;
 import dillfront.script.Script;
 import dillfront.script.ScriptError;
@@ -17,14 +18,11 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.security.GeneralSecurityException;
-import java.security.KeyFactory;
 import java.security.PrivateKey;
-import java.security.spec.PKCS8EncodedKeySpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -86,10 +84,7 @@
 
         private PrivateKey fromFile() throws BadOperator {
             try {
-                String pem = Files.readString(keyFile, StandardCharsets.US_ASCII);
-                String base64 = pem.replaceAll("-----[A-Z ]+-----", "").replaceAll("\\s", "");
-                return KeyFactory.getInstance("Ed25519").generatePrivate(
-                        new PKCS8EncodedKeySpec(Base64.getDecoder().decode(base64)));
+                return KeyFile.read(Files.readString(keyFile, StandardCharsets.US_ASCII));
             } catch (NoSuchFileException none) {
                 throw new BadOperator("key " + keyFile + ": no such file");
             } catch (IOException | GeneralSecurityException | IllegalArgumentException bad) {
@@ -157,8 +152,7 @@
                 }
                 bits |= 1 << index;
             }
-            return new Rule(text.allow, bits, text.access.contains("r"), text.access.contains("w"), text.group,
-                    text.prefix.getBytes(StandardCharsets.UTF_8), text.from);
+            return Rule.of(text.allow, bits, text.access, text.group, text.prefix, text.from);
         }
     }
 
--- a/src/main/java/dillfront/pace/Pace.java
+++ b/src/main/java/dillfront/pace/Pace.java
@@ -1,5 +1,7 @@
 package dillfront.pace;
 
+import static dillfront.port.Spans.times;
+
 import java.time.Duration;
 
 /**
@@ -104,8 +106,4 @@
     public boolean believes(Duration behindThen, Duration now) {
         return behind(now).compareTo(behindThen) <= 0;
     }
-
-    private static Duration times(Duration span, double by) {
-        return Duration.ofNanos((long) (span.toNanos() * by));
-    }
 }
--- a/src/main/java/dillfront/peers/Codec.java
+++ b/src/main/java/dillfront/peers/Codec.java
@@ -1,6 +1,7 @@
 package dillfront.peers;
 
 import dillfront.gossip.Kind;
+import dillfront.gossip.Skew;
 import dillfront.gossip.Word;
 import io.netty.buffer.ByteBuf;
 import java.net.InetAddress;
@@ -42,8 +43,6 @@
     private static final byte[] DATAGRAM_TEXT = "dillfront datagram 1".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] WORD_TEXT = "dillfront word 1".getBytes(StandardCharsets.US_ASCII);
     private static final int CHECKED = 1024;
-    /** Clocks further apart than this, or datagrams kept back for longer, are not believed. */
-    private static final Duration APART = Duration.ofSeconds(30);
 
     /** What a datagram is for. */
     public enum Form { PING, ACK, ASK, PUSH, SWAP }
@@ -177,8 +176,7 @@
             reader.dropped(from == null ? Drop.KEY : Drop.NOT_MINE);
             return;
         }
-        long apart = micros(unix) - in.getLong(start + 24);
-        if (Math.abs(apart) > APART.toMillis() * 1000) {
+        if (apart(unix, in.getLong(start + 24))) {
             reader.dropped(Drop.CLOCK);
             return;
         }
@@ -237,8 +235,7 @@
         int since = in.getInt();
         long said = in.getLong();
         // Accusations and claims are of this moment; that one is there is told for as long as it is.
-        boolean old = kind == Kind.SILENT || kind == Kind.CLAIM ? Math.abs(micros(unix) - said) > APART.toMillis() * 1000
-                : false;
+        boolean old = (kind == Kind.SILENT || kind == Kind.CLAIM) && apart(unix, said);
         if (old || evidence < 0 || since < 0 || said < 0
                 || kind == Kind.CLAIM && (detail < 0 || detail >= dillfront.gossip.Symptom.values().length)) {
             return null;
@@ -287,6 +284,11 @@
         }
     }
 
+    /** Further than clocks may be, or kept back for longer: not believed. */
+    private static boolean apart(Duration unix, long micros) {
+        return Math.abs(micros(unix) - micros) > micros(Skew.MOST);
+    }
+
     private static long micros(Duration unix) {
         return unix.toNanos() / 1000;
     }
--- a/src/main/java/dillfront/peers/Neighbours.java
+++ b/src/main/java/dillfront/peers/Neighbours.java
@@ -31,14 +31,25 @@
         void better(int node);
     }
 
+    /** One node of the list. */
+    private static final class Row {
+        final String id;
+        final long key;
+        boolean doubted;
+        boolean better;
+
+        Row(String id) {
+            this.id = id;
+            key = Ring.hash(id);
+        }
+    }
+
     private final Decisions decisions;
     private final Hearsay hearsay;
     private final Witness witness;
     private final Map<Long, Integer> nodes = new HashMap<>();
-    private final List<Long> keys = new ArrayList<>();
-    private final List<String> ids = new ArrayList<>();
-    private final List<Boolean> doubted = new ArrayList<>();
-    private final List<Boolean> better = new ArrayList<>();
+    /** By the router's index; null where it has none now. */
+    private final List<Row> rows = new ArrayList<>();
     private Supplier<Gossip> gossip;
     private Duration now = Duration.ZERO;
 
@@ -59,28 +70,21 @@
 
     /** A node of the list. */
     public void known(int node, String id) {
-        while (keys.size() <= node) {
-            keys.add(null);
-            ids.add(null);
-            doubted.add(false);
-            better.add(false);
+        while (rows.size() <= node) {
+            rows.add(null);
         }
-        long key = Ring.hash(id);
-        if (keys.get(node) == null || keys.get(node) != key) {
+        if (rows.get(node) == null || !rows.get(node).id.equals(id)) {
             forget(node);
-            keys.set(node, key);
-            ids.set(node, id);
-            nodes.put(key, node);
+            rows.set(node, new Row(id));
+            nodes.put(rows.get(node).key, node);
         }
         hearsay.nodes(nodes.size());
     }
 
     public void forget(int node) {
-        if (node < keys.size() && keys.get(node) != null) {
-            nodes.remove(keys.get(node));
-            keys.set(node, null);
-            doubted.set(node, false);
-            better.set(node, false);
+        if (node < rows.size() && rows.get(node) != null) {
+            nodes.remove(rows.get(node).key);
+            rows.set(node, null);
             hearsay.forget(node);
             witness.forget(node);
             hearsay.nodes(nodes.size());
@@ -91,16 +95,16 @@
     public void beat(Duration clock) {
         now = clock;
         hearsay.at(now);
-        for (int node = 0; node < keys.size(); node++) {
-            if (keys.get(node) == null) {
+        for (int node = 0; node < rows.size(); node++) {
+            Row row = rows.get(node);
+            if (row == null) {
                 continue;
             }
-            long key = keys.get(node);
             Sight sight = decisions.sees(node);
             hearsay.seen(node, sight);
             if (gossip != null) {
                 witness.seen(node, sight, hearsay.enough(node), now, (n, symptom, evidence, since) ->
-                        gossip.get().claim(key, symptom, evidence, since));
+                        gossip.get().claim(row.key, symptom, evidence, since));
             }
             weigh(node);
         }
@@ -122,30 +126,31 @@
     }
 
     private void weigh(int node) {
+        Row row = rows.get(node);
         boolean doubts = hearsay.doubted(node);
         // Said again at each beat: the node's own answer has ended it meanwhile, unless the doubt is newer.
-        if (doubts || doubted.get(node)) {
+        if (doubts || row.doubted) {
             decisions.doubted(node, doubts);
         }
-        doubted.set(node, doubts);
-        boolean isBetter = hearsay.better(node);
-        if (isBetter && !better.get(node)) {
+        row.doubted = doubts;
+        boolean better = hearsay.better(node);
+        if (better && !row.better) {
             decisions.better(node);
         }
-        better.set(node, isBetter);
+        row.better = better;
     }
 
     /** Each node that is known, by its id and its index. */
     public void nodes(BiConsumer<String, Integer> each) {
-        for (int node = 0; node < keys.size(); node++) {
-            if (keys.get(node) != null) {
-                each.accept(ids.get(node), node);
+        for (int node = 0; node < rows.size(); node++) {
+            if (rows.get(node) != null) {
+                each.accept(rows.get(node).id, node);
             }
         }
     }
 
     /** Whether hearsay doubts it now. */
     public boolean doubts(int node) {
-        return node < doubted.size() && doubted.get(node);
+        return node < rows.size() && rows.get(node) != null && rows.get(node).doubted;
     }
 }
--- a/src/main/java/dillfront/peers/Standing.java
+++ b/src/main/java/dillfront/peers/Standing.java
@@ -41,9 +41,8 @@
         StringBuilder out = new StringBuilder(String.format(Locale.ROOT, "%-24s %-8s %11s %6s  %s%n", "peer", "state",
                 "incarnation", "credit", "address"));
         for (int p = 0; p < ring.size(); p++) {
-            out.append(String.format(Locale.ROOT, "%-24s %-8s %11d %6.2f  %s%n", ring.name(p), p == datagrams.self() ? "self"
-                    : members.state(p).name().toLowerCase(Locale.ROOT), p == datagrams.self() ? datagrams.gossip().incarnation()
-                    : members.incarnation(p), hearsay.credit(p), ring.address(p) == null ? "-" : text(ring, p)));
+            out.append(String.format(Locale.ROOT, "%-24s %-8s %11d %6.2f  %s%n", ring.name(p), state(datagrams, members, p),
+                    members.incarnation(p), hearsay.credit(p), ring.address(p) == null ? "-" : text(ring, p)));
         }
         out.append(String.format(Locale.ROOT, "%n%-24s %-8s %6s%n", "node", "doubted", "claims"));
         neighbours.nodes((id, node) -> {
@@ -71,9 +70,8 @@
             for (int p = 0; p < ring.size(); p++) {
                 out.writeStartObject();
                 out.writeStringField("name", ring.name(p));
-                out.writeStringField("state", p == datagrams.self() ? "self" : members.state(p).name().toLowerCase(Locale.ROOT));
-                out.writeNumberField("incarnation", p == datagrams.self() ? datagrams.gossip().incarnation()
-                        : members.incarnation(p));
+                out.writeStringField("state", state(datagrams, members, p));
+                out.writeNumberField("incarnation", members.incarnation(p));
                 out.writeNumberField("credit", hearsay.credit(p));
                 if (ring.address(p) != null) {
                     out.writeStringField("address", text(ring, p));
@@ -109,6 +107,10 @@
         return text.append('\n').toString();
     }
 
+    private static String state(Datagrams datagrams, Members members, int peer) {
+        return peer == datagrams.self() ? "self" : members.state(peer).name().toLowerCase(Locale.ROOT);
+    }
+
     private static String text(Ring ring, int peer) {
         return ring.address(peer).getAddress().getHostAddress() + ":" + ring.address(peer).getPort();
     }
--- a/src/main/java/dillfront/pgwire/Messages.java
+++ b/src/main/java/dillfront/pgwire/Messages.java
@@ -97,7 +97,6 @@
         return out;
     }
 
-    /** The code of an error message; empty where it holds none. */
     /** The user that a startup message names; empty where it names none. */
     public static String user(ByteBuf message) {
         int at = message.readerIndex() + 8;
@@ -127,6 +126,7 @@
         return message.toString(from, zero(message, from, message.writerIndex()) - from, StandardCharsets.UTF_8);
     }
 
+    /** The code of an error message; empty where it holds none. */
     public static String code(ByteBuf message) {
         int at = message.readerIndex() + 5;
         while (at < message.writerIndex() && message.getByte(at) != 0) {
--- a/src/main/java/dillfront/script/Parser.java
+++ b/src/main/java/dillfront/script/Parser.java
@@ -75,6 +75,13 @@
         next();
     }
 
+    /** Guards the stack: what goes in comes out by depth--, and a fault ends the whole. */
+    private void deeper(Token at, String what) throws ScriptError {
+        if (++depth > DEEPEST) {
+            throw new ScriptError(at, what + " are more than " + DEEPEST + " deep");
+        }
+    }
+
     // ---- steps
 
     private void step(List<Tree.Step> into) throws ScriptError {
@@ -190,9 +197,7 @@
             throw expected("an indented block");
         }
         next();
-        if (++depth > DEEPEST) {
-            throw new ScriptError(peek(), "blocks are more than " + DEEPEST + " deep");
-        }
+        deeper(peek(), "blocks");
         while (peek().kind() != Kind.DEDENT) {
             step(steps);
         }
@@ -204,9 +209,7 @@
     // ---- values
 
     private Tree.Value value() throws ScriptError {
-        if (++depth > DEEPEST) {
-            throw new ScriptError(peek(), "values are more than " + DEEPEST + " deep");
-        }
+        deeper(peek(), "values");
         Tree.Value value = binary(0);
         if (peek().is("if")) {
             Token at = next();
@@ -224,9 +227,7 @@
         }
         if (row == 2 && peek().is("not")) {
             Token sign = next();
-            if (++depth > DEEPEST) {
-                throw new ScriptError(sign, "values are more than " + DEEPEST + " deep");
-            }
+            deeper(sign, "values");
             Tree.Value of = binary(row);
             depth--;
             return new Tree.Unary(sign, of);
@@ -245,9 +246,7 @@
     private Tree.Value unary() throws ScriptError {
         if (peek().is("-")) {
             Token sign = next();
-            if (++depth > DEEPEST) {
-                throw new ScriptError(sign, "values are more than " + DEEPEST + " deep");
-            }
+            deeper(sign, "values");
             Tree.Value of = unary();
             depth--;
             return new Tree.Unary(sign, of);
--- a/src/test/java/dillfront/bench/IdentityTest.java
+++ b/src/test/java/dillfront/bench/IdentityTest.java
@@ -26,7 +26,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -81,9 +80,7 @@
                 principal("tablet-7", roles = ["reader", "poster"], at_once = 2)
                 """.formatted(folder));
         round = new StandIns(250_000);
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = Drive.freePort();
         daemon = new Daemon(Config.read(new ByteArrayInputStream(round.config(port, 1.0).getBytes(StandardCharsets.UTF_8))),
                 Operator.read(file), new Log(new PrintStream(log, true)));
         daemon.start();
--- a/src/test/java/dillfront/bench/StopTest.java
+++ b/src/test/java/dillfront/bench/StopTest.java
@@ -18,10 +18,6 @@
     private static final int CLIENTS = 24;
     private static final long GRACE_NANOS = 250_000_000;
 
-    private static void signal(String name, long pid) throws IOException, InterruptedException {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor());
-    }
-
     private static List<String> child() {
         return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "dillfront.cli.Main", "serve");
@@ -56,12 +52,12 @@
                 say(clients, 0);
                 // By now they are out at nodes, and the router waits for answers; it is stopped there.
                 Thread.sleep(8);
-                signal("STOP", router.pid());
+                assertEquals(0, router.signal("STOP"));
                 say(clients, 1);
                 long told = System.nanoTime();
                 round.tell(drained, "draining");
                 Thread.sleep(ms);
-                signal("CONT", router.pid());
+                assertEquals(0, router.signal("CONT"));
                 int good = 0;
                 for (StandIns.Client client : clients) {
                     good += client.hear() ? 1 : 0;
--- a/src/test/java/dillfront/identity/RightsTest.java
+++ b/src/test/java/dillfront/identity/RightsTest.java
@@ -15,18 +15,7 @@
 class RightsTest {
 
     static KeyBytes key(String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return new KeyBytes() {
-            @Override
-            public int length() {
-                return bytes.length;
-            }
-
-            @Override
-            public byte at(int index) {
-                return bytes[index];
-            }
-        };
+        return KeyBytes.of(text.getBytes(StandardCharsets.UTF_8));
     }
 
     private static final Rights HOTEL = new Rights(List.of(Rule.of(true, 0b0111, "r", Rule.ANY, "hotel-7/", "rule 1"),
