Reads that stall a replica go to the one furthest behind, at all routers alike

A replica applies nothing while it holds a season-report (300 to 520 ms); some 8 a second, spread by load over 7 replicas, kept every one of them behind, and the log applies at little over its rate. At fault: route(), which took any reads to be harmless where they run; nothing on the wire says which type blocks. Now a type shows it by its answers' notes: the position has stood still for half of the time it ran, and it lasts longer than the tightest bound. Those go to the replica furthest behind that is open; the others keep up. Other any reads take any replica. A replica whose last answer showed it behind is not tried as if it kept up.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -117,6 +117,8 @@
         /** How long a client's first try is given, by the running median of all tries. */
         Duration firstTry;
         Duration usual;
+        /** The share of its answers that came from a replica which had applied nothing while it ran. */
+        double stalls = 1;
 
         Type(TxnType t, Duration anyBound) {
             effect = t.effect();
@@ -144,6 +146,11 @@
         double rank() {
             return value / (usual.toNanos() + 1);
         }
+
+        /** It puts a replica out of the tightest bound: none applies the log while it holds one. */
+        boolean stalling(Duration tightest) {
+            return read == Read.ANY && stalls > 0.5 && usual.compareTo(tightest) > 0;
+        }
     }
 
     /** One row a machine in the list, and until nothing of it is out; used again once it is forgotten. */
@@ -155,6 +162,9 @@
         Standing standing = Standing.GONE;
         Duration started = NEVER;
         Duration position = NEVER;
+        /** How far behind it was when an answer last told, and when that was. */
+        Duration behind = Duration.ZERO;
+        Duration toldAt = NEVER;
         /** The latest time at which it is known to have been the primary, and to have been none. */
         Duration claimed = NEVER;
         Duration denied = NEVER;
@@ -230,6 +240,7 @@
     /** The last commit of each session index; of fixed size. */
     private final Duration[] written = new Duration[SESSIONS];
     private final Duration beat;
+    private final Duration tightest;
     private final Duration anyBound;
     private final double roomLeast;
     private Duration now = Duration.ZERO;
@@ -265,7 +276,8 @@
             bound = t.read() == Read.BOUNDED && (bound == null || t.bound().compareTo(bound) < 0) ? t.bound()
                     : bound;
         }
-        anyBound = times(bound == null ? set.dial() : bound, ANY_BOUND);
+        tightest = bound == null ? set.dial() : bound;
+        anyBound = times(tightest, ANY_BOUND);
         types = new Type[set.types().size()];
         for (int i = 0; i < types.length; i++) {
             types[i] = new Type(set.types().get(i), anyBound);
@@ -452,6 +464,10 @@
                 }
             }
             heard(node, seen, report);
+            if (result == Result.COMMITTED && note.role() == Role.REPLICA && note.position() != null) {
+                double still = n.behind.compareTo(times(took, 0.5)) > 0 ? 1 : 0;
+                type.stalls += GAIN * (still - type.stalls);
+            }
             if (set.nodesRefuse() && type.routed()) {
                 guarded(n, result);
             }
@@ -500,7 +516,7 @@
         public boolean stands(int node) {
             Node n = nodes.get(node);
             boolean old = type.read == Read.FRESH || type.read == Read.BOUNDED
-                    && n.position.compareTo(now.minus(type.bound)) < 0 && !keepsUp(n);
+                    && n.position.compareTo(now.minus(type.bound)) < 0 && !keepsUp(n, now.minus(type.bound));
             return !closed && listed(n) && remembered(this) && (!old || n == primary(group));
         }
 
@@ -669,11 +685,14 @@
         double least = Double.MAX_VALUE;
         Node freshest = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
+        if (t.type.stalling(tightest)) {
+            return furthestBehind(t, pri);
+        }
         for (Node n : g.members) {
             if (n == pri || !open(n, room(n, t))) {
                 continue;
             }
-            if (n.position.compareTo(need) >= 0 || keepsUp(n)) {
+            if (t.type.read == Read.ANY || n.position.compareTo(need) >= 0 || keepsUp(n, need)) {
                 double load = busy(n, -Math.log(1 - chance.nextDouble()));
                 if (load < least) {
                     best = n;
@@ -708,9 +727,25 @@
      * any read's bound has gone by. Guards against positions that are dear or late to learn, as they are for
      * a router with few txns; it costs a miss where a replica has just begun to lag.
      */
-    private boolean keepsUp(Node n) {
+    private boolean keepsUp(Node n, Duration need) {
         return set.nodesRefuse() && (n.position.compareTo(n.refusedAt) > 0
-                || n.refusedAt.plus(anyBound).compareTo(now) < 0);
+                || n.refusedAt.plus(anyBound).compareTo(now) < 0)
+                && (now.minus(n.behind).compareTo(need) >= 0 || n.toldAt.plus(anyBound).compareTo(now) < 0);
+    }
+
+    /**
+     * A read that stalls a replica goes to the one that is furthest behind: the routers agree on it without
+     * a word, it stays behind while it gets them, and the others keep up. Guards against reads that must be
+     * current finding no replica, as every one holds such a read now and then.
+     */
+    private Node furthestBehind(Txn t, Node pri) {
+        Node last = null;
+        for (Node n : t.group.members) {
+            if (n != pri && open(n, room(n, t)) && (last == null || n.position.compareTo(last.position) < 0)) {
+                last = n;
+            }
+        }
+        return last;
     }
 
     /**
@@ -797,7 +832,11 @@
         } else if (report.position() != null && report.role() == Role.REPLICA) {
             deny(n, report.position());
         }
-        n.position = note.position() == null ? n.position : later(n.position, note.position());
+        if (note.position() != null) {
+            n.position = later(n.position, note.position());
+            n.behind = now.minus(n.position);
+            n.toldAt = now;
+        }
         n.position = report.position() == null ? n.position : later(n.position, report.position());
     }
 
