--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -61,6 +61,8 @@
     private static final double CALM_PART = 0.9;
     /** How much busier a replica of this zone may be than one across zones. */
     private static final double FAR = 1.5;
+    /** How much busier a replica within an any read's bound may be than one that is past it. */
+    private static final double OLD = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
     private static final double SCARCE = 16;
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
@@ -683,7 +685,6 @@
         Node pri = primary(g);
         Node best = null;
         double least = Double.MAX_VALUE;
-        Node freshest = null;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         if (t.type.stalling(tightest)) {
             return furthestBehind(t, pri);
@@ -692,16 +693,14 @@
             if (n == pri || !open(n, room(n, t))) {
                 continue;
             }
-            if (t.type.read == Read.ANY || n.position.compareTo(need) >= 0 || keepsUp(n, need)) {
-                double load = busy(n, -Math.log(1 - chance.nextDouble()));
+            boolean fresh = n.position.compareTo(need) >= 0 || keepsUp(n, need);
+            if (fresh || t.type.read == Read.ANY) {
+                double load = busy(n, -Math.log(1 - chance.nextDouble())) * (fresh ? 1 : OLD);
                 if (load < least) {
                     best = n;
                     least = load;
                 }
             }
-            if (freshest == null || n.position.compareTo(freshest.position) > 0) {
-                freshest = n;
-            }
         }
         boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0
                 && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && pri.strain < STRAINED * CALM_PART
@@ -717,8 +716,8 @@
             g.spill = Math.max(0, g.spill - 1);
             return pri;
         }
-        // Past the spill: another replica within bound, or for an any read whichever has the most.
-        return best != null ? best : t.type.read == Read.ANY ? freshest : null;
+        // Past the spill: another replica.
+        return best;
     }
 
     /**
