Room is not cut below what a node had in work unstrained while the fleet is strained alike

Ruled out: full nodes (0 full), lag (it began 5 s later), connections. At fault: judge() took slow answers for a queue whatever the rest of the fleet did. Now a node strained like the fleet's median (up to 1.5 times it) keeps what it had in work at the most while that median was unstrained. Under wrong lists the fleet's medians count the nodes that are listed as gone and in reach, too.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -94,6 +94,8 @@
     private static final double GAIN = 0.2;
     /** Answers slower than this part of the SLA time shrink the room at a node, faster ones widen it. */
     private static final double STRAINED = 0.45;
+    /** A node is strained like the fleet up to this many times the fleet's median. */
+    private static final double ALIKE = 1.5;
     /** Room for submissions at a node, over all routers; below one it is one in so many usual times. */
     private static final double ROOM_START = 24;
     private static final double ROOM_LEAST = 0.3;
@@ -261,6 +263,9 @@
     private double heldRate;
     private Duration coldAt = NEVER;
     private double median;
+    /** How strained the fleet's median is, and what was out to a warm node at most while it was not. */
+    private double strain;
+    private double inWork;
     /** Of the errors that were tried at a second node, the share that came there too. */
     private double ownFault;
     private Duration askedAt = NEVER;
@@ -888,7 +893,10 @@
                 n.cutAt = now;
                 double used = n.out > 0 ? n.out : Math.min(1, ratio(slowest(), n.gap));
                 double cut = result == Result.FULL || jammed ? FULL_CUT : ROOM_CUT;
-                n.room = Math.max(roomLeast, Math.min(n.room, used) * cut);
+                // Slow like all the fleet: less at once than it did without strain would leave it idle.
+                boolean alone = result == Result.FULL || n.strain > strain * ALIKE;
+                double least = alone ? roomLeast : Math.max(roomLeast, inWork * n.size);
+                n.room = Math.max(Math.min(n.room, least), Math.min(n.room, used) * cut);
             }
         } else if (result == Result.COMMITTED && n.out + 1 >= n.room * 0.8) {
             n.room += Math.min(n.room, 1 / n.room) * GAIN;
@@ -994,17 +1002,25 @@
         double warm = 0;
         double back = Math.max(ROOM_BACK, set.routers() / ROOM_BACK_ROUTERS);
         List<Double> shares = new ArrayList<>();
+        List<Double> strains = new ArrayList<>();
+        int out = 0;
         for (Node n : nodes) {
-            if (n.group != null && n.standing == Standing.READY) {
+            if (n.group != null && (n.standing == Standing.READY || listed(n) && !n.lost)) {
                 warm += cold(n) ? 0 : n.size;
                 shares.add(n.failures);
+                strains.add(n.strain);
+                out += cold(n) ? 0 : n.out;
             }
             if (n.room < 1) {
                 n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * back));
             }
         }
-        shares.sort(null);
-        median = shares.isEmpty() ? 0 : shares.get(shares.size() / 2);
+        median = middle(shares);
+        strain = middle(strains);
+        if (warm > 0) {
+            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
+        }
         // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
         if (warm > 0) {
             double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
@@ -1046,6 +1062,11 @@
         groups.values().forEach(this::place);
     }
 
+    private static double middle(List<Double> of) {
+        of.sort(null);
+        return of.isEmpty() ? 0 : of.get(of.size() / 2);
+    }
+
     /**
      * A fresh router probes each node once, then those unheard for an any read's bound, while half its credit
      * is there: a router with few txns keeps the rest for the reads that wait for a position.
