--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -4,7 +4,6 @@
 
 import dillfront.port.Effect;
 import dillfront.port.Handle;
-import dillfront.port.ListRole;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Read;
@@ -197,7 +196,6 @@
         Duration cutAt = NEVER;
         Duration tryAt = NEVER;
         int trials = 1;
-        Duration refusedAt = NEVER;
         Duration probedAt = NEVER;
         boolean probing;
         double coldCredit;
@@ -352,7 +350,7 @@
             }
         }
         for (NodeRow row : rows) {
-            if (row.primary() && set.listRole() != ListRole.ABSENT) {
+            if (row.primary()) {
                 claim(nodes.get(row.node()), LISTED);
             }
         }
@@ -475,9 +473,6 @@
                 double still = n.behind.compareTo(times(took, 0.5)) > 0 ? 1 : 0;
                 type.stalls += GAIN * (still - type.stalls);
             }
-            if (set.nodesRefuse() && type.routed()) {
-                guarded(n, result);
-            }
             if (result.mayHaveRun() && ranAt == null) {
                 ranAt = sentAt;
             }
@@ -508,17 +503,6 @@
             errs = erred ? n : null;
         }
 
-        /** A node that refuses what it is too far behind for tells by its answer how far it has come. */
-        private void guarded(Node n, Result result) {
-            if (result == Result.COMMITTED) {
-                Duration shown = type.read == Read.BOUNDED ? sentAt.minus(type.bound)
-                        : type.read == Read.SESSION ? need : NEVER;
-                n.position = later(n.position, shown);
-            } else if (result == Result.MISS) {
-                n.refusedAt = now;
-            }
-        }
-
         @Override
         public boolean stands(int node) {
             Node n = nodes.get(node);
@@ -727,14 +711,13 @@
 
     /**
      * Where nodes refuse reads that they are too far behind for, untouched, a replica may be tried for any
-     * read until it refuses one: then only what is known counts, until it has come past that moment or an
-     * any read's bound has gone by. Guards against positions that are dear or late to learn, as they are for
-     * a router with few txns; it costs a miss where a replica has just begun to lag.
+     * read, unless its last answer within an any read's bound showed it too far behind. Guards against
+     * positions that are dear or late to learn, as they are for a router with few txns; it costs a miss
+     * where a replica has just begun to lag.
      */
     private boolean keepsUp(Node n, Duration need) {
-        return set.nodesRefuse() && (n.position.compareTo(n.refusedAt) > 0
-                || n.refusedAt.plus(anyBound).compareTo(now) < 0)
-                && (now.minus(n.behind).compareTo(need) >= 0 || n.toldAt.plus(anyBound).compareTo(now) < 0);
+        return set.nodesRefuse() && (now.minus(times(n.behind, 2)).compareTo(need) >= 0
+                || n.toldAt.plus(anyBound).compareTo(now) < 0);
     }
 
     /**
