Stalling reads get no more replicas than is their part of the work

The batches show 160 season-reports a second sent to all of them: connections failed (4,024 in 5 s), room at the replicas furthest behind was gone, and each router went on to the next one, until none was within bound. Ruled out: lag by itself (no node applied slowly; two vanished), the primary (3 ms). At fault: furthestBehind(), which let room alone say how many replicas such reads take. Now they get the furthest behind up to their part of the work of reads that need a replica, and wait past that.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -122,6 +123,8 @@
         Duration usual;
         /** The share of its answers that came from a replica which had applied nothing while it ran. */
         double stalls = 1;
+        /** What was asked of it, in usual times, over the last minute or so. */
+        double work;
 
         Type(TxnType t, Duration anyBound) {
             effect = t.effect();
@@ -387,6 +390,7 @@
         Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry,
                 waited);
         taken++;
+        t.type.work += t.type.usual.toNanos() / 1e9;
         if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
             tenants.get(tenant).allowance++;
             t.spare = true;
@@ -723,16 +727,31 @@
     /**
      * A read that stalls a replica goes to the one that is furthest behind: the routers agree on it without
      * a word, it stays behind while it gets them, and the others keep up. Guards against reads that must be
-     * current finding no replica, as every one holds such a read now and then.
+     * current finding no replica, as every one holds such a read now and then. No more replicas are given up
+     * to such reads than is their part of the work; past that they wait.
      */
     private Node furthestBehind(Txn t, Node pri) {
-        Node last = null;
+        List<Node> replicas = new ArrayList<>();
         for (Node n : t.group.members) {
-            if (n != pri && open(n, room(n, t)) && (last == null || n.position.compareTo(last.position) < 0)) {
-                last = n;
+            if (n != pri && listed(n) && trusted(n)) {
+                replicas.add(n);
             }
         }
-        return last;
+        replicas.sort(Comparator.comparing(n -> n.position));
+        double stalling = 0;
+        double all = 0;
+        for (Type type : types) {
+            double work = type.read == Read.FRESH || type.read == Read.WRITE ? 0 : type.work;
+            all += type.read == Read.ANY && !type.stalling(tightest) ? 0 : work;
+            stalling += type.stalling(tightest) ? work : 0;
+        }
+        long most = Math.max(1, Math.round(replicas.size() * stalling / all));
+        for (Node n : replicas.subList(0, (int) Math.min(most, replicas.size()))) {
+            if (open(n, room(n, t))) {
+                return n;
+            }
+        }
+        return null;
     }
 
     /**
@@ -1017,6 +1036,9 @@
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
+        for (Type t : types) {
+            t.work *= Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+        }
         for (Tenant t : tenants) {
             double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
             t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
