--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -257,8 +257,11 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    /** What warm nodes did, not all that was sent: work turned away or done cold tells nothing of it. */
-    private int done;
+    /**
+     * What warm nodes did, in usual times, since a report may be worth twenty views; not all that was sent:
+     * work turned away or done cold tells nothing of it.
+     */
+    private double done;
     private double doneRate;
     private double doneWeight;
     private double heldRate;
@@ -390,7 +393,7 @@
         Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry,
                 waited);
         taken++;
-        t.type.work += t.type.usual.toNanos() / 1e9;
+        t.type.work += seconds(t.type.usual);
         if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
             tenants.get(tenant).allowance++;
             t.spare = true;
@@ -637,7 +640,7 @@
         }
         n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
-        n.coldCredit -= 1;
+        n.coldCredit -= seconds(t.type.usual);
         outlet.submit(t.id, n.id, limit);
         return true;
     }
@@ -774,7 +777,7 @@
         if (!listed(n)) {
             return false;
         }
-        if (cold(n) && n.coldCredit < 1) {
+        if (cold(n) && n.coldCredit <= 0) {
             return false;
         }
         if (onTrial(n)) {
@@ -877,7 +880,7 @@
         // Where answers are rare, each tells of all the time since the last.
         double weight = Math.max(GAIN, Math.min(1, since));
         if (result == Result.COMMITTED) {
-            done += cold(n) ? 0 : 1;
+            done += cold(n) ? 0 : seconds(type.usual);
             n.pace += weight * (Math.min(4, ratio(took, type.usual)) - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
             type.usual = earlier(usual, times(type.sla, 0.5));
@@ -998,7 +1001,7 @@
         if (now.compareTo(beatAt.plus(beat)) < 0) {
             return;
         }
-        double seconds = now.minus(beatAt).toNanos() / 1e9;
+        double seconds = seconds(now.minus(beatAt));
         beatAt = now;
         outlet.wake(beat);
         double warm = 0;
@@ -1014,22 +1017,22 @@
                 out += cold(n) ? 0 : n.out;
             }
             if (n.room < 1) {
-                n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * back));
+                n.room *= Math.pow(2, seconds / (seconds(set.dial()) * back));
             }
         }
         median = middle(shares);
         strain = middle(strains);
         if (warm > 0) {
-            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
             inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
         }
         // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
         if (warm > 0) {
-            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
             doneWeight = doneWeight * kept + seconds;
             doneRate += (done / warm - doneRate * seconds) / doneWeight;
             // Held for a while: in a trouble that leaves txns undone, nodes can do what they did before it.
-            boolean sure = doneWeight * 2 > set.coldFor().toNanos() / 1e9;
+            boolean sure = doneWeight * 2 > seconds(set.coldFor());
             heldRate = Math.max(doneRate, heldRate * (kept + 1) / 2);
             heldRate = sure ? heldRate : doneRate;
         }
@@ -1037,7 +1040,7 @@
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
         for (Type t : types) {
-            t.work *= Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            t.work *= Math.exp(-seconds / (seconds(set.coldFor()) + 2));
         }
         for (Tenant t : tenants) {
             double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
@@ -1053,8 +1056,9 @@
                     double safe = part * heldRate * n.size * COLD_SHARE * set.tipMultiple();
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
-                    double over = chance.nextDouble() < COLD_WINDOW ? 0 : Math.max(0, n.coldCredit);
-                    n.coldCredit = over + Math.floor(safe * window.toNanos() / 1e9 + chance.nextDouble());
+                    double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
+                    double most = seconds(slowest());
+                    n.coldCredit = over + most * Math.floor(safe * seconds(window) / most + chance.nextDouble());
                 }
             }
         }
@@ -1135,6 +1139,10 @@
 
     // ---- spans
 
+    private static double seconds(Duration d) {
+        return d.toNanos() / 1e9;
+    }
+
     private static double ratio(Duration a, Duration b) {
         return (double) a.toNanos() / (b.toNanos() + 1);
     }
