Cold nodes are dealt work in usual times, in pieces of the quickest type

Cause: the rate of warm nodes counted a report like a view, and so did what a cold node was dealt: a report of 1.1 s cost as much as a view of 0.07 s.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -750,7 +750,7 @@
         }
         long most = Math.max(1, Math.round(replicas.size() * stalling / all));
         for (Node n : replicas.subList(0, (int) Math.min(most, replicas.size()))) {
-            if (open(n, room(n, t))) {
+            if (open(n, room(n, t)) && (!cold(n) || n.coldCredit >= seconds(t.type.usual))) {
                 return n;
             }
         }
@@ -1047,6 +1047,10 @@
             t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
         }
         if (now.compareTo(coldAt) >= 0) {
+            Duration quickest = slowest();
+            for (Type t : types) {
+                quickest = earlier(quickest, t.usual);
+            }
             Duration window = times(set.tipAfter(), COLD_WINDOW);
             coldAt = now.plus(window);
             for (Node n : nodes) {
@@ -1057,8 +1061,8 @@
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
                     double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
-                    double most = seconds(slowest());
-                    n.coldCredit = over + most * Math.floor(safe * seconds(window) / most + chance.nextDouble());
+                    double piece = seconds(quickest);
+                    n.coldCredit = over + piece * Math.floor(safe * seconds(window) / piece + chance.nextDouble());
                 }
             }
         }
