Room below one counts in the usual time of what is asked, not of the slowest type

At fault: open() and judge(), for which the types were alike. Now the mean over all that was asked counts.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -270,6 +270,8 @@
     /** How strained the fleet's median is, and what was out to a warm node at most while it was not. */
     private double strain;
     private double inWork;
+    /** The usual time of a txn, over all that were asked. */
+    private Duration typical;
     /** Of the errors that were tried at a second node, the share that came there too. */
     private double ownFault;
     private Duration askedAt = NEVER;
@@ -301,6 +303,7 @@
         }
         allQuotas = sum;
         roomLeast = ROOM_LEAST / set.routers();
+        typical = slowest();
         Arrays.fill(written, NEVER);
     }
 
@@ -784,7 +787,7 @@
             return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
-                || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, roomLeast)))) >= 0);
+                || now.compareTo(n.sentAt.plus(times(typical, 1 / Math.max(room, roomLeast)))) >= 0);
     }
 
     // ---- who is the primary
@@ -896,7 +899,7 @@
         if (result == Result.FULL || n.strain > STRAINED) {
             if (result == Result.FULL || now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
                 n.cutAt = now;
-                double used = n.out > 0 ? n.out : Math.min(1, ratio(slowest(), n.gap));
+                double used = n.out > 0 ? n.out : Math.min(1, ratio(typical, n.gap));
                 double cut = result == Result.FULL || jammed ? FULL_CUT : ROOM_CUT;
                 // Slow like all the fleet: less at once than it did without strain would leave it idle.
                 boolean alone = result == Result.FULL || n.strain > strain * ALIKE;
@@ -1039,9 +1042,14 @@
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
+        double work = 0;
+        double txns = 0;
         for (Type t : types) {
+            work += t.work;
+            txns += t.work / seconds(t.usual);
             t.work *= Math.exp(-seconds / (seconds(set.coldFor()) + 2));
         }
+        typical = txns > 0 ? Duration.ofNanos((long) (work / txns * 1e9)) : slowest();
         for (Tenant t : tenants) {
             double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
             t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
