--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -4,7 +4,6 @@
 
 import dillfront.port.Effect;
 import dillfront.port.Handle;
-import dillfront.port.ListRole;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Read;
@@ -18,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -123,6 +123,8 @@
         Duration usual;
         /** The share of its answers that came from a replica which had applied nothing while it ran. */
         double stalls = 1;
+        /** What was asked of it, in usual times, over the last minute or so. */
+        double work;
 
         Type(TxnType t, Duration anyBound) {
             effect = t.effect();
@@ -197,7 +199,6 @@
         Duration cutAt = NEVER;
         Duration tryAt = NEVER;
         int trials = 1;
-        Duration refusedAt = NEVER;
         Duration probedAt = NEVER;
         boolean probing;
         double coldCredit;
@@ -256,8 +257,11 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    /** What warm nodes did, not all that was sent: work turned away or done cold tells nothing of it. */
-    private int done;
+    /**
+     * What warm nodes did, in usual times, since a report may be worth twenty views; not all that was sent:
+     * work turned away or done cold tells nothing of it.
+     */
+    private double done;
     private double doneRate;
     private double doneWeight;
     private double heldRate;
@@ -266,6 +270,8 @@
     /** How strained the fleet's median is, and what was out to a warm node at most while it was not. */
     private double strain;
     private double inWork;
+    /** The usual time of a txn, over all that were asked. */
+    private Duration typical;
     /** Of the errors that were tried at a second node, the share that came there too. */
     private double ownFault;
     private Duration askedAt = NEVER;
@@ -297,6 +303,7 @@
         }
         allQuotas = sum;
         roomLeast = ROOM_LEAST / set.routers();
+        typical = slowest();
         Arrays.fill(written, NEVER);
     }
 
@@ -352,7 +359,7 @@
             }
         }
         for (NodeRow row : rows) {
-            if (row.primary() && set.listRole() != ListRole.ABSENT) {
+            if (row.primary()) {
                 claim(nodes.get(row.node()), LISTED);
             }
         }
@@ -389,6 +396,7 @@
         Txn t = new Txn(id, types[type], groups.computeIfAbsent(group, k -> new Group()), session, expiry,
                 waited);
         taken++;
+        t.type.work += seconds(t.type.usual);
         if (tenant >= 0 && tenants.get(tenant).quota > 0 && tenants.get(tenant).allowance-- < 1) {
             tenants.get(tenant).allowance++;
             t.spare = true;
@@ -475,9 +483,6 @@
                 double still = n.behind.compareTo(times(took, 0.5)) > 0 ? 1 : 0;
                 type.stalls += GAIN * (still - type.stalls);
             }
-            if (set.nodesRefuse() && type.routed()) {
-                guarded(n, result);
-            }
             if (result.mayHaveRun() && ranAt == null) {
                 ranAt = sentAt;
             }
@@ -508,17 +513,6 @@
             errs = erred ? n : null;
         }
 
-        /** A node that refuses what it is too far behind for tells by its answer how far it has come. */
-        private void guarded(Node n, Result result) {
-            if (result == Result.COMMITTED) {
-                Duration shown = type.read == Read.BOUNDED ? sentAt.minus(type.bound)
-                        : type.read == Read.SESSION ? need : NEVER;
-                n.position = later(n.position, shown);
-            } else if (result == Result.MISS) {
-                n.refusedAt = now;
-            }
-        }
-
         @Override
         public boolean stands(int node) {
             Node n = nodes.get(node);
@@ -649,7 +643,7 @@
         }
         n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
-        n.coldCredit -= 1;
+        n.coldCredit -= seconds(t.type.usual);
         outlet.submit(t.id, n.id, limit);
         return true;
     }
@@ -727,29 +721,43 @@
 
     /**
      * Where nodes refuse reads that they are too far behind for, untouched, a replica may be tried for any
-     * read until it refuses one: then only what is known counts, until it has come past that moment or an
-     * any read's bound has gone by. Guards against positions that are dear or late to learn, as they are for
-     * a router with few txns; it costs a miss where a replica has just begun to lag.
+     * read, unless its last answer within an any read's bound showed it too far behind. Guards against
+     * positions that are dear or late to learn, as they are for a router with few txns; it costs a miss
+     * where a replica has just begun to lag.
      */
     private boolean keepsUp(Node n, Duration need) {
-        return set.nodesRefuse() && (n.position.compareTo(n.refusedAt) > 0
-                || n.refusedAt.plus(anyBound).compareTo(now) < 0)
-                && (now.minus(n.behind).compareTo(need) >= 0 || n.toldAt.plus(anyBound).compareTo(now) < 0);
+        return set.nodesRefuse() && (now.minus(times(n.behind, 2)).compareTo(need) >= 0
+                || n.toldAt.plus(anyBound).compareTo(now) < 0);
     }
 
     /**
      * A read that stalls a replica goes to the one that is furthest behind: the routers agree on it without
      * a word, it stays behind while it gets them, and the others keep up. Guards against reads that must be
-     * current finding no replica, as every one holds such a read now and then.
+     * current finding no replica, as every one holds such a read now and then. No more replicas are given up
+     * to such reads than is their part of the work; past that they wait.
      */
     private Node furthestBehind(Txn t, Node pri) {
-        Node last = null;
+        List<Node> replicas = new ArrayList<>();
         for (Node n : t.group.members) {
-            if (n != pri && open(n, room(n, t)) && (last == null || n.position.compareTo(last.position) < 0)) {
-                last = n;
+            if (n != pri && listed(n) && trusted(n)) {
+                replicas.add(n);
             }
         }
-        return last;
+        replicas.sort(Comparator.comparing(n -> n.position));
+        double stalling = 0;
+        double all = 0;
+        for (Type type : types) {
+            double work = type.read == Read.FRESH || type.read == Read.WRITE ? 0 : type.work;
+            all += type.read == Read.ANY && !type.stalling(tightest) ? 0 : work;
+            stalling += type.stalling(tightest) ? work : 0;
+        }
+        long most = Math.max(1, Math.round(replicas.size() * stalling / all));
+        for (Node n : replicas.subList(0, (int) Math.min(most, replicas.size()))) {
+            if (open(n, room(n, t)) && (!cold(n) || n.coldCredit >= seconds(t.type.usual))) {
+                return n;
+            }
+        }
+        return null;
     }
 
     /**
@@ -772,14 +780,14 @@
         if (!listed(n)) {
             return false;
         }
-        if (cold(n) && n.coldCredit < 1) {
+        if (cold(n) && n.coldCredit <= 0) {
             return false;
         }
         if (onTrial(n)) {
             return n.out == 0 && !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
-                || now.compareTo(n.sentAt.plus(times(slowest(), 1 / Math.max(room, roomLeast)))) >= 0);
+                || now.compareTo(n.sentAt.plus(times(typical, 1 / Math.max(room, roomLeast)))) >= 0);
     }
 
     // ---- who is the primary
@@ -875,7 +883,7 @@
         // Where answers are rare, each tells of all the time since the last.
         double weight = Math.max(GAIN, Math.min(1, since));
         if (result == Result.COMMITTED) {
-            done += cold(n) ? 0 : 1;
+            done += cold(n) ? 0 : seconds(type.usual);
             n.pace += weight * (Math.min(4, ratio(took, type.usual)) - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
             type.usual = earlier(usual, times(type.sla, 0.5));
@@ -891,7 +899,7 @@
         if (result == Result.FULL || n.strain > STRAINED) {
             if (result == Result.FULL || now.compareTo(n.cutAt.plus(type.usual)) >= 0) {
                 n.cutAt = now;
-                double used = n.out > 0 ? n.out : Math.min(1, ratio(slowest(), n.gap));
+                double used = n.out > 0 ? n.out : Math.min(1, ratio(typical, n.gap));
                 double cut = result == Result.FULL || jammed ? FULL_CUT : ROOM_CUT;
                 // Slow like all the fleet: less at once than it did without strain would leave it idle.
                 boolean alone = result == Result.FULL || n.strain > strain * ALIKE;
@@ -996,7 +1004,7 @@
         if (now.compareTo(beatAt.plus(beat)) < 0) {
             return;
         }
-        double seconds = now.minus(beatAt).toNanos() / 1e9;
+        double seconds = seconds(now.minus(beatAt));
         beatAt = now;
         outlet.wake(beat);
         double warm = 0;
@@ -1012,33 +1020,45 @@
                 out += cold(n) ? 0 : n.out;
             }
             if (n.room < 1) {
-                n.room *= Math.pow(2, seconds / (set.dial().toNanos() / 1e9 * back));
+                n.room *= Math.pow(2, seconds / (seconds(set.dial()) * back));
             }
         }
         median = middle(shares);
         strain = middle(strains);
         if (warm > 0) {
-            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
             inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
         }
         // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
         if (warm > 0) {
-            double kept = Math.exp(-seconds / (set.coldFor().toNanos() / 1e9 + 2));
+            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
             doneWeight = doneWeight * kept + seconds;
             doneRate += (done / warm - doneRate * seconds) / doneWeight;
             // Held for a while: in a trouble that leaves txns undone, nodes can do what they did before it.
-            boolean sure = doneWeight * 2 > set.coldFor().toNanos() / 1e9;
+            boolean sure = doneWeight * 2 > seconds(set.coldFor());
             heldRate = Math.max(doneRate, heldRate * (kept + 1) / 2);
             heldRate = sure ? heldRate : doneRate;
         }
         done = 0;
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
+        double work = 0;
+        double txns = 0;
+        for (Type t : types) {
+            work += t.work;
+            txns += t.work / seconds(t.usual);
+            t.work *= Math.exp(-seconds / (seconds(set.coldFor()) + 2));
+        }
+        typical = txns > 0 ? Duration.ofNanos((long) (work / txns * 1e9)) : slowest();
         for (Tenant t : tenants) {
             double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
             t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
         }
         if (now.compareTo(coldAt) >= 0) {
+            Duration quickest = slowest();
+            for (Type t : types) {
+                quickest = earlier(quickest, t.usual);
+            }
             Duration window = times(set.tipAfter(), COLD_WINDOW);
             coldAt = now.plus(window);
             for (Node n : nodes) {
@@ -1048,8 +1068,9 @@
                     double safe = part * heldRate * n.size * COLD_SHARE * set.tipMultiple();
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
-                    double over = chance.nextDouble() < COLD_WINDOW ? 0 : Math.max(0, n.coldCredit);
-                    n.coldCredit = over + Math.floor(safe * window.toNanos() / 1e9 + chance.nextDouble());
+                    double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
+                    double piece = seconds(quickest);
+                    n.coldCredit = over + piece * Math.floor(safe * seconds(window) / piece + chance.nextDouble());
                 }
             }
         }
@@ -1130,6 +1151,10 @@
 
     // ---- spans
 
+    private static double seconds(Duration d) {
+        return d.toNanos() / 1e9;
+    }
+
     private static double ratio(Duration a, Duration b) {
         return (double) a.toNanos() / (b.toNanos() + 1);
     }
