--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -960,13 +960,12 @@
     }
 
     private boolean mute(Node n, double part) {
+        double work = 0;
         for (Type t : types) {
-            double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.outs[t.index])) * part;
-            if (n.outs[t.index] > 0 && now.compareTo(n.quiet.plus(times(t.usual, wait))) > 0) {
-                return true;
-            }
+            work += n.outs[t.index] * seconds(t.usual);
         }
-        return false;
+        double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.out)) * part * work / Math.max(1, n.out);
+        return seconds(now.minus(n.quiet)) > wait;
     }
 
     /**
