--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -109,7 +109,6 @@
 
     /** One row a txn type. */
     private static final class Type {
-        final int index;
         final Effect effect;
         final boolean groupDrops;
         final Duration window;
@@ -127,8 +126,7 @@
         /** What was asked of it, in usual times, over the last minute or so. */
         double work;
 
-        Type(int index, TxnType t, Duration anyBound) {
-            this.index = index;
+        Type(TxnType t, Duration anyBound) {
             effect = t.effect();
             groupDrops = t.groupDrops();
             window = t.window();
@@ -177,8 +175,6 @@
         Duration claimed = NEVER;
         Duration denied = NEVER;
         int out;
-        /** Of them, how many of each txn type. */
-        final int[] outs;
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
@@ -207,9 +203,8 @@
         boolean probing;
         double coldCredit;
 
-        Node(int id, int routers, int types) {
+        Node(int id, int routers) {
             this.id = id;
-            outs = new int[types];
             room = Math.max(1, ROOM_START / routers);
         }
     }
@@ -298,7 +293,7 @@
         anyBound = times(tightest, ANY_BOUND);
         types = new Type[set.types().size()];
         for (int i = 0; i < types.length; i++) {
-            types[i] = new Type(i, set.types().get(i), anyBound);
+            types[i] = new Type(set.types().get(i), anyBound);
         }
         tenants = new ArrayList<>();
         double sum = 0;
@@ -339,7 +334,7 @@
         following = askedAt.compareTo(NEVER) > 0;
         for (NodeRow row : rows) {
             while (nodes.size() <= row.node()) {
-                nodes.add(new Node(nodes.size(), set.routers(), types.length));
+                nodes.add(new Node(nodes.size(), set.routers()));
             }
             Node n = nodes.get(row.node());
             probeCredit += n.group == null ? 1 : 0;
@@ -378,7 +373,7 @@
         if (listed(n) || n.out > 0 || n.probing) {
             return false;
         }
-        nodes.set(node, new Node(node, set.routers(), types.length));
+        nodes.set(node, new Node(node, set.routers()));
         return true;
     }
 
@@ -465,7 +460,6 @@
         public void ended(int node, Result result, Duration took, boolean over, Report note, Report report) {
             Node n = nodes.get(node);
             n.out--;
-            n.outs[type.index]--;
             if (searches) {
                 searches = false;
                 group.searching = false;
@@ -644,7 +638,6 @@
             double gap = TRIAL_GAP * Math.min(n.trials++, TRIALS) * (1 + chance.nextDouble() / 2);
             n.tryAt = now.plus(times(set.dial(), gap));
         }
-        n.outs[t.type.index]++;
         if (n.out++ == 0) {
             n.quiet = now;
         }
@@ -960,12 +953,8 @@
     }
 
     private boolean mute(Node n, double part) {
-        double work = 0;
-        for (Type t : types) {
-            work += n.outs[t.index] * seconds(t.usual);
-        }
-        double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.out)) * part * work / Math.max(1, n.out);
-        return seconds(now.minus(n.quiet)) > wait;
+        double wait = Math.max(SILENCE_LEAST, SILENCE / Math.max(1, n.out)) * part;
+        return now.compareTo(n.quiet.plus(times(slowest(), wait))) > 0;
     }
 
     /**
