Where connections are scarce, only those that stand idle for long are closed

Seen: 4,251 attempts without a connection in 5 s. At fault: ended(), which took every router for one of few txns. Now a connection stays where its node gets the next txn within eight typical times.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -64,7 +64,7 @@
     /** How much busier a replica within an any read's bound may be than one that is past it. */
     private static final double OLD = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
-    private static final double SCARCE = 0;
+    private static final double SCARCE = 16;
     /** A repeat's length is this far off that of first tries, as a part of all the client's time. */
     private static final double OFF = 0.04;
     /** The share sent of the load that would push a cold node over: warm nodes may be nearly full. */
@@ -175,6 +175,8 @@
         Duration claimed = NEVER;
         Duration denied = NEVER;
         int out;
+        /** As many connections as were in use at once are open, and close one by one once idle. */
+        double open;
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
@@ -494,7 +496,9 @@
             place(n.group);
             // Nodes that are up take no more connections: what this router keeps open, others wait for. Not
             // where connections fail by time-out: those are slow to make, and what is open is worth keeping.
-            if (n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0) {
+            // Nor what is soon used again, which would only be opened anew.
+            if (n.out == 0 && now.compareTo(scarceAt.plus(times(set.dial(), SCARCE))) < 0
+                    && n.gap.compareTo(times(typical, PATIENCE)) > 0) {
                 outlet.release(n.id);
             }
         }
@@ -643,6 +647,7 @@
         }
         n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
+        n.open = Math.max(n.open, n.out);
         n.coldCredit -= seconds(t.type.usual);
         outlet.submit(t.id, n.id, limit);
         return true;
@@ -765,7 +770,7 @@
      * that has nothing out knows no order among its replicas, and many such must not all choose the same.
      */
     private double busy(Node n, double others) {
-        return (n.out + others) / n.size * n.pace * (n.far ? FAR : 1) * (n.doubted ? DOUBTED : 1);
+        return (n.out + others) / n.size * (n.out + 1 > n.open ? 2 : 1) * n.pace * (n.far ? FAR : 1) * (n.doubted ? DOUBTED : 1);
     }
 
     private boolean listed(Node n) {
@@ -873,6 +878,7 @@
         } else if (result == Result.FULL && since > 1) {
             n.silent = true;
         }
+        n.open = result == Result.UNREACHABLE ? Math.min(n.open, n.out) : n.open;
         n.atOnce = result == Result.UNREACHABLE ? took.compareTo(times(set.dial(), 0.5)) < 0 : n.atOnce;
         if (result == Result.UNREACHABLE && failing(n)) {
             n.lost = true;
@@ -1019,6 +1025,7 @@
                 strains.add(n.strain);
                 out += cold(n) ? 0 : n.out;
             }
+            n.open = Math.max(n.out, n.open * Math.exp(-seconds / 15));
             if (n.room < 1) {
                 n.room *= Math.pow(2, seconds / (seconds(set.dial()) * back));
             }
