Settings are taken over in service, both ways, and each key is checked

Cause: the move asks for new settings without a restart; until now only discovery moved at SIGHUP and settings waited for a start. A word that the program did not know ("guards": "wait") was taken for a default. Where gone stays open, a gone node's row was never given back. Change: Decide.settings, and the holders of Setup take the new one in one turn of the loop, after the rights were read by it; a txn keeps the row of its type; the list is asked for whole. config.Checks names place and fault.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -236,20 +236,20 @@
         boolean searching;
     }
 
-    private final Settings set;
+    private Settings set;
     private final Outlet outlet;
     private final RandomGenerator chance;
-    private final Type[] types;
-    private final List<Tenant> tenants;
-    private final double allQuotas;
+    private Type[] types;
+    private List<Tenant> tenants;
+    private double allQuotas;
     private final List<Node> nodes = new ArrayList<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     /** The last commit of each session index; of fixed size. */
     private final Duration[] written = new Duration[SESSIONS];
-    private final Duration beat;
-    private final Duration tightest;
-    private final Duration anyBound;
-    private final double roomLeast;
+    private Duration beat;
+    private Duration tightest;
+    private Duration anyBound;
+    private double roomLeast;
     private Duration now = Duration.ZERO;
     private Duration beatAt = NEVER;
     private boolean awake;
@@ -282,31 +282,40 @@
     private Duration scarceAt = NEVER;
 
     public Decide(Settings set, Outlet outlet, RandomGenerator chance) {
-        this.set = set;
         this.outlet = outlet;
         this.chance = chance;
-        beat = set.step().multipliedBy(BEAT);
+        Arrays.fill(written, NEVER);
+        settings(set);
+    }
+
+    /**
+     * Other settings from now on; their zones count from the next list. What was taken goes on by the row of
+     * its own txn type, and what is known of nodes stays; what is usual for a txn type is learned anew.
+     */
+    public void settings(Settings next) {
+        set = next;
+        beat = next.step().multipliedBy(BEAT);
         Duration bound = null;
-        for (TxnType t : set.types()) {
+        for (TxnType t : next.types()) {
             bound = t.read() == Read.BOUNDED && (bound == null || t.bound().compareTo(bound) < 0) ? t.bound()
                     : bound;
         }
-        tightest = bound == null ? set.dial() : bound;
+        tightest = bound == null ? next.dial() : bound;
         anyBound = times(tightest, ANY_BOUND);
-        types = new Type[set.types().size()];
+        types = new Type[next.types().size()];
         for (int i = 0; i < types.length; i++) {
-            types[i] = new Type(set.types().get(i), anyBound);
+            types[i] = new Type(next.types().get(i), anyBound);
         }
         tenants = new ArrayList<>();
         double sum = 0;
-        for (double quota : set.quotas()) {
-            tenants.add(new Tenant(quota, set.routers()));
+        for (double quota : next.quotas()) {
+            tenants.add(new Tenant(quota, next.routers()));
             sum += quota;
         }
         allQuotas = sum;
-        roomLeast = ROOM_LEAST / set.routers();
+        roomLeast = ROOM_LEAST / next.routers();
         typical = slowest();
-        Arrays.fill(written, NEVER);
+        gather();
     }
 
     public void at(Duration clock) {
@@ -354,12 +363,7 @@
             n.group = groups.computeIfAbsent(row.group(), k -> new Group());
             n.claimed = !row.primary() && n.claimed.equals(LISTED) ? NEVER : n.claimed;
         }
-        groups.values().forEach(g -> g.members.clear());
-        for (Node n : nodes) {
-            if (n.group != null && (n.standing != Standing.GONE || set.goneStaysOpen())) {
-                n.group.members.add(n);
-            }
-        }
+        gather();
         for (NodeRow row : rows) {
             if (row.primary()) {
                 claim(nodes.get(row.node()), LISTED);
@@ -369,12 +373,28 @@
         groups.values().forEach(this::place);
     }
 
-    /** A node has left the list: gives its row back if nothing is out there, so no table grows all day. */
+    private void gather() {
+        groups.values().forEach(g -> g.members.clear());
+        for (Node n : nodes) {
+            if (n.group != null && (n.standing != Standing.GONE || set.goneStaysOpen())) {
+                n.group.members.add(n);
+            }
+        }
+    }
+
+    /**
+     * A node has left the list: gives its row back if nothing is out there, so no table grows all day. Where
+     * gone stays open, only once it has also been out of reach for the time in which one warms.
+     */
     public boolean forget(int node) {
         Node n = nodes.get(node);
-        if (listed(n) || n.out > 0 || n.probing) {
+        boolean away = n.lost && n.heardAt.plus(set.coldFor()).compareTo(now) < 0;
+        if (listed(n) && !away || n.out > 0 || n.probing) {
             return false;
         }
+        if (n.group != null) {
+            n.group.members.remove(n);
+        }
         nodes.set(node, new Node(node, set.routers()));
         return true;
     }
--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -58,8 +58,9 @@
         if (cores != other.cores || sockets != other.sockets || memoryMb != other.memoryMb) {
             names.add("limits");
         }
-        if (!setup.equals(other.setup)) {
-            names.add("settings");
+        // Timers of clients and of discovery.
+        if (!setup.settings().dial().equals(other.setup.settings().dial())) {
+            names.add("settings.bounds.dialTimeoutUs");
         }
         return names;
     }
@@ -70,10 +71,15 @@
 
     private static Config read(InputStream text, Map<String, String> env) throws IOException, BadConfig {
         Tree tree = Tree.parse(text);
-        Setup setup = Setup.read(tree.tree("settings"));
-        if (setup.types().isEmpty()) {
+        Tree settings = tree.tree("settings");
+        if (settings.list("classes").isEmpty()) {
             throw new BadConfig("settings name no classes");
         }
+        String fault = Checks.fault(settings);
+        if (fault != null) {
+            throw new BadConfig(fault);
+        }
+        Setup setup = Setup.read(settings);
         if (setup.settings().dial().isZero() || setup.settings().step().isZero()) {
             throw new BadConfig("settings lack stepUs or bounds.dialTimeoutUs");
         }
--- a/src/main/java/dillfront/config/Tree.java
+++ b/src/main/java/dillfront/config/Tree.java
@@ -61,6 +61,11 @@
         };
     }
 
+    /** As it was written; null where it was not. */
+    Object value(String name) {
+        return values.get(name);
+    }
+
     public Tree tree(String name) {
         return values.get(name) instanceof Tree tree ? tree : new Tree();
     }
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import dillfront.config.BadConfig;
 import dillfront.config.Clock;
 import dillfront.config.Config;
+import dillfront.config.Setup;
 import dillfront.list.Watch;
 import dillfront.log.Counters;
 import dillfront.log.Log;
@@ -52,11 +53,13 @@
     private final EventLoop loop = group.next();
     /** Where discovery is, by the latest configuration. */
     private InetSocketAddress discovery;
+    /** By the latest configuration; on the loop. */
+    private Setup setup;
     private Router router;
     private Clients clients;
     private Watch watch;
     /** Gossip and the questions about it; null where the operator's file does not ask for it. */
-    private Side side;
+    private volatile Side side;
 
     public Daemon(Config config, Log log) {
         this(config, Operator.NONE, log);
@@ -67,6 +70,7 @@
         this.operator = operator;
         this.log = log;
         discovery = config.discovery();
+        setup = config.setup();
     }
 
     Log log() {
@@ -93,6 +97,9 @@
                 if (known) {
                     router.list(config.known());
                 }
+                if (!setup.equals(config.setup())) {
+                    router.settings(setup);
+                }
                 watch = new Watch(discovery, config.setup().settings().dial(), counters, log, loop,
                         known ? config.known().whole("generation") : -1, router);
                 router.watch(watch);
@@ -167,22 +174,30 @@
      * reading after another, so that several words in a row end in the latest file.
      */
     public synchronized void reload(Source source) {
-        Runnable then;
+        // Once the router has ended, what it is told no longer counts.
+        if (loop.isShuttingDown()) {
+            return;
+        }
         try {
             Config next = source.read();
-            then = () -> follow(next);
+            if (side == null || !side.settle(next.setup(), () -> follow(next))) {
+                loop.execute(() -> follow(next));
+            }
         } catch (BadConfig bad) {
-            then = () -> log.warn("reload-refused", "fault", bad.getMessage());
-        }
-        // Once the router has ended, what it is told no longer counts.
-        if (!loop.isShuttingDown()) {
-            loop.execute(then);
+            loop.execute(() -> log.warn("reload-refused", "fault", bad.getMessage()));
         }
     }
 
+    /** Txns that were taken go on by the settings of their time; a list that was read by the old ones is asked for anew. */
     private void follow(Config next) {
-        log.info("reloaded", "discovery", next.discovery(), "kept_as_at_start", config.fixed(next));
-        if (!discovery.equals(next.discovery())) {
+        boolean other = !setup.equals(next.setup());
+        log.info("reloaded", "discovery", next.discovery(), "settings", other ? "changed" : "same", "kept_as_at_start",
+                config.fixed(next));
+        setup = next.setup();
+        if (other && router != null) {
+            router.settings(setup);
+        }
+        if (other || !discovery.equals(next.discovery())) {
             discovery = next.discovery();
             if (watch != null) {
                 watch.move(discovery);
--- a/src/main/java/dillfront/daemon/Doorkeeper.java
+++ b/src/main/java/dillfront/daemon/Doorkeeper.java
@@ -1,6 +1,7 @@
 package dillfront.daemon;
 
 import dillfront.clients.Callers;
+import dillfront.config.BadConfig;
 import dillfront.config.Clock;
 import dillfront.config.Setup;
 import dillfront.identity.Gate;
@@ -25,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -44,7 +46,8 @@
     private record Read(Policy policy, Tokens tokens, SslContext tls) {}
 
     private final Path operatorFile;
-    private final Setup setup;
+    /** On the reader's thread after the start. */
+    private Setup setup;
     private final Clock clock;
     private final EventLoop loop;
     private final Log log;
@@ -79,6 +82,33 @@
         reader.shutdownNow();
     }
 
+    /**
+     * Other settings: the rights are read by their txn types and tenants, and both change in one turn of the loop.
+     * Guards against rights that speak of a type by an index which has become another's.
+     */
+    void settle(Setup next, Runnable then) throws BadConfig {
+        try {
+            reader.submit(() -> {
+                Setup was = setup;
+                try {
+                    setup = next;
+                    Read read = read(part);
+                    loop.execute(() -> {
+                        then.run();
+                        tick();
+                        take(read);
+                    });
+                    return null;
+                } catch (Operator.BadOperator bad) {
+                    setup = was;
+                    throw bad;
+                }
+            }).get();
+        } catch (InterruptedException | ExecutionException bad) {
+            throw new BadConfig("identity, by these settings: " + (bad.getCause() == null ? bad : bad.getCause().getMessage()));
+        }
+    }
+
     // ---- on the reader's thread
 
     /** Sizes and times of all files: when one differs they are read again. */
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -37,7 +37,7 @@
     /** The part of the memory that one answer may take: 2 MB where it is 128. */
     private static final int LONGEST_PART = 64;
 
-    private final Setup setup;
+    private Setup setup;
     private final Clock clock;
     private final Counters counters;
     private final Log log;
@@ -90,6 +90,16 @@
         fleet.close();
     }
 
+    /** Other settings from now on, for what is taken and sent; the caller asks for the whole list then. */
+    void settings(Setup next) {
+        tick();
+        setup = next;
+        pace.step(next.settings().step());
+        members.settings(next);
+        fleet.settings(next);
+        decide.settings(next.settings());
+    }
+
     // ---- words of the network
 
     @Override
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -1,7 +1,9 @@
 package dillfront.daemon;
 
 import dillfront.clients.Clients;
+import dillfront.config.BadConfig;
 import dillfront.config.Config;
+import dillfront.config.Setup;
 import dillfront.control.Control;
 import dillfront.log.Log;
 import dillfront.operator.Operator;
@@ -52,6 +54,15 @@
                 });
     }
 
+    /** False where nothing here goes by the settings; else what follows happens with the rights read anew, or not at all. */
+    boolean settle(Setup next, Runnable then) throws BadConfig {
+        if (doorkeeper == null) {
+            return false;
+        }
+        doorkeeper.settle(next, then);
+        return true;
+    }
+
     void open() {
         if (datagrams != null) {
             datagrams.open();
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -22,7 +22,7 @@
 /** Reads discovery's lists. Ids become indices here. */
 public final class MemberList {
 
-    private final Setup setup;
+    private Setup setup;
     private final Clock clock;
     private final Log log;
     /** Of the machines in the list, and of those that have left it until they are forgotten. */
@@ -41,6 +41,11 @@
         this.log = log;
     }
 
+    /** What is read from now on is read by these. */
+    public void settings(Setup next) {
+        setup = next;
+    }
+
     /** Whether any list has named this group, or none has come yet. */
     public boolean mayHave(int group) {
         return groups.isEmpty() || groups.contains(group);
--- a/src/main/java/dillfront/pace/Pace.java
+++ b/src/main/java/dillfront/pace/Pace.java
@@ -21,8 +21,8 @@
     /** Up to so many steps a beat is late by the timer's own grain: that is no delay. */
     private static final double GRAIN = 1;
 
-    private final Duration turn;
-    private final Duration grain;
+    private Duration turn;
+    private Duration grain;
     private Duration due;
     private Duration behind = Duration.ZERO;
     private Duration longest = Duration.ZERO;
@@ -32,6 +32,11 @@
      * @param step the clock's step, the shortest time that the router counts with
      */
     public Pace(Duration step) {
+        step(step);
+    }
+
+    /** The clock has another step from now on. */
+    public void step(Duration step) {
         turn = times(step, TURN);
         grain = times(step, GRAIN);
     }
--- a/src/main/java/dillfront/servers/Fleet.java
+++ b/src/main/java/dillfront/servers/Fleet.java
@@ -27,7 +27,7 @@
         void probed(int node, boolean answered, Report report);
     }
 
-    final Setup setup;
+    Setup setup;
     final Clock clock;
     final Pace pace;
     final Counters counters;
@@ -66,6 +66,11 @@
         loop.scheduleWithFixedDelay(this::closeOld, every.toNanos(), every.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    /** For what is sent from now on; what rests and how often old connections are looked for stays as at the start. */
+    public void settings(Setup next) {
+        setup = next;
+    }
+
     public void news(Runnable look) {
         news = look;
         lookedNanos = System.nanoTime() - setup.settings().step().toNanos();
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -506,6 +506,75 @@
         Scene.compare("router-ends", trace);
     }
 
+    private volatile String toldNow;
+
+    /** Discovery that tells what is so now: whole where nothing is known, else once it is newer or the wait is over. */
+    private void tellsNow(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.startsWith("GET")) {
+                String after = line.replaceAll(".*after=(\\d+)&.*|.*", "$1");
+                for (int i = 0; i < 100 && line.contains("wait_ms=1000") && toldNow.contains(":" + after + ","); i++) {
+                    pause(10);
+                }
+                answer(socket, toldNow);
+            }
+        }
+    }
+
+    private void switchTo(Path file, String text, String settings) throws Exception {
+        Files.writeString(file, text);
+        daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
+        while (!log.toString(StandardCharsets.UTF_8).endsWith(settings + " kept_as_at_start=[]\n")) {
+            Thread.sleep(5);
+        }
+        Thread.sleep(100);
+    }
+
+    /** Guards against txns lost or sent twice by a change of settings, and against one that has no way back. */
+    @Test
+    void otherSettingsAreTakenOverInServiceAndTakenBack() throws Exception {
+        try (ServerSocket discovery = new ServerSocket(0, 50, list.getInetAddress())) {
+            toldNow = listed(42);
+            serve(discovery, this::tellsNow);
+            startAnew(discovery);
+            Path file = dir.resolve("config.json");
+            String first = Files.readString(file);
+            String other = first.replace("\"name\":\"move\"", "\"name\":\"transfer\"").replace("\"rules\":{",
+                    "\"rules\":{\"droppedStayOpen\":true,").replace("\"guards\":\"off\"", "\"guards\":\"await\"")
+                    .replace("\"deadlineUs\":1000000,\"lateShare\"", "\"deadlineUs\":3000000,\"lateShare\"");
+            say("startup and query", startup().writeBytes(ask("any", "k", 900)), 2);
+            send(client, ask("move", "slow", 900));
+            while (seen.size() < 2) {
+                Thread.sleep(5);
+            }
+            switchTo(file, other, "changed");
+            trace.append("what was out             ").append(hear(1)).append('\n');
+            say("a type that is new", ask("transfer", "new", 900), 1);
+            say("one that is no more", ask("move", "old", 900), 1);
+            toldNow = listed(43).replace("'reset':true", "'reset':false").replace("ready", "gone");
+            Thread.sleep(200);
+            say("gone, and open", ask("transfer", "gone", 900), 1);
+            send(client, ask("transfer", "slow", 900));
+            while (seen.size() < 5) {
+                Thread.sleep(5);
+            }
+            Files.writeString(file, other.replace("\"await\"", "\"wait\""));
+            daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
+            switchTo(file, first, "changed");
+            trace.append("what was out             ").append(hear(1)).append('\n');
+            say("gone, and closed", ask("any", "none", 300), 1);
+            toldNow = listed(44);
+            Thread.sleep(200);
+            say("as before", ask("move", "back", 900), 1);
+            statementsSeen();
+            counted("taken", "committed", "declined", "rolled_back", "submitted", "out_of_form", "txns_held");
+            log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" reload")).forEach(line -> trace.append(
+                    line.substring(line.indexOf(" reload") + 1).replaceAll("127.0.0.1:\\d+", "HERE")).append('\n'));
+        }
+        Scene.compare("router-settings", trace);
+    }
+
     /** Guards against ending on SIGHUP, against a list asked for where none is any more, and against a bad file. */
     @Test
     void aNewConfigurationMovesDiscoveryAndDisturbsNothing() throws Exception {
@@ -807,7 +876,11 @@
     void whatCannotBeUsedIsNamed() throws Exception {
         String good = Files.readString(dir.resolve("config.json"));
         String[][] cases = {{"", ""}, {"'reset':true", "'reset':tru"}, {"'seed':'8c", "'seed':'xx"}, {"'classes'", "'none'"},
-            {"'dialTimeoutUs':250000", "'dialTimeoutUs':0"}, {"'discovery':'127", "'discovery':'host"}};
+            {"'dialTimeoutUs':250000,", ""}, {"'dialTimeoutUs':250000", "'dialTimeoutUs':0"},
+            {"'dialTimeoutUs':250000", "'dialTimeoutUs':'fast'"}, {"'guards':'off'", "'guards':'wait'"},
+            {"'strong','mutate'", "'strong','write'"}, {"'strong'", "'lag_bound'"}, {"'coldFrom':0.2", "'coldFrom':2"},
+            {"'effect':'dedup'", "'effect':'keyed'"}, {"'name':'move'", "'name':'any'"}, {"'rules':{", "'rules':{'droppedStayOpen':1,"},
+            {"'stats':{'how':'inline','fields':['x0','x1']}", "'stats':0"}, {"'discovery':'127", "'discovery':'host"}};
         for (String[] change : cases) {
             Path file = dir.resolve("bad.json");
             Files.writeString(file, change[0].isEmpty() ? "" : good.replace(change[0].replace('\'', '"'),
