--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -1,5 +1,9 @@
 package dillfront;
 
+import static dillfront.port.Spans.earlier;
+import static dillfront.port.Spans.later;
+import static dillfront.port.Spans.ratio;
+import static dillfront.port.Spans.seconds;
 import static dillfront.port.Spans.times;
 
 import dillfront.port.Effect;
@@ -12,6 +16,7 @@
 import dillfront.port.Role;
 import dillfront.port.Settings;
 import dillfront.port.Sight;
+import dillfront.port.Spans;
 import dillfront.port.Standing;
 import dillfront.port.TxnType;
 import java.time.Duration;
@@ -175,8 +180,6 @@
         Duration claimed = NEVER;
         Duration denied = NEVER;
         int out;
-        /** As many connections as were in use at once are open, and close one by one once idle. */
-        double open;
         /** While anything is out: since when nothing has been heard. */
         Duration quiet = NEVER;
         boolean silent;
@@ -667,7 +670,6 @@
         }
         n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
-        n.open = Math.max(n.open, n.out);
         n.coldCredit -= seconds(t.type.usual);
         outlet.submit(t.id, n.id, limit);
         return true;
@@ -790,7 +792,7 @@
      * that has nothing out knows no order among its replicas, and many such must not all choose the same.
      */
     private double busy(Node n, double others) {
-        return (n.out + others) / n.size * (n.out + 1 > n.open ? 2 : 1) * n.pace * (n.far ? FAR : 1) * (n.doubted ? DOUBTED : 1);
+        return (n.out + others) / n.size * n.pace * (n.far ? FAR : 1) * (n.doubted ? DOUBTED : 1);
     }
 
     private boolean listed(Node n) {
@@ -802,10 +804,7 @@
      * no txn its time; one that is reached but answers nothing gets a txn to try, at growing gaps.
      */
     private boolean open(Node n, double room) {
-        if (!listed(n)) {
-            return false;
-        }
-        if (cold(n) && n.coldCredit <= 0) {
+        if (!listed(n) || cold(n) && n.coldCredit <= 0) {
             return false;
         }
         if (onTrial(n)) {
@@ -898,7 +897,6 @@
         } else if (result == Result.FULL && since > 1) {
             n.silent = true;
         }
-        n.open = result == Result.UNREACHABLE ? Math.min(n.open, n.out) : n.open;
         n.atOnce = result == Result.UNREACHABLE ? took.compareTo(times(set.dial(), 0.5)) < 0 : n.atOnce;
         if (result == Result.UNREACHABLE && failing(n)) {
             n.lost = true;
@@ -1045,20 +1043,16 @@
                 strains.add(n.strain);
                 out += cold(n) ? 0 : n.out;
             }
-            n.open = Math.max(n.out, n.open * Math.exp(-seconds / 15));
             if (n.room < 1) {
                 n.room *= Math.pow(2, seconds / (seconds(set.dial()) * back));
             }
         }
-        median = middle(shares);
-        strain = middle(strains);
-        if (warm > 0) {
-            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
-            inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
-        }
+        median = Spans.median(shares);
+        strain = Spans.median(strains);
+        double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
         // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
         if (warm > 0) {
-            double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
+            inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
             doneWeight = doneWeight * kept + seconds;
             doneRate += (done / warm - doneRate * seconds) / doneWeight;
             // Held for a while: in a trouble that leaves txns undone, nodes can do what they did before it.
@@ -1074,7 +1068,7 @@
         for (Type t : types) {
             work += t.work;
             txns += t.work / seconds(t.usual);
-            t.work *= Math.exp(-seconds / (seconds(set.coldFor()) + 2));
+            t.work *= kept;
         }
         typical = txns > 0 ? Duration.ofNanos((long) (work / txns * 1e9)) : slowest();
         for (Tenant t : tenants) {
@@ -1082,10 +1076,7 @@
             t.allowance = Math.min(Math.max(QUOTA_BURST, entitled), t.allowance + entitled * seconds);
         }
         if (now.compareTo(coldAt) >= 0) {
-            Duration quickest = slowest();
-            for (Type t : types) {
-                quickest = earlier(quickest, t.usual);
-            }
+            double piece = seconds(typical);
             Duration window = times(set.tipAfter(), COLD_WINDOW);
             coldAt = now.plus(window);
             for (Node n : nodes) {
@@ -1096,7 +1087,6 @@
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
                     double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
-                    double piece = seconds(quickest);
                     n.coldCredit = over + piece * Math.floor(safe * seconds(window) / piece + chance.nextDouble());
                 }
             }
@@ -1110,11 +1100,6 @@
         groups.values().forEach(this::place);
     }
 
-    private static double middle(List<Double> of) {
-        of.sort(null);
-        return of.isEmpty() ? 0 : of.get(of.size() / 2);
-    }
-
     /**
      * A fresh router probes each node once, then those unheard for an any read's bound, while half its credit
      * is there: a router with few txns keeps the rest for the reads that wait for a position.
@@ -1175,22 +1160,4 @@
             place(n.group);
         }
     }
-
-    // ---- spans
-
-    private static double seconds(Duration d) {
-        return d.toNanos() / 1e9;
-    }
-
-    private static double ratio(Duration a, Duration b) {
-        return (double) a.toNanos() / (b.toNanos() + 1);
-    }
-
-    private static Duration earlier(Duration a, Duration b) {
-        return a.compareTo(b) <= 0 ? a : b;
-    }
-
-    private static Duration later(Duration a, Duration b) {
-        return a.compareTo(b) >= 0 ? a : b;
-    }
 }
