--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -114,15 +114,11 @@
 
     /** One row a txn type. */
     private static final class Type {
-        final Effect effect;
-        final boolean groupDrops;
-        final Duration window;
+        final TxnType set;
         final Read read;
         final Duration bound;
         final Duration sla;
-        final double value;
         final boolean lateEarns;
-        final Duration longest;
         /** How long a client's first try is given, by the running median of all tries. */
         Duration firstTry;
         Duration usual;
@@ -132,22 +128,18 @@
         double work;
 
         Type(TxnType t, Duration anyBound) {
-            effect = t.effect();
-            groupDrops = t.groupDrops();
-            window = t.window();
+            set = t;
             read = t.read();
             bound = read == Read.ANY ? anyBound : t.bound();
             sla = t.sla();
-            value = t.value();
             lateEarns = t.lateShare() > 0;
-            longest = t.longest();
             usual = times(sla, 0.25);
         }
 
         boolean repeated(Duration patience) {
             Duration off = patience.minus(firstTry == null ? patience : firstTry);
-            firstTry = patience.minus(off).plus(times(longest, Math.signum(off.toNanos()) * OFF / 8));
-            return off.abs().compareTo(times(longest, OFF)) > 0;
+            firstTry = patience.minus(off).plus(times(set.longest(), Math.signum(off.toNanos()) * OFF / 8));
+            return off.abs().compareTo(times(set.longest(), OFF)) > 0;
         }
 
         boolean routed() {
@@ -155,7 +147,7 @@
         }
 
         double rank() {
-            return value / (usual.toNanos() + 1);
+            return set.value() / (usual.toNanos() + 1);
         }
 
         /** It puts a replica out of the tightest bound: none applies the log while it holds one. */
@@ -277,6 +269,8 @@
     private double inWork;
     /** The usual time of a txn, over all that were asked. */
     private Duration typical;
+    /** The part of stalling reads in the work of them and of reads that must be current. */
+    private double stallPart;
     /** Of the errors that were tried at a second node, the share that came there too. */
     private double ownFault;
     private Duration askedAt = NEVER;
@@ -298,12 +292,12 @@
     public void settings(Settings next) {
         set = next;
         beat = next.step().multipliedBy(BEAT);
-        Duration bound = null;
+        tightest = null;
         for (TxnType t : next.types()) {
-            bound = t.read() == Read.BOUNDED && (bound == null || t.bound().compareTo(bound) < 0) ? t.bound()
-                    : bound;
+            Duration bound = t.read() != Read.BOUNDED ? tightest : t.bound();
+            tightest = tightest == null ? bound : earlier(bound, tightest);
         }
-        tightest = bound == null ? next.dial() : bound;
+        tightest = tightest == null ? next.dial() : tightest;
         anyBound = times(tightest, ANY_BOUND);
         types = new Type[next.types().size()];
         for (int i = 0; i < types.length; i++) {
@@ -473,7 +467,7 @@
             Duration came = now.minus(waited);
             expiry = came.plus(patience);
             // A try of another length than the first has all that is left to the client: that tells its age.
-            Duration age = type.repeated(patience) ? type.longest.minus(patience) : Duration.ZERO;
+            Duration age = type.repeated(patience) ? type.set.longest().minus(patience) : Duration.ZERO;
             Duration useful = came.plus(type.sla).minus(age);
             Duration last = type.lateEarns ? expiry : earlier(expiry, useful);
             Duration held = came.plus(times(patience, HELD));
@@ -566,7 +560,7 @@
         boolean own = ownFault > 0.5 && chance.nextDouble() > FAIL_GAIN;
         boolean lostRole = t.type.read == Read.WRITE && n.denied.equals(now);
         if (result == Result.ERROR && (t.errors > 1 || own && !lostRole)) {
-            finish(t, times(t.type.sla, 1));
+            finish(t, t.type.sla);
             return;
         }
         if (t.type.read == Read.WRITE && result == Result.MISS) {
@@ -585,8 +579,9 @@
 
     /** Never ran, may run again, or its repeat would still be known. */
     private boolean remembered(Txn t) {
-        return t.ranAt == null || t.type.effect == Effect.REPEATABLE || t.type.effect == Effect.REFERENCED
-                && now.plus(set.step()).compareTo(t.ranAt.plus(t.type.window)) < 0;
+        Effect effect = t.type.set.effect();
+        return t.ranAt == null || effect == Effect.REPEATABLE || effect == Effect.REFERENCED
+                && now.plus(set.step()).compareTo(t.ranAt.plus(t.type.set.window())) < 0;
     }
 
     /** What is spare takes room only where there is plenty, and is never held. */
@@ -597,25 +592,30 @@
     private void hold(Txn t) {
         if (t.spare && resendable(t)) {
             finish(t, set.maxPause());
-            return;
-        }
-        if (!resendable(t) || now.compareTo(t.giveUp) >= 0) {
-            finish(t, times(t.type.sla, 1));
-            return;
+        } else if (!over(t)) {
+            int at = t.group.held.size();
+            while (at > 0 && t.group.held.get(at - 1).type.rank() < t.type.rank()) {
+                at--;
+            }
+            t.group.held.add(at, t);
+            seek(t.group);
         }
-        int at = t.group.held.size();
-        while (at > 0 && t.group.held.get(at - 1).type.rank() < t.type.rank()) {
-            at--;
+    }
+
+    /** Its time is up, or it may not go again: then it is answered. */
+    private boolean over(Txn t) {
+        boolean over = !resendable(t) || now.compareTo(t.giveUp) >= 0;
+        if (over) {
+            finish(t, t.type.sla);
         }
-        t.group.held.add(at, t);
-        seek(t.group);
+        return over;
     }
 
     /** The final answer: declined where a retry is harmless, else rolled back. */
     private void finish(Txn t, Duration pause) {
         t.closed = true;
-        boolean harmless = t.ranAt == null || t.type.effect == Effect.REPEATABLE
-                || t.type.effect == Effect.REFERENCED && !t.type.groupDrops;
+        boolean harmless = t.ranAt == null || t.type.set.effect() == Effect.REPEATABLE
+                || t.type.set.effect() == Effect.REFERENCED && !t.type.set.groupDrops();
         if (harmless) {
             outlet.decline(t.id, earlier(pause, set.maxPause()));
         } else {
@@ -630,10 +630,7 @@
         }
         List<Txn> waiting = new ArrayList<>(g.held);
         for (Txn t : waiting) {
-            if (!resendable(t) || now.compareTo(t.giveUp) >= 0) {
-                g.held.remove(t);
-                finish(t, times(t.type.sla, 1));
-            } else if (submit(t)) {
+            if (over(t) || submit(t)) {
                 g.held.remove(t);
             }
         }
@@ -645,12 +642,9 @@
     // ---- where a txn goes
 
     private boolean submit(Txn t) {
-        Node n = t.type.routed() ? route(t) : primaryFor(t);
-        if (n == null) {
-            return false;
-        }
         Duration left = t.expiry.minus(now).minus(beat);
-        if (left.isNegative() || left.isZero()) {
+        Node n = left.isNegative() || left.isZero() ? null : t.type.routed() ? route(t) : primaryFor(t);
+        if (n == null) {
             return false;
         }
         Duration limit = t.type.lateEarns || t.type.read == Read.WRITE ? left
@@ -711,10 +705,10 @@
         Node pri = primary(g);
         Node best = null;
         double least = Double.MAX_VALUE;
-        Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         if (t.type.stalling(tightest)) {
             return furthestBehind(t, pri);
         }
+        Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
             if (n == pri || !open(n, room(n, t))) {
                 continue;
@@ -731,18 +725,10 @@
         boolean spills = pri != null && !t.spare && pri.claimed.compareTo(LISTED) > 0
                 && open(pri, pri.room) && trusted(pri) && pri.pace < CALM && pri.strain < STRAINED * CALM_PART
                 && !cold(pri);
-        if (best != null && !t.fellBack) {
-            if (spills && g.spill >= 1 && busy(pri, 1) < least) {
-                g.spill--;
-                return pri;
-            }
-            return best;
-        }
-        if (spills && (t.fellBack || g.spill >= 1)) {
+        if (spills && (t.fellBack || g.spill >= 1 && busy(pri, 1) < least)) {
             g.spill = Math.max(0, g.spill - 1);
             return pri;
         }
-        // Past the spill: another replica.
         return best;
     }
 
@@ -771,15 +757,8 @@
             }
         }
         replicas.sort(Comparator.comparing(n -> n.position));
-        double stalling = 0;
-        double all = 0;
-        for (Type type : types) {
-            double work = type.read == Read.FRESH || type.read == Read.WRITE ? 0 : type.work;
-            all += type.read == Read.ANY && !type.stalling(tightest) ? 0 : work;
-            stalling += type.stalling(tightest) ? work : 0;
-        }
-        long most = Math.max(1, Math.round(replicas.size() * stalling / all));
-        for (Node n : replicas.subList(0, (int) Math.min(most, replicas.size()))) {
+        int most = Math.max(1, (int) Math.round(replicas.size() * stallPart));
+        for (Node n : replicas.subList(0, Math.min(most, replicas.size()))) {
             if (open(n, room(n, t)) && (!cold(n) || n.coldCredit >= seconds(t.type.usual))) {
                 return n;
             }
@@ -835,11 +814,7 @@
                 return;
             }
         }
-        for (Node other : n.group.members) {
-            if (other != n) {
-                other.claimed = NEVER;
-            }
-        }
+        n.group.members.forEach(other -> other.claimed = NEVER);
         n.claimed = when;
         if (when.compareTo(LISTED) > 0) {
             n.group.misses = 0;
@@ -1065,11 +1040,16 @@
         taken = 0;
         double work = 0;
         double txns = 0;
+        double stalling = 0;
+        double current = 0;
         for (Type t : types) {
             work += t.work;
             txns += t.work / seconds(t.usual);
+            stalling += t.stalling(tightest) ? t.work : 0;
+            current += t.read == Read.BOUNDED || t.read == Read.SESSION ? t.work : 0;
             t.work *= kept;
         }
+        stallPart = stalling / Math.max(1e-9, stalling + current);
         typical = txns > 0 ? Duration.ofNanos((long) (work / txns * 1e9)) : slowest();
         for (Tenant t : tenants) {
             double entitled = Math.max(t.quota / set.routers(), takeRate * t.quota / allQuotas);
@@ -1087,7 +1067,8 @@
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
                     double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
-                    n.coldCredit = over + piece * Math.floor(safe * seconds(window) / piece + chance.nextDouble());
+                    double dealt = Math.floor(safe * seconds(window) / piece + chance.nextDouble());
+                    n.coldCredit = over + dealt * piece;
                 }
             }
         }
