--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -787,7 +787,9 @@
             return false;
         }
         if (onTrial(n)) {
-            return !(n.lost && set.probes()) && now.compareTo(n.tryAt) >= 0;
+            // A primary has none in its place: it need not end first what may be lost.
+            return (n.out == 0 || n.claimed.compareTo(LISTED) > 0) && !(n.lost && set.probes())
+                    && now.compareTo(n.tryAt) >= 0;
         }
         return n.out < room && (room >= 1
                 || now.compareTo(n.sentAt.plus(times(typical, 1 / Math.max(room, roomLeast)))) >= 0);
