--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -65,7 +65,7 @@
     /** And while they take less than this part of what strains a node. */
     private static final double CALM_PART = 0.9;
     /** How much busier a replica of this zone may be than one across zones. */
-    private static final double FAR = 3;
+    private static final double FAR = 1.5;
     /** How much busier a replica within an any read's bound may be than one that is past it. */
     private static final double OLD = 1.5;
     /** For so many dial time-outs after a refused connection no free one is kept. */
