Scenes of stalling reads and of a fleet slow alike; the list's kind of role is no setting

Cause: the new parts had no scene; ListRole told nothing since any word of a node goes before the list's.

--- a/src/main/java/dillfront/config/Setup.java
+++ b/src/main/java/dillfront/config/Setup.java
@@ -2,7 +2,6 @@
 
 import dillfront.Decide;
 import dillfront.port.Effect;
-import dillfront.port.ListRole;
 import dillfront.port.Read;
 import dillfront.port.Settings;
 import dillfront.port.TxnType;
@@ -85,11 +84,6 @@
                 bounds.flag("retryAfter") ? bounds.span("maxRetryAfterUs") : Duration.ZERO,
                 (int) bounds.number("maxAttempts", 1), bounds.flag("probes"),
                 setup.text("registryMode").equals("ask"), rules.span("askWithinUs"),
-                switch (family.text("listRole")) {
-                    case "trailing" -> ListRole.TRAILING;
-                    case "static" -> ListRole.AS_AT_START;
-                    default -> ListRole.ABSENT;
-                },
                 !family.text("guards").equals("off"), rules.flag("droppedStayOpen"),
                 rules.number("coldFrom", 1), rules.span("coldUs"), rules.number("tipMultiple", 1),
                 rules.span("tipAfterUs"), charges.number("probe", 0),
--- a/src/main/java/dillfront/lab/World.java
+++ b/src/main/java/dillfront/lab/World.java
@@ -8,7 +8,6 @@
 import dillfront.peers.Ring;
 import dillfront.port.Effect;
 import dillfront.port.Handle;
-import dillfront.port.ListRole;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Read;
@@ -162,7 +161,7 @@
     private static Settings settings(int routers) {
         Duration ms = Duration.ofMillis(1);
         return new Settings(ms.multipliedBy(5), 0, DIAL, Duration.ofSeconds(2), 6, true, false, Duration.ZERO,
-                ListRole.AS_AT_START, false, false, 0.2, Duration.ofSeconds(9), 2, Duration.ofSeconds(1), 0.012, routers,
+                false, false, 0.2, Duration.ofSeconds(9), 2, Duration.ofSeconds(1), 0.012, routers,
                 List.of(new TxnType(Effect.REPEATABLE, false, Duration.ZERO, Read.BOUNDED, ms.multipliedBy(200),
                                 ms.multipliedBy(300), CLIENT, 3, 0),
                         new TxnType(Effect.REPEATABLE, false, Duration.ZERO, Read.ANY, Duration.ZERO,
--- a/src/main/java/dillfront/port/Settings.java
+++ b/src/main/java/dillfront/port/Settings.java
@@ -17,6 +17,6 @@
  */
 public record Settings(Duration step, int zone, Duration dial, Duration maxPause, int maxSubmissions,
         boolean probes, boolean listAsked, Duration askWithin,
-        ListRole listRole, boolean nodesRefuse, boolean goneStaysOpen, double coldFrom, Duration coldFor,
+        boolean nodesRefuse, boolean goneStaysOpen, double coldFrom, Duration coldFor,
         double tipMultiple, Duration tipAfter, double probePrice, int routers,
         List<TxnType> types, List<Double> quotas) {}
--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -221,6 +221,71 @@
         r.compare("refusing-nodes");
     }
 
+    /** Guards against long reads that keep every replica behind, and against their being held to one that others need. */
+    @Test
+    void readsThatStallGoToTheReplicaFurthestBehind() throws IOException {
+        Scene r = new Scene(true, false, false, 2000).three();
+        r.to(10);
+        r.report(1, 5, REPLICA);
+        r.report(2, 8, REPLICA);
+        r.note("any reads last longer than the tightest bound: node 1 is furthest behind");
+        int[] long1 = {r.take(ANY), r.take(ANY)};
+        r.to(400);
+        r.note("their answers come from positions that stood still: node 1 keeps them, current reads go to node 2");
+        for (int txn : long1) {
+            r.ended(txn, Result.COMMITTED, 390, REPLICA, 6);
+        }
+        r.report(2, 395, REPLICA);
+        int view = r.take(VIEW);
+        int more = r.take(ANY);
+        r.to(800);
+        r.ended(view, Result.COMMITTED, 100, REPLICA, 795);
+        r.ended(more, Result.COMMITTED, 400, REPLICA, 7);
+        r.mute(() -> {
+            for (int i = 0; i < 6; i++) {
+                int one = r.take(ANY);
+                r.to(r.ms + 400);
+                r.ended(one, Result.COMMITTED, 400, REPLICA, r.ms - 10);
+            }
+        });
+        r.note("six answers told of positions that went on: it stalls nothing, and goes to either");
+        for (int i = 0; i < 4; i++) {
+            r.take(ANY);
+        }
+        r.compare("stalling-reads");
+    }
+
+    /** Guards against nodes left idle because all are slow at once. */
+    @Test
+    void whereAllAreSlowAlikeRoomStays() throws IOException {
+        s.to(10);
+        known(5);
+        s.mute(() -> {
+            for (int i = 0; i < 40; i++) {
+                s.to(s.ms + 50);
+                known(s.ms);
+                int[] views = {s.take(VIEW), s.take(VIEW), s.take(VIEW), s.take(VIEW), s.take(VIEW), s.take(VIEW)};
+                s.to(s.ms + 50);
+                for (int view : views) {
+                    s.well(view, i < 20 ? 50 : 240);
+                }
+            }
+        });
+        s.note("answers take 240 of an SLA time of 300 at every node; out at once to nodes 0, 1, 2:");
+        int[] out = new int[3];
+        known(s.ms);
+        s.mute(() -> {
+            for (int i = 0; i < 12; i++) {
+                int where = s.whereIs(s.take(VIEW));
+                if (where >= 0) {
+                    out[where]++;
+                }
+            }
+        });
+        s.note(out[0] + ", " + out[1] + ", " + out[2]);
+        s.compare("slow-alike");
+    }
+
     @Test
     void probesArePaidFor() throws IOException {
         Scene r = new Scene(false).showProbes().three();
--- a/src/test/java/dillfront/Scene.java
+++ b/src/test/java/dillfront/Scene.java
@@ -5,7 +5,6 @@
 
 import dillfront.port.Effect;
 import dillfront.port.Handle;
-import dillfront.port.ListRole;
 import dillfront.port.NodeRow;
 import dillfront.port.Outlet;
 import dillfront.port.Read;
@@ -55,15 +54,20 @@
     }
 
     Scene(boolean nodesRefuse, boolean listAsked, boolean goneStaysOpen) {
+        this(nodesRefuse, listAsked, goneStaysOpen, 300);
+    }
+
+    /** @param anySla the SLA time of any reads: a quarter of it is what they are taken to last at first */
+    Scene(boolean nodesRefuse, boolean listAsked, boolean goneStaysOpen, long anySla) {
         List<TxnType> types = List.of(
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.BOUNDED, ms(200), ms(300), ms(2000), 3, 0),
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.SESSION, ms(0), ms(600), ms(2000), 2, 0),
-                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.ANY, ms(0), ms(300), ms(2000), 2, 0),
+                new TxnType(Effect.REPEATABLE, true, ms(2000), Read.ANY, ms(0), ms(anySla), ms(2000), 2, 0),
                 new TxnType(Effect.REPEATABLE, true, ms(2000), Read.FRESH, ms(0), ms(400), ms(2000), 2, 0),
                 new TxnType(Effect.REFERENCED, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3),
                 new TxnType(Effect.ONCE_ONLY, true, ms(2000), Read.WRITE, ms(0), ms(750), ms(2000), 6, 0.3));
         decide = new Decide(new Settings(ms(5), 0, ms(250), ms(2000), 6, true, listAsked, ms(10000),
-                ListRole.AS_AT_START, nodesRefuse, goneStaysOpen, 0.16, ms(16000), 2, ms(1000), 0.012, 3, types,
+                nodesRefuse, goneStaysOpen, 0.16, ms(16000), 2, ms(1000), 0.012, 3, types,
                 List.of(50.0, 50.0)), this, RandomGeneratorFactory.of("L64X128MixRandom").create(1));
         decide.at(ms(0));
     }
