--- a/src/main/java/dillfront/daemon/Doorkeeper.java
+++ b/src/main/java/dillfront/daemon/Doorkeeper.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -104,7 +105,7 @@
                     throw bad;
                 }
             }).get();
-        } catch (InterruptedException | ExecutionException bad) {
+        } catch (InterruptedException | ExecutionException | RejectedExecutionException bad) {
             throw new BadConfig("identity, by these settings: " + (bad.getCause() == null ? bad : bad.getCause().getMessage()));
         }
     }
