--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -1066,9 +1066,9 @@
                     double safe = part * heldRate * n.size * COLD_SHARE * set.tipMultiple();
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
-                    double over = chance.nextDouble() < COLD_WINDOW ? Math.min(0, n.coldCredit) : n.coldCredit;
+                    boolean lapses = chance.nextDouble() < COLD_WINDOW;
                     double dealt = Math.floor(safe * seconds(window) / piece + chance.nextDouble());
-                    n.coldCredit = over + dealt * piece;
+                    n.coldCredit = (lapses ? Math.min(0, n.coldCredit) : n.coldCredit) + dealt * piece;
                 }
             }
         }
