--- a/src/test/java/dillfront/DecideTest.java
+++ b/src/test/java/dillfront/DecideTest.java
@@ -15,6 +15,7 @@
 import dillfront.port.Result;
 import dillfront.port.Standing;
 import java.io.IOException;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Each test plays a short scene; its decisions are kept, to be read, in src/test/resources/traces. */
@@ -221,6 +222,96 @@
         r.compare("refusing-nodes");
     }
 
+    /** Guards against a list that calls serving nodes gone, and against taking a drain back with it. */
+    @Test
+    void whatIsWronglyListedAsGoneServesOn() throws IOException {
+        Scene r = new Scene(false, false, true).three();
+        r.to(10);
+        r.report(0, 9, PRIMARY);
+        r.report(1, 9, REPLICA);
+        r.report(2, 9, REPLICA);
+        r.change(row(2, false, null, Standing.DRAINING));
+        r.note("node 2 drains, then the list calls all three gone");
+        r.decide.list(true, List.of());
+        r.change(row(2, false, null, Standing.GONE));
+        int view = r.take(VIEW);
+        int move = r.take(MOVE);
+        r.to(60);
+        r.well(view, 50);
+        r.well(move, 50);
+        r.note("node 1 has really died: found by its answers, and its row is given back once it has been away for the warm-up");
+        for (int i = 0; i < 8; i++) {
+            r.report(0, r.ms, PRIMARY);
+            int one = r.take(ANY);
+            r.to(r.ms + 50);
+            if (r.whereIs(one) == 1) {
+                r.ended(one, Result.UNREACHABLE, 1, null, 0);
+            } else {
+                r.well(one, 50);
+            }
+        }
+        r.note("node 1 forgotten now: " + r.decide.forget(1));
+        r.mute(() -> {
+            r.decide.probed(1, false, Report.NOTHING);
+            r.to(r.ms + 17_000);
+            r.decide.probed(1, false, Report.NOTHING);
+        });
+        r.note("and 17 s later: " + r.decide.forget(1) + "; node 0, which answers: " + r.decide.forget(0));
+        r.change(row(2, false, null, Standing.READY));
+        r.note("node 2 is listed as ready again");
+        r.take(ANY);
+        r.compare("wrong-list");
+    }
+
+    /** Guards against reads that wait at a replica which is known to lag, a tenth of a second each. */
+    @Test
+    void aReadThatWaitedInVainTellsHowFarBehindItsReplicaIs() throws IOException {
+        Scene r = new Scene(true).three();
+        r.to(1000);
+        r.report(0, 995, PRIMARY);
+        r.report(1, 500, REPLICA);
+        r.report(2, 500, REPLICA);
+        r.note("positions are older than the bound; the nodes guard it, so one is tried");
+        int view = r.take(VIEW);
+        r.to(1100);
+        r.note("it waited for 100 ms there, and the replica was at 700");
+        r.ended(view, Result.MISS, 100, REPLICA, 700);
+        r.to(1110);
+        r.take(VIEW);
+        r.take(VIEW);
+        r.note("within the bound again by its own word");
+        r.report(1, 1109, REPLICA);
+        r.report(2, 1109, REPLICA);
+        r.take(VIEW);
+        r.compare("waiting-read");
+    }
+
+    /** Guards against a fleet whose sizes nobody tells being filled as if all were alike. */
+    @Test
+    void aNodeOfHalfTheSpeedGetsLessWhereNoSizeIsTold() throws IOException {
+        s.to(10);
+        known(5);
+        int[] went = new int[3];
+        s.mute(() -> {
+            for (int i = 0; i < 100; i++) {
+                s.to(s.ms + 120);
+                known(s.ms);
+                int[] views = {s.take(ANY), s.take(ANY), s.take(ANY), s.take(ANY)};
+                s.to(s.ms + 10);
+                for (int view : views) {
+                    int where = s.whereIs(view);
+                    if (where >= 0) {
+                        went[where] += i < 50 ? 0 : 1;
+                        s.well(view, where == 1 ? 100 : 50);
+                    }
+                }
+            }
+        });
+        s.note("of 200, after as many to learn: " + went[1] + " to node 1, which takes twice as long, " + went[2]
+                + " to node 2, " + went[0] + " to the primary");
+        s.compare("no-sizes");
+    }
+
     /** Guards against long reads that keep every replica behind, and against their being held to one that others need. */
     @Test
     void readsThatStallGoToTheReplicaFurthestBehind() throws IOException {
