The switch of settings by one path; rights read anew only where settings differ; spans in one place

Cause: read once more. A word before the start built the rights by the old settings beside a special case for the router; each SIGHUP read the rights, so one that moved discovery alone could be refused; the look whether the loop ends came before the file was read, not after. Change: Config.by gives router and rights the latest settings at the start; Doorkeeper reads the rights by what it is handed, and only if that differs; onLoop holds the look. Spans.seconds serves Gate, Budget and World too; Checks' AMOUNT is no span. Decisions as before.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -124,7 +124,7 @@
         Duration usual;
         /** The share of its answers that came from a replica which had applied nothing while it ran. */
         double stalls = 1;
-        /** What was asked of it, in usual times, over the last minute or so. */
+        /** What was asked of it, in seconds of usual time, over about the time in which a node warms. */
         double work;
 
         Type(TxnType t, Duration anyBound) {
@@ -703,11 +703,11 @@
     private Node route(Txn t) {
         Group g = t.group;
         Node pri = primary(g);
-        Node best = null;
-        double least = Double.MAX_VALUE;
         if (t.type.stalling(tightest)) {
             return furthestBehind(t, pri);
         }
+        Node best = null;
+        double least = Double.MAX_VALUE;
         Duration need = t.type.read == Read.SESSION ? t.need : now.minus(t.type.bound);
         for (Node n : g.members) {
             if (n == pri || !open(n, room(n, t))) {
--- a/src/main/java/dillfront/config/Checks.java
+++ b/src/main/java/dillfront/config/Checks.java
@@ -16,7 +16,7 @@
     }
 
     private static final long FOREVER = Long.MAX_VALUE;
-    private static final Form SPAN = number(0, FOREVER);
+    private static final Form AMOUNT = number(0, FOREVER);
     private static final Form SOME = number(1, FOREVER);
     private static final Form SHARE = number(0, 1);
     private static final Form FLAG = value -> value instanceof Boolean ? null : "is neither true nor false";
@@ -38,22 +38,22 @@
 
     private void all() {
         at(settings, "", "stepUs", SOME, "groupSize", SOME, "registryMode", words("push", "ask"), "az", NAME);
-        at(part("bounds"), "bounds.", "dialTimeoutUs", SOME, "keepaliveUs", SPAN, "maxAttempts", SOME,
-                "maxRetryAfterUs", SPAN, "probes", FLAG, "retryAfter", FLAG);
-        at(part("rules"), "rules.", "coldFrom", SHARE, "coldUs", SPAN, "tipMultiple", SPAN, "tipAfterUs", SPAN,
-                "drainGraceUs", SPAN, "askWithinUs", SPAN, "droppedStayOpen", FLAG);
-        at(part("charges"), "charges.", "probe", SPAN);
+        at(part("bounds"), "bounds.", "dialTimeoutUs", SOME, "keepaliveUs", AMOUNT, "maxAttempts", SOME,
+                "maxRetryAfterUs", AMOUNT, "probes", FLAG, "retryAfter", FLAG);
+        at(part("rules"), "rules.", "coldFrom", SHARE, "coldUs", AMOUNT, "tipMultiple", AMOUNT, "tipAfterUs", AMOUNT,
+                "drainGraceUs", AMOUNT, "askWithinUs", AMOUNT, "droppedStayOpen", FLAG);
+        at(part("charges"), "charges.", "probe", AMOUNT);
         at(part("stats"), "stats.", "how", words("inline", "on_probe", "off"));
         at(part("familyInfo"), "familyInfo.", "guards", words("off", "bounce", "await"), "listRole",
-                words("trailing", "static", "off"), "tokens", words("brought", "kept"), "originTimeUs", SPAN);
+                words("trailing", "static", "off"), "tokens", words("brought", "kept"), "originTimeUs", AMOUNT);
         List<Tree> types = named("classes");
         for (int i = 0; i < types.size(); i++) {
             at(types.get(i), "classes[" + i + "].", "effect", words("retryable", "dedup", "fragile"), "dedupScope",
-                    words("all", "zone", "cell"), "dedupWindowUs", SPAN, "targetUs", SOME, "deadlineUs", SOME,
-                    "worth", SPAN, "lateShare", SHARE);
+                    words("all", "zone", "cell"), "dedupWindowUs", AMOUNT, "targetUs", SOME, "deadlineUs", SOME,
+                    "worth", AMOUNT, "lateShare", SHARE);
         }
         each("classRead", words("mutate", "strong", "causal", "lag_bound", "eventual"), types.size());
-        each("classBoundUs", SPAN, types.size());
+        each("classBoundUs", AMOUNT, types.size());
         List<?> reads = settings.tree("familyInfo").list("classRead");
         List<?> bounds = settings.tree("familyInfo").list("classBoundUs");
         for (int i = 0; fault == null && i < reads.size(); i++) {
@@ -63,7 +63,7 @@
         }
         List<Tree> tenants = named("tenants");
         for (int i = 0; i < tenants.size(); i++) {
-            at(tenants.get(i), "tenants[" + i + "].", "quotaPerS", SPAN);
+            at(tenants.get(i), "tenants[" + i + "].", "quotaPerS", AMOUNT);
         }
     }
 
--- a/src/main/java/dillfront/config/Config.java
+++ b/src/main/java/dillfront/config/Config.java
@@ -46,6 +46,11 @@
         return read(others);
     }
 
+    /** The same but for the settings. */
+    public Config by(Setup other) {
+        return new Config(name, listen, discovery, seed, cores, sockets, memoryMb, known, other);
+    }
+
     /** What of another configuration cannot be taken over by a router that runs. */
     public List<String> fixed(Config other) {
         List<String> names = new ArrayList<>();
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -89,17 +89,16 @@
         try {
             rest();
             loop.submit(() -> {
-                router = new Router(config, new Clock(), counters, log, loop, share);
+                // By the latest settings, which a word before the start may have changed.
+                Config begun = config.by(setup);
+                router = new Router(begun, new Clock(), counters, log, loop, share);
                 clients = new Clients(router, router.pace(), router.clock(), counters, log, loop, share, config.sockets() * 3 / 10, (config.memoryMb() << 20) / WAITING_PART,
                         config.setup().settings().dial());
-                side = operator == Operator.NONE ? null : new Side(operator, config, router, clients, loop, log);
+                side = operator == Operator.NONE ? null : new Side(operator, begun, router, clients, loop, log);
                 boolean known = !config.known().list("instances").isEmpty();
                 if (known) {
                     router.list(config.known());
                 }
-                if (!setup.equals(config.setup())) {
-                    router.settings(setup);
-                }
                 watch = new Watch(discovery, config.setup().settings().dial(), counters, log, loop,
                         known ? config.known().whole("generation") : -1, router);
                 router.watch(watch);
@@ -174,17 +173,20 @@
      * reading after another, so that several words in a row end in the latest file.
      */
     public synchronized void reload(Source source) {
-        // Once the router has ended, what it is told no longer counts.
-        if (loop.isShuttingDown()) {
-            return;
-        }
         try {
             Config next = source.read();
             if (side == null || !side.settle(next.setup(), () -> follow(next))) {
-                loop.execute(() -> follow(next));
+                onLoop(() -> follow(next));
             }
         } catch (BadConfig bad) {
-            loop.execute(() -> log.warn("reload-refused", "fault", bad.getMessage()));
+            onLoop(() -> log.warn("reload-refused", "fault", bad.getMessage()));
+        }
+    }
+
+    /** Once the router has ended, what it is told no longer counts. */
+    private void onLoop(Runnable then) {
+        if (!loop.isShuttingDown()) {
+            loop.execute(then);
         }
     }
 
--- a/src/main/java/dillfront/daemon/Doorkeeper.java
+++ b/src/main/java/dillfront/daemon/Doorkeeper.java
@@ -75,7 +75,7 @@
         penalty = new Penalty(seed);
         part = operator.identity();
         seen = stamps(part);
-        take(read(part));
+        take(read(part, setup));
         reader.scheduleWithFixedDelay(this::look, LOOK.toMillis(), LOOK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -90,20 +90,17 @@
     void settle(Setup next, Runnable then) throws BadConfig {
         try {
             reader.submit(() -> {
-                Setup was = setup;
-                try {
-                    setup = next;
-                    Read read = read(part);
-                    loop.execute(() -> {
-                        then.run();
+                // Where the settings are the same, a file that cannot be read now keeps nobody from moving discovery.
+                Read read = next.equals(setup) ? null : read(part, next);
+                setup = next;
+                loop.execute(() -> {
+                    then.run();
+                    if (read != null) {
                         tick();
                         take(read);
-                    });
-                    return null;
-                } catch (Operator.BadOperator bad) {
-                    setup = was;
-                    throw bad;
-                }
+                    }
+                });
+                return null;
             }).get();
         } catch (InterruptedException | ExecutionException | RejectedExecutionException bad) {
             throw new BadConfig("identity, by these settings: " + (bad.getCause() == null ? bad : bad.getCause().getMessage()));
@@ -140,7 +137,7 @@
                 throw new Operator.BadOperator(operatorFile + ": identity() is gone; that waits for a start");
             }
             String now = stamps(operator.identity());
-            read = read(operator.identity());
+            read = read(operator.identity(), setup);
             part = operator.identity();
             seen = now;
         } catch (Operator.BadOperator bad) {
@@ -166,7 +163,7 @@
         });
     }
 
-    private Read read(Operator.IdentityPart of) throws Operator.BadOperator {
+    private Read read(Operator.IdentityPart of, Setup by) throws Operator.BadOperator {
         try {
             Tokens next = new Tokens(Files.readString(of.jwks()), of.issuer(), of.audience());
             Set<String> revoked = of.revoked() == null ? Set.of()
@@ -174,7 +171,7 @@
                             .filter(l -> !l.isEmpty() && !l.startsWith("#")).collect(Collectors.toSet());
             SslContext context = of.certificate() == null ? null : SslContextBuilder.forServer(of.certificate().toFile(),
                     of.privateKey().toFile()).sslProvider(SslProvider.JDK).protocols("TLSv1.3", "TLSv1.2").build();
-            return new Read(of.policy(setup.types(), setup.tenants(), next.ids(), revoked), next, context);
+            return new Read(of.policy(by.types(), by.tenants(), next.ids(), revoked), next, context);
         } catch (Tokens.BadToken bad) {
             throw new Operator.BadOperator(of.jwks() + ": " + bad.getMessage());
         } catch (IOException | IllegalArgumentException bad) {
--- a/src/main/java/dillfront/gossip/Budget.java
+++ b/src/main/java/dillfront/gossip/Budget.java
@@ -1,5 +1,7 @@
 package dillfront.gossip;
 
+import static dillfront.port.Spans.seconds;
+
 import java.time.Duration;
 
 /**
@@ -40,7 +42,7 @@
 
     /** Whether so many bytes may go now; if so they are counted as sent. */
     boolean takes(int bytes, Use use, Duration now) {
-        double seconds = now.minus(filledAt).toNanos() / 1e9;
+        double seconds = seconds(now.minus(filledAt));
         tokens = Math.min(rate * FULL, tokens + Math.max(0, seconds) * rate);
         filledAt = now;
         if (tokens - bytes < use.left * rate * FULL) {
--- a/src/main/java/dillfront/identity/Gate.java
+++ b/src/main/java/dillfront/identity/Gate.java
@@ -1,5 +1,7 @@
 package dillfront.identity;
 
+import static dillfront.port.Spans.seconds;
+
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -199,8 +201,8 @@
         }
 
         private void fill() {
-            double most = Math.max(1, principal.rate() * AHEAD.toNanos() / 1e9);
-            double seconds = use.filledAt.isZero() ? most / principal.rate() : now.minus(use.filledAt).toNanos() / 1e9;
+            double most = Math.max(1, principal.rate() * seconds(AHEAD));
+            double seconds = use.filledAt.isZero() ? most / principal.rate() : seconds(now.minus(use.filledAt));
             use.allowance = Math.min(most, use.allowance + seconds * principal.rate());
             use.filledAt = now;
         }
--- a/src/main/java/dillfront/lab/World.java
+++ b/src/main/java/dillfront/lab/World.java
@@ -1,5 +1,7 @@
 package dillfront.lab;
 
+import static dillfront.port.Spans.seconds;
+
 import dillfront.Decide;
 import dillfront.gossip.Gossip;
 import dillfront.gossip.Symptom;
@@ -146,7 +148,7 @@
         }
         Duration stopped = first == null || last.compareTo(first) < 0 ? Duration.ZERO : last.minus(first);
         return new Outcome(earned / asked, stopped, poured, falseDoubts / (double) Math.max(1, beats),
-                script.gossip ? wire.bytes() / (script.end.toNanos() / 1e9) : 0);
+                script.gossip ? wire.bytes() / seconds(script.end) : 0);
     }
 
     private int nodes() {
