A lost SIGHUP is found out by the router itself; SIGTERM ends once all taken is answered

Nothing in the list code is to blame for the drain. ClientConnection.idle() also called a client idle whose answer was not all written yet.

A signal that is ignored after all is warned of at the start. Where discovery is lost, the configuration is read unasked, at once and then at gaps that double from one to sixteen dial time-outs (list.Rereading, pure), and is followed by the path of SIGHUP where the file names another place than when it was read last. The end waits for the last expiry that is out and one dial time-out, for nothing else; what comes on a connection after the goodbye is turned away at once, never sent; an answer on its way out is not cut off.

--- a/src/main/java/dillfront/clients/ClientConnection.java
+++ b/src/main/java/dillfront/clients/ClientConnection.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -52,9 +53,14 @@
         this.clients = clients;
     }
 
-    /** Nothing of a query is here, and no answer is owed. */
+    /** Nothing of a query is here, and no answer is owed, nor on its way out: a close would cut that off. */
     boolean idle() {
-        return !owes && frames.waiting() == 0;
+        return !owes && frames.waiting() == 0 && flushed();
+    }
+
+    private boolean flushed() {
+        ChannelOutboundBuffer out = ctx.channel().unsafe().outboundBuffer();
+        return out == null || out.isEmpty();
     }
 
     boolean owes() {
@@ -270,6 +276,14 @@
             ctx.writeAndFlush(Messages.emptyQuery(ctx.alloc().buffer(11)));
             return;
         }
+        if (clients.leaving()) {
+            // It came when this router had said goodbye: no longer than what is out may it go on. Never sent, so harmless.
+            message.release();
+            clients.counters.turnedAway++;
+            error(Messages.DECLINED, "this router ends, trying again is harmless", null);
+            clients.free(this);
+            return;
+        }
         // From its last byte, or since nothing went before it on this connection.
         Duration waited = age.plusNanos(System.nanoTime() - readNanos);
         Statement statement;
--- a/src/main/java/dillfront/clients/Clients.java
+++ b/src/main/java/dillfront/clients/Clients.java
@@ -244,6 +244,11 @@
         }
     }
 
+    /** Nothing new is taken: see ClientConnection.query(). */
+    boolean leaving() {
+        return leaving;
+    }
+
     /** No new clients; those that are in go once they have their answers. */
     public void leave() {
         leaving = true;
@@ -261,7 +266,9 @@
         }
     }
 
+    /** After leave(): whether all have gone. Those whose answers are out by now go here. */
     public boolean empty() {
+        closeIdle();
         return size() == 0;
     }
 }
--- a/src/main/java/dillfront/daemon/Daemon.java
+++ b/src/main/java/dillfront/daemon/Daemon.java
@@ -5,6 +5,8 @@
 import dillfront.config.Clock;
 import dillfront.config.Config;
 import dillfront.config.Setup;
+import dillfront.config.Tree;
+import dillfront.list.Rereading;
 import dillfront.list.Watch;
 import dillfront.log.Counters;
 import dillfront.log.Log;
@@ -26,8 +28,8 @@
 
     /** New clients may go on coming so long after the word to end. */
     private static final Duration STILL_COMING = Duration.ofMillis(600);
-    /** What kills those that do not end comes no sooner than 3.7 s after the word. */
-    private static final Duration MOST_TO_END = Duration.ofMillis(3500);
+    /** What is answered last still has to be read by its client, so many dial time-outs after the last expiry. */
+    private static final int LAST_DIALS = 1;
     private static final Duration MOST_OWED = Duration.ofSeconds(1);
     /** How long the door waits for discovery where some list is known, in dial time-outs. */
     private static final int NEWS_DIALS = 2;
@@ -58,6 +60,17 @@
     private Router router;
     private Clients clients;
     private Watch watch;
+    /** Where a configuration is read from anew; null where nothing is heard. */
+    private volatile Source source;
+    /** Where discovery was by the file that was read last; under this object's lock. */
+    private String named;
+    private final Rereading rereading;
+    /** What was wrong with the file when it was last read unasked; under the lock. */
+    private String unread = "";
+    /** On the loop: the file is being read unasked. */
+    private boolean looking;
+    /** On the loop, once this router ends: what it took is over by then. */
+    private Duration due;
     /** Gossip and the questions about it; null where the operator's file does not ask for it. */
     private volatile Side side;
 
@@ -71,6 +84,8 @@
         this.log = log;
         discovery = config.discovery();
         setup = config.setup();
+        named = config.named();
+        rereading = new Rereading(config.setup().settings().dial());
     }
 
     Log log() {
@@ -78,11 +93,18 @@
     }
 
     /** Hears the platform's words to this process from now on: SIGHUP to read the configuration anew, SIGUSR2 to print. */
-    public void hear(Source source) {
-        Signals.on("HUP", () -> reload(source), log);
+    public void hear(Source from) {
+        source = from;
+        Signals.on("HUP", () -> reload(from), log);
         Signals.on("USR2", this::print, log);
     }
 
+    /** Says which of these words never reach this process; after hear(). */
+    private void checkSignals() {
+        Signals.check("HUP", 1, "a new configuration is found only once discovery is lost", log);
+        Signals.check("TERM", 15, "a planned end is not heard, and what is out then is lost", log);
+    }
+
     /** Returns once clients can connect. */
     public void start() throws BadConfig {
         int share = Math.max(2, (config.sockets() - OTHERS) / 2);
@@ -100,7 +122,7 @@
                     router.list(config.known());
                 }
                 watch = new Watch(discovery, config.setup().settings().dial(), counters, log, loop,
-                        known ? config.known().whole("generation") : -1, router);
+                        known ? config.known().whole("generation") : -1, new News());
                 router.watch(watch);
                 watch.start();
                 return null;
@@ -124,6 +146,7 @@
         if (side != null) {
             loop.execute(side::open);
         }
+        checkSignals();
         log.info("serving", "name", config.name(), "listen", config.listen());
     }
 
@@ -153,14 +176,15 @@
         }
     }
 
-    /** Goes on serving while clients still come, then finishes all that was taken. */
+    /**
+     * Goes on serving while clients still come, then finishes all that was taken, however long its clients wait: what
+     * ends a router before that would lose it. Bounded by the last expiry that is out, and by no figure.
+     */
     public void stop() {
         log.info("stopping", "name", config.name());
         loop.schedule(this::leave, STILL_COMING.toMillis(), TimeUnit.MILLISECONDS);
         try {
-            if (!ended.await(MOST_TO_END.toMillis(), TimeUnit.MILLISECONDS)) {
-                log.warn("stopped-with-work", "txns", counters.txns, "clients", counters.clientConnections);
-            }
+            ended.await();
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
@@ -173,13 +197,61 @@
      * reading after another, so that several words in a row end in the latest file.
      */
     public synchronized void reload(Source source) {
+        try {
+            goOver(source.read(), "SIGHUP");
+        } catch (BadConfig bad) {
+            onLoop(() -> log.warn("reload-refused", "fault", bad.getMessage()));
+        }
+    }
+
+    private void goOver(Config next, String word) throws BadConfig {
+        if (side == null || !side.settle(next.setup(), () -> follow(next, word))) {
+            onLoop(() -> follow(next, word));
+        }
+        named = next.named();
+    }
+
+    /** What discovery tells goes to the router; where it is lost, the configuration may name another place by now. */
+    private final class News implements Watch.Listener {
+
+        @Override
+        public void list(Tree list) {
+            rereading.heard();
+            router.list(list);
+        }
+
+        @Override
+        public void listFailed() {
+            router.listFailed();
+            if (source != null && !looking && rereading.lost(router.clock().now())) {
+                looking = true;
+                // Not on the loop, which waits for no disk; rare, so it needs no thread that stays.
+                Thread look = new Thread(Daemon.this::lookAgain, "configuration");
+                look.setDaemon(true);
+                look.start();
+            }
+        }
+    }
+
+    /**
+     * Discovery is lost: has the file named another place since it was read? Then the word for it was lost, and counts as
+     * given now. A file that cannot be used, or names the same place, changes nothing; nor does LB_DISCOVERY, which held
+     * at the start alone.
+     */
+    private synchronized void lookAgain() {
         try {
             Config next = source.read();
-            if (side == null || !side.settle(next.setup(), () -> follow(next))) {
-                onLoop(() -> follow(next));
+            if (!next.named().equals(named)) {
+                goOver(next, "file");
             }
+            unread = "";
         } catch (BadConfig bad) {
-            onLoop(() -> log.warn("reload-refused", "fault", bad.getMessage()));
+            if (!unread.equals(bad.getMessage())) {
+                unread = bad.getMessage();
+                onLoop(() -> log.warn("reload-refused", "fault", bad.getMessage()));
+            }
+        } finally {
+            onLoop(() -> looking = false);
         }
     }
 
@@ -191,9 +263,9 @@
     }
 
     /** Txns that were taken go on by the settings of their time; a list that was read by the old ones is asked for anew. */
-    private void follow(Config next) {
+    private void follow(Config next, String word) {
         boolean other = !setup.equals(next.setup());
-        log.info("reloaded", "discovery", next.discovery(), "settings", other ? "changed" : "same", "kept_as_at_start",
+        log.info("reloaded", "by", word, "discovery", next.discovery(), "settings", other ? "changed" : "same", "kept_as_at_start",
                 config.fixed(next));
         setup = next.setup();
         if (other && router != null) {
@@ -213,20 +285,33 @@
     }
 
     private void leave() {
-        clients.leave();
-        lookIfOver();
+        try {
+            clients.leave();
+            Duration now = router.clock().now();
+            due = (router.owedUntil().compareTo(now) > 0 ? router.owedUntil() : now)
+                    .plus(setup.settings().dial().multipliedBy(LAST_DIALS));
+        } finally {
+            lookIfOver();
+        }
     }
 
     private void lookIfOver() {
-        if (clients.empty() && counters.txns == 0) {
+        boolean over = clients.empty() && counters.txns == 0;
+        if (!over && due != null && router.clock().now().compareTo(due) < 0) {
+            loop.schedule(this::lookIfOver, config.setup().settings().step().toNanos(), TimeUnit.NANOSECONDS);
+            return;
+        }
+        try {
+            if (!over) {
+                log.warn("stopped-with-work", "txns", counters.txns, "clients", counters.clientConnections);
+            }
             watch.close();
             if (side != null) {
                 side.close();
             }
             router.close();
+        } finally {
             ended.countDown();
-        } else {
-            loop.schedule(this::lookIfOver, config.setup().settings().step().toNanos(), TimeUnit.NANOSECONDS);
         }
     }
 }
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -53,6 +53,8 @@
     /** Of the txns that hold a slot. */
     private final Set<Long> ids = new HashSet<>();
     private boolean listed;
+    /** The last expiry of all that was taken. */
+    private Duration owedUntil = Duration.ZERO;
     private final List<Integer> free = new ArrayList<>();
     /** Null where gossip is off. */
     private Neighbours neighbours;
@@ -76,6 +78,11 @@
         return listed;
     }
 
+    /** By then each txn that was taken so far is answered, or nobody waits for it any more. */
+    Duration owedUntil() {
+        return owedUntil;
+    }
+
     /** Where the news come from, which go before all that is sent. */
     void watch(Watch watch) {
         fleet.news(watch::look);
@@ -182,8 +189,11 @@
         Duration now = clock.now();
         Duration token = !setup.tokensCarried() ? null
                 : statement.afterMs == 0 ? Duration.ZERO : now.minus(clock.since(statement.afterMs));
-        exchange.taken(decide.take(slot, type, tenant, Setup.session(statement.key), statement.group,
-                patience(statement, type), token, waited));
+        Duration patience = patience(statement, type);
+        Duration expiry = now.minus(waited).plus(patience);
+        owedUntil = expiry.compareTo(owedUntil) > 0 ? expiry : owedUntil;
+        exchange.taken(decide.take(slot, type, tenant, Setup.session(statement.key), statement.group, patience, token,
+                waited));
         return exchange;
     }
 
--- a/src/main/java/dillfront/daemon/Signals.java
+++ b/src/main/java/dillfront/daemon/Signals.java
@@ -1,6 +1,10 @@
 package dillfront.daemon;
 
 import dillfront.log.Log;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import sun.misc.Signal;
 
 /** Words of the platform to the process, each heard on a thread of its own. */
@@ -16,4 +20,27 @@
             log.warn("no-signal", "name", name, "fault", none);
         }
     }
+
+    /**
+     * Warns of a word that the system does not bring here. Who starts a process with a signal ignored, as nohup does and
+     * some supervisors and shells, leaves it ignored there, and the JVM then installs nothing and throws nothing.
+     */
+    static void check(String name, int number, String follows, Log log) {
+        String ignored = mask("SigIgn:");
+        if (ignored != null && (Long.parseUnsignedLong(ignored, 16) >>> number - 1 & 1) != 0) {
+            log.warn("signal-ignored", "name", name, "follows", follows,
+                    "do", "start it by env --default-signal=" + name + ", as run in deploy/balancer.toml does");
+        }
+    }
+
+    /** What Linux tells of this process; null elsewhere. */
+    private static String mask(String line) {
+        try {
+            String all = Files.readString(Path.of("/proc/self/status"), StandardCharsets.ISO_8859_1);
+            int at = all.indexOf(line);
+            return at < 0 ? null : all.substring(at + line.length(), all.indexOf('\n', at)).strip();
+        } catch (IOException none) {
+            return null;
+        }
+    }
 }
--- a/src/main/java/dillfront/log/Counters.java
+++ b/src/main/java/dillfront/log/Counters.java
@@ -7,6 +7,8 @@
 
     public long queries;
     public long outOfForm;
+    /** Came when this router was ending, and was told to go elsewhere. */
+    public long turnedAway;
     public long taken;
     public long committed;
     public long declined;
@@ -34,9 +36,9 @@
     }
 
     public void print(Log log) {
-        Object[] line = new Object[2 * (19 + ended.length)];
+        Object[] line = new Object[2 * (20 + ended.length)];
         int at = 0;
-        for (Object o : new Object[] {"queries", queries, "out_of_form", outOfForm, "taken", taken,
+        for (Object o : new Object[] {"queries", queries, "out_of_form", outOfForm, "turned_away", turnedAway, "taken", taken,
             "committed", committed, "declined", declined, "rolled_back", rolledBack, "left", left,
             "submitted", submitted, "probes", probes, "dialed", dialed, "accepted", accepted, "lists", lists,
             "list_faults", listFaults, "longest_turn_ms", longestTurnMs, "txns_held", txns,
