A list that is older than what was told opens no node that drains or is gone

Need: MemberList gave READY on from any row, and Watch.move asks the new discovery for the whole list without regard to what the former had told; a list of an agent that lags, was restored or has just begun would open again what drains or is gone.

Change: list.Closings (pure) remembers the last word that closed each node, with its generation and the start of the process it spoke of, bounded by four lists. READY counts where its list is newer than that word, or the node has started since; words that close count from anyone. `list-older` in the log names each word that does not count.

--- /dev/null
+++ b/src/main/java/dillfront/list/Closings.java
@@ -0,0 +1,70 @@
+package dillfront.list;
+
+import dillfront.port.Standing;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Which words of the lists stand: a word that closed a node is undone only by one that is known to be newer, or by a new
+ * start of that node. Guards against a list that is older than what was told before, as one from an agent that lags, was
+ * restored, or has just begun: it would open again what drains or is gone. Words that close count from anyone.
+ *
+ * <p>Newer is what has a higher generation, whoever tells it. Harm: where a discovery numbers its lists from anew, a node
+ * that was closed before and is ready again without a restart stays closed until the numbers have caught up.
+ *
+ * <p>Pure: no clock, no socket; decided by what the lists say alone.
+ */
+final class Closings {
+
+    /** How many nodes are remembered, in lists of the present length; those closed first are forgotten first. */
+    private static final int LISTS = 4;
+    private static final int LEAST = 64;
+
+    /** The last word that closed a node: of which list, what it said, and the start of the process that it spoke of. */
+    private record Closing(long generation, Standing standing, long startedMs) {}
+
+    /** Emptied by words that open a node again, and at the bound. */
+    private final Map<String, Closing> closed = new LinkedHashMap<>();
+
+    /**
+     * A list says this of a node; what holds after it.
+     *
+     * @param generation of that list
+     * @param startedMs when the node last started, as the list has it
+     */
+    Standing heard(String id, Standing said, long startedMs, long generation) {
+        Closing before = closed.get(id);
+        boolean older = before != null && generation <= before.generation && startedMs <= before.startedMs;
+        if (said != Standing.READY) {
+            close(id, said, startedMs, generation);
+            return said;
+        }
+        if (older) {
+            return before.standing;
+        }
+        closed.remove(id);
+        return said;
+    }
+
+    /** An older word that comes later says nothing new. One that drained stays drained when it is gone: that binds more. */
+    void close(String id, Standing said, long startedMs, long generation) {
+        Closing before = closed.get(id);
+        if (before == null || generation >= before.generation || startedMs > before.startedMs) {
+            boolean drained = before != null && before.standing == Standing.DRAINING && startedMs <= before.startedMs;
+            closed.remove(id);
+            closed.put(id, new Closing(before == null ? generation : Math.max(generation, before.generation),
+                    drained ? Standing.DRAINING : said, before == null ? startedMs : Math.max(startedMs, before.startedMs)));
+        }
+    }
+
+    /** So many nodes are listed now: what goes beyond the bound is forgotten. */
+    void trim(int listed) {
+        int most = Math.max(LEAST, LISTS * listed);
+        Iterator<String> first = closed.keySet().iterator();
+        while (closed.size() > most) {
+            first.next();
+            first.remove();
+        }
+    }
+}
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -25,8 +25,12 @@
     private Setup setup;
     private final Clock clock;
     private final Log log;
+    /** Its index, and when it last started, in Unix time, as the last list had it. */
+    private record Known(int index, long startedMs) {}
+
     /** Of the machines in the list, and of those that have left it until they are forgotten. */
-    private final Map<String, Integer> nodes = new HashMap<>();
+    private final Map<String, Known> nodes = new HashMap<>();
+    private final Closings closings = new Closings();
     /** Ids of those that have left the list. */
     private final Set<String> left = new TreeSet<>();
     /** Indices that may be given again, and how many there are in all. */
@@ -54,8 +58,12 @@
     /** An entry that cannot be read is left out, and does not spoil the others. */
     public List<Member> read(Tree list) {
         List<Member> members = new ArrayList<>();
+        long generation = list.whole("generation");
+        Set<String> open = new TreeSet<>();
         if (list.flag("reset")) {
-            left.addAll(nodes.keySet());
+            open.addAll(nodes.keySet());
+            open.removeAll(left);
+            left.addAll(open);
         }
         for (Tree entry : list.trees("instances")) {
             String id = entry.text("instanceId");
@@ -71,6 +79,13 @@
                         "lifecycle", entry.text("lifecycle"));
                 continue;
             }
+            long startedMs = entry.whole("startedAtMs");
+            Standing holds = closings.heard(id, standing, startedMs, generation);
+            if (holds != standing) {
+                log.warn("list-older", "id", id, "says", standing, "holds", holds, "generation", generation);
+                standing = holds;
+            }
+            open.remove(id);
             if (standing == Standing.GONE) {
                 if (!nodes.containsKey(id)) {
                     continue;
@@ -79,13 +94,19 @@
             } else {
                 left.remove(id);
             }
-            int node = nodes.computeIfAbsent(id, k -> free.isEmpty() ? indices++ : free.poll());
+            Known before = nodes.get(id);
+            int node = before != null ? before.index : free.isEmpty() ? indices++ : free.poll();
+            nodes.put(id, new Known(node, startedMs));
             groups.add((int) entry.whole("cell"));
-            long startedMs = entry.whole("startedAtMs");
             members.add(new Member(id, new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
                     entry.number("weight", 1), entry.text("role").equals("leader"),
                     startedMs == 0 ? null : clock.since(startedMs), standing), address, startedMs));
         }
+        // A whole list closes those that it leaves out.
+        for (String id : open) {
+            closings.close(id, Standing.GONE, nodes.get(id).startedMs, generation);
+        }
+        closings.trim(nodes.size());
         return members;
     }
 
@@ -93,8 +114,8 @@
     public void forget(IntPredicate over) {
         for (Iterator<String> ids = left.iterator(); ids.hasNext();) {
             String id = ids.next();
-            if (over.test(nodes.get(id))) {
-                free.add(nodes.remove(id));
+            if (over.test(nodes.get(id).index)) {
+                free.add(nodes.remove(id).index);
                 ids.remove();
             }
         }
