A rig of many processes: real routers, nodes, agents, clients, relays and an auditor

Need: words of operators and of discovery were tested one router at a time, in one process, and a lost signal went unseen; the next issues need faults between many real processes, judged over all of them.

Change: dillfront.lab.rig. One thread plays all stand-ins (nodes with warm-up, roles, positions and moods; an agent of discovery a router; relays that cut, hold, delay, reset and refuse; clients) and keeps one record in one order; routers are `serve` processes, hit by signals by id and started anew on their port and folder; Audit judges the five rules from that record, and counts a word of the list from when the router has shown that it read it, not from a time.

--- /dev/null
+++ b/src/main/java/dillfront/lab/rig/Load.java
@@ -0,0 +1,52 @@
+package dillfront.lab.rig;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Clients that ask at all routers, by a seed: each type in turn, at a steady rate, whatever comes back. */
+public final class Load {
+
+    private final Rig rig;
+    private final SplittableRandom chance;
+    private final long gapNanos;
+    private final long waitMs;
+    private boolean on;
+    private long asked;
+
+    /** @param gapMicros between two queries, over all routers */
+    public Load(Rig rig, long seed, long gapMicros) {
+        this(rig, seed, gapMicros, 1500);
+    }
+
+    public Load(Rig rig, long seed, long gapMicros, long waitMs) {
+        this.rig = rig;
+        this.waitMs = waitMs;
+        chance = new SplittableRandom(seed);
+        gapNanos = gapMicros * 1000;
+    }
+
+    public void start() {
+        rig.stage().run(() -> {
+            on = true;
+            next();
+        });
+    }
+
+    public void stop() {
+        rig.stage().run(() -> on = false);
+    }
+
+    private void next() {
+        if (!on) {
+            return;
+        }
+        rig.stage().loop().schedule(this::next, gapNanos, TimeUnit.NANOSECONDS);
+        Router router = rig.router(chance.nextInt(rig.routers().size()));
+        Mix.Type type = Mix.TYPES.get(chance.nextInt(Mix.TYPES.size()));
+        int group = chance.nextInt(rig.groups().size());
+        String key = type.write() ? "k" + ++asked : "16-" + chance.nextInt(1000);
+        if (!router.down()) {
+            router.caller().ask(type.name(), group, key, waitMs, 0, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -0,0 +1,191 @@
+package dillfront.lab.rig;
+
+import dillfront.sockets.Ears;
+import dillfront.sockets.Sockets;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Where all stand-ins of a rig play: one thread, so that what happens has one order, and a record of it that the auditor
+ * reads. Buffers are not pooled: what is measured in the same process counts pooled ones.
+ */
+public final class Stage implements AutoCloseable {
+
+    /** What has not come by then never comes: far beyond any time that a machine under load may take. */
+    private static final long PATIENCE_MS = 30_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("stage", true));
+    private final EventLoop loop = group.next();
+    private final long startNanos = System.nanoTime();
+    /** All that happened, in its order; on the loop. Ends with the rig. */
+    private final List<Happening> record = new ArrayList<>();
+    private final Map<String, Long> heard = new HashMap<>();
+    /** Who is behind a connection, by the port that it comes from; emptied as they close. */
+    private final Map<Integer, String> behind = new HashMap<>();
+
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Nanoseconds since the stage was set. */
+    public long now() {
+        return System.nanoTime() - startNanos;
+    }
+
+    /** On the loop. */
+    void happened(Happening what) {
+        record.add(what);
+        if (what instanceof Happening.Heard h) {
+            heard.put(h.life(), h.generation());
+        }
+    }
+
+    /** On the loop: what this life has last shown to have read at this agent, {@code r1#2<a0}; negative where nothing. */
+    long heard(String lifeAndAgent) {
+        return heard.getOrDefault(lifeAndAgent, -1L);
+    }
+
+    /** On the loop: from here on a connection from this port is known as that of the one named. */
+    void behind(int port, String who) {
+        if (who == null) {
+            behind.remove(port);
+        } else {
+            behind.put(port, who);
+        }
+    }
+
+    /** On the loop; the port itself where nobody is known behind it. */
+    String behind(Channel accepted) {
+        int port = ((InetSocketAddress) accepted.remoteAddress()).getPort();
+        return behind.getOrDefault(port, "port-" + port);
+    }
+
+    /** A copy of what happened so far. */
+    public List<Happening> record() {
+        return call(() -> List.copyOf(record));
+    }
+
+    /** Done on the loop; returns once it is. */
+    public <T> T call(Callable<T> what) {
+        if (loop.inEventLoop()) {
+            try {
+                return what.call();
+            } catch (Exception fault) {
+                throw new IllegalStateException(fault);
+            }
+        }
+        try {
+            return loop.submit(what).get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException fault) {
+            throw new IllegalStateException(fault.getCause());
+        } catch (Exception stopped) {
+            throw new IllegalStateException(stopped);
+        }
+    }
+
+    public void run(Runnable what) {
+        call(() -> {
+            what.run();
+            return null;
+        });
+    }
+
+    /** Waits until this is so, as looked at on the loop; not for how long, but for what. */
+    public void await(String what, BooleanSupplier so) {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (!call(so::getAsBoolean)) {
+            if (System.nanoTime() - until > 0) {
+                throw new IllegalStateException("it never came that " + what);
+            }
+            try {
+                Thread.sleep(1);
+            } catch (InterruptedException stopped) {
+                throw new IllegalStateException(stopped);
+            }
+        }
+    }
+
+    /**
+     * On the loop: done once all sockets that are ready now have been read. What a process had written before a word of
+     * its own that was just read lies in some socket here by then, as loopback delivers at once.
+     */
+    void afterNextLook(Runnable then) {
+        loop.schedule(() -> loop.schedule(then, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
+    }
+
+    /** A door on loopback; port 0 asks for one. On the loop or off it. */
+    Channel listen(int port, Supplier<Ears> each) {
+        ChannelFuture bound = call(() -> Sockets.listen(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024,
+                WriteBufferWaterMark.DEFAULT, () -> new Unpooled(each.get())));
+        if (!loop.inEventLoop()) {
+            bound.awaitUninterruptibly(PATIENCE_MS);
+        }
+        if (bound.isDone() && !bound.isSuccess()) {
+            throw new IllegalStateException("port " + port, bound.cause());
+        }
+        return bound.channel();
+    }
+
+    static int port(Channel door) {
+        return ((InetSocketAddress) door.localAddress()).getPort();
+    }
+
+    /** One that nobody listens on now. */
+    public static int freePort() {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        } catch (IOException none) {
+            throw new IllegalStateException(none);
+        }
+    }
+
+    static InetSocketAddress here(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(PATIENCE_MS);
+    }
+
+    /** Has the channel use buffers of its own before anything is read, then leaves it to the handler meant. */
+    private static final class Unpooled extends Ears {
+
+        private final Ears meant;
+
+        Unpooled(Ears meant) {
+            this.meant = meant;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            ctx.channel().config().setAllocator(UnpooledByteBufAllocator.DEFAULT);
+            ctx.pipeline().replace(this, null, meant);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object read) { }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+    }
+}
