--- a/src/main/java/dillfront/bench/Counts.java
+++ b/src/main/java/dillfront/bench/Counts.java
@@ -43,13 +43,13 @@
         Path found = null;
         try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/self/task"))) {
             for (Path task : tasks) {
-                found = Files.readString(task.resolve("comm")).startsWith("router-1-1") ? task.resolve("io") : found;
+                found = Files.readString(task.resolve("comm")).startsWith("router-") ? task.resolve("io") : found;
             }
         }
         io = found;
         long id = -1;
         for (java.lang.management.ThreadInfo info : threads.getThreadInfo(threads.getAllThreadIds())) {
-            id = info != null && info.getThreadName().equals("router-1-1") ? info.getThreadId() : id;
+            id = info != null && info.getThreadName().startsWith("router-") ? info.getThreadId() : id;
         }
         thread = id;
         if (io == null || id < 0) {
--- a/src/main/java/dillfront/bench/StandIns.java
+++ b/src/main/java/dillfront/bench/StandIns.java
@@ -1,30 +1,35 @@
 package dillfront.bench;
 
+import dillfront.lab.rig.Agent;
+import dillfront.lab.rig.Catalogue;
+import dillfront.lab.rig.Group;
+import dillfront.lab.rig.Node;
+import dillfront.lab.rig.Stage;
 import dillfront.pgwire.Messages;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 
 /**
- * Nodes, discovery and clients on loopback, to be put round a router that is measured. Written from the pages of the
- * protocol; a node answers each statement with a row of as many bytes as its key says, after a set time.
+ * Nodes and discovery of the rig, and clients that wait, to be put round one router that is measured; a node answers each statement with a row of as many bytes as its key says, after a set time.
  */
 final class StandIns implements Closeable {
 
     static final int GROUPS = 3;
     static final int MEMBERS = 4;
+    private static final long FIRST_GENERATION = 41;
+    /** Nobody waits for a core: what a node costs is its work's time. */
+    private static final int AT_ONCE = 256;
     private static final String SETTINGS = "{'az':'a','zones':['a','b'],'stepUs':5000,'groupSize':2,"
             + "'bounds':{'dialTimeoutUs':250000,'maxAttempts':6,'probes':true,'retryAfter':true,"
             + "'maxRetryAfterUs':2000000,'keepaliveUs':30000000},'charges':{'probe':0.012},"
@@ -41,162 +46,49 @@
     private static final String[] TYPES = {"stock-view", "own-entries", "history", "balance-check", "post-movement"};
 
     private final InetAddress here = InetAddress.getLoopbackAddress();
-    private final List<ServerSocket> doors = new ArrayList<>();
-    private final StringBuilder listed = new StringBuilder();
-    private final ServerSocket discovery;
-    private final long workNanos;
+    private final Stage stage = new Stage();
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Catalogue.Entry> first = new ArrayList<>();
+    private final Catalogue catalogue;
+    private final Agent discovery;
     private final AtomicLong ids = new AtomicLong();
-    private final List<List<Long>> arrivals = new ArrayList<>();
-    private long generation = 41;
-    private String told = "";
 
     /** @param workMicros how long a node takes for a statement */
-    StandIns(long workMicros) throws IOException {
-        workNanos = workMicros * 1000;
+    StandIns(long workMicros) {
+        Node.Work work = new Node.Work(AT_ONCE, workMicros, 1, 1, 1, 1000);
         for (int i = 0; i < GROUPS * MEMBERS; i++) {
-            boolean leads = i % MEMBERS == 0;
-            ServerSocket door = new ServerSocket(0, 200, here);
-            doors.add(door);
-            List<Long> came = new ArrayList<>();
-            arrivals.add(came);
-            serve(door, socket -> node(socket, leads, came));
-            listed.append(i == 0 ? "" : ",").append(String.format("{'instanceId':'s-%d','hostPort':'127.0.0.1:%d',"
-                    + "'zone':'a','cell':%d,'lifecycle':'ready','weight':1.0,'startedAtMs':0,'role':'%s'}", i,
-                    door.getLocalPort(), i / MEMBERS, leads ? "leader" : "follower"));
+            Group group = i % MEMBERS == 0 ? new Group(stage, i / MEMBERS, 0) : nodes.get(i - 1).group();
+            Node node = new Node(stage, "s-" + i, group, i % MEMBERS == 0, work);
+            node.lag(0);
+            nodes.add(node);
+            first.add(new Catalogue.Entry(node.id(), i / MEMBERS, "a", "ready", 0, node.leads()));
         }
-        discovery = new ServerSocket(0, 50, here);
-        doors.add(discovery);
-        serve(discovery, this::discovery);
+        catalogue = new Catalogue(FIRST_GENERATION, first);
+        discovery = new Agent(stage, "discovery", catalogue, this::port);
+    }
+
+    private int port(String id) {
+        return nodes.get(Integer.parseInt(id.substring(2))).port();
     }
 
     /** A configuration for a router that listens there. */
     String config(int port, double cores) {
-        return ("{'name':'n0','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + discovery.getLocalPort()
+        String known = first.stream().map(e -> Agent.row(e, port(e.id()))).collect(Collectors.joining(","));
+        return ("{'name':'n0','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + discovery.port()
                 + "','seed':'8c1f30d27a5be964','limits':{'cores':" + cores + ",'memory_mb':128,'sockets':512},'known':"
-                + "{'generation':41,'reset':true,'instances':[" + listed + "]},'settings':" + SETTINGS + "}")
+                + "{'generation':" + FIRST_GENERATION + ",'reset':true,'instances':[" + known + "]},'settings':" + SETTINGS + "}")
                 .replace('\'', '"');
     }
 
-    private interface Peer {
-        void meet(Socket socket) throws IOException;
-    }
-
-    private static void serve(ServerSocket door, Peer peer) {
-        start(() -> {
-            while (!door.isClosed()) {
-                Socket socket = door.accept();
-                socket.setTcpNoDelay(true);
-                start(() -> {
-                    try (socket) {
-                        peer.meet(socket);
-                    }
-                });
-            }
-        });
-    }
-
-    private interface Work {
-        void run() throws IOException;
-    }
-
-    private static void start(Work work) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                work.run();
-            } catch (IOException over) {
-                // The other side has ended, and with it this one's task.
-            }
-        }, "stand-in", 1 << 18);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void node(Socket socket, boolean leads, List<Long> came) throws IOException {
-        DataInputStream in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
-        in.readNBytes(in.readInt() - 4);
-        write(socket, Messages.ready(Unpooled.buffer().writeByte('R').writeInt(8).writeInt(0)));
-        while (true) {
-            in.readByte();
-            String text = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.US_ASCII);
-            long ms = System.currentTimeMillis();
-            ByteBuf out = Unpooled.buffer(256);
-            String report = "x0=" + ms / 1000.0 + ",x1=" + (leads ? 1 : 0);
-            if (text.startsWith("SHOW")) {
-                write(socket, Messages.ready(row(out, report.getBytes(StandardCharsets.US_ASCII))));
-                continue;
-            }
-            synchronized (came) {
-                came.add(System.nanoTime());
-            }
-            LockSupport.parkNanos(workNanos);
-            parameter(out, "node_role", leads ? "leader" : "follower");
-            parameter(out, "replay_position", Long.toString(ms));
-            parameter(out, "server_load", report);
-            String key = text.substring(text.indexOf('\'') + 1);
-            write(socket, Messages.ready(row(out, new byte[Integer.parseInt(key.substring(0, key.indexOf('-')))])));
-        }
-    }
-
-    private static void parameter(ByteBuf out, String name, String value) {
-        out.writeByte('S').writeInt(6 + name.length() + value.length());
-        out.writeCharSequence(name + "\0" + value + "\0", StandardCharsets.US_ASCII);
-    }
-
-    private static ByteBuf row(ByteBuf out, byte[] value) {
-        out.writeByte('T').writeInt(29).writeShort(1).writeBytes("body\0".getBytes(StandardCharsets.US_ASCII))
-                .writeInt(0).writeShort(0).writeInt(17).writeShort(-1).writeInt(-1).writeShort(1);
-        out.writeByte('D').writeInt(10 + value.length).writeShort(1).writeInt(value.length).writeBytes(value);
-        return out.writeByte('C').writeInt(13).writeBytes("SELECT 1\0".getBytes(StandardCharsets.US_ASCII));
-    }
-
-    private static void write(Socket socket, ByteBuf bytes) throws IOException {
-        socket.getOutputStream().write(bytes.array(), 0, bytes.readableBytes());
-    }
-
-    private void discovery(Socket socket) throws IOException {
-        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        long wait = 0;
-        long after = 0;
-        for (String line = in.readLine(); line != null; line = in.readLine()) {
-            if (line.startsWith("GET")) {
-                wait = line.contains("wait_ms=") ? Long.parseLong(line.replaceAll(".*wait_ms=(\\d+).*", "$1")) : 0;
-                after = line.contains("after=") ? Long.parseLong(line.replaceAll(".*after=(\\d+).*", "$1")) : 0;
-            } else if (line.isEmpty()) {
-                String list = list(after, wait);
-                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
-                        .getBytes(StandardCharsets.US_ASCII));
-            }
-        }
-    }
-
-    /** What is newer than that, as soon as there is any, or nothing once the wait is over. */
-    private synchronized String list(long after, long wait) throws IOException {
-        long until = System.nanoTime() + wait * 1_000_000;
-        try {
-            for (long left = wait; generation <= after && left > 0; left = (until - System.nanoTime()) / 1_000_000) {
-                wait(left);
-            }
-        } catch (InterruptedException over) {
-            throw new IOException(over);
-        }
-        return "{\"generation\":" + generation + ",\"reset\":false,\"instances\":["
-                + (generation > after ? told : "") + "]}";
-    }
-
     /** From now on this node drains, or is ready again; its number runs below GROUPS * MEMBERS. */
-    synchronized void tell(int node, String lifecycle) {
-        generation++;
-        told = String.format("{'instanceId':'s-%d','hostPort':'127.0.0.1:%d','zone':'a','cell':%d,'lifecycle':'%s',"
-                + "'weight':1.0,'startedAtMs':0,'role':'%s'}", node, doors.get(node).getLocalPort(), node / MEMBERS,
-                lifecycle, node % MEMBERS == 0 ? "leader" : "follower").replace('\'', '"');
-        notifyAll();
+    void tell(int node, String lifecycle) {
+        Catalogue.Entry e = first.get(node);
+        stage.run(() -> catalogue.change(new Catalogue.Entry(e.id(), e.group(), e.zone(), lifecycle, 0, e.leads())));
     }
 
     /** When each statement of a client came to this node, by System.nanoTime(). */
     List<Long> arrivals(int node) {
-        synchronized (arrivals.get(node)) {
-            return List.copyOf(arrivals.get(node));
-        }
+        return nodes.get(node).arrivals();
     }
 
     /** One client that asks for as long as it is let. */
@@ -212,7 +104,7 @@
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(10_000);
             in = new DataInputStream(new java.io.BufferedInputStream(socket.getInputStream()));
-            write(socket, Messages.startup(Unpooled.buffer(), "worker", "catalog"));
+            write(Messages.startup(Unpooled.buffer(), "worker", "catalog"));
             hear();
         }
 
@@ -232,11 +124,15 @@
             String key = bytes + "-" + number;
             String comment = " /* id=" + Long.toHexString(0x9b1f03aa00000000L + ids.incrementAndGet()) + ",c=" + type
                     + ",d=700" + (write ? ",k=5c0f6e1a2b3d4c59" : "") + ",cluster=" + number % GROUPS + " */";
-            write(socket, Messages.query(Unpooled.buffer(256), write
+            write(Messages.query(Unpooled.buffer(256), write
                     ? "INSERT INTO objects (oid, body) VALUES ('" + key + "', '\\x9f03') RETURNING body" + comment
                     : "SELECT body FROM objects WHERE oid = '" + key + "'" + comment));
         }
 
+        private void write(ByteBuf bytes) throws IOException {
+            socket.getOutputStream().write(bytes.array(), 0, bytes.readableBytes());
+        }
+
         boolean hear() throws IOException {
             boolean row = false;
             while (true) {
@@ -290,9 +186,7 @@
 
 
     @Override
-    public void close() throws IOException {
-        for (ServerSocket door : doors) {
-            door.close();
-        }
+    public void close() {
+        stage.close();
     }
 }
--- a/src/main/java/dillfront/lab/rig/Agent.java
+++ b/src/main/java/dillfront/lab/rig/Agent.java
@@ -38,7 +38,7 @@
     /** What each life of a router was told of: to name those that a whole list leaves out. */
     private final Map<String, Set<String>> named = new HashMap<>();
 
-    Agent(Stage stage, String name, Catalogue catalogue, ToIntFunction<String> plain) {
+    public Agent(Stage stage, String name, Catalogue catalogue, ToIntFunction<String> plain) {
         this.stage = stage;
         this.name = name;
         this.catalogue = catalogue;
@@ -201,7 +201,7 @@
     }
 
     /** As discovery lists a node, in its form. */
-    static String row(Catalogue.Entry e, int port) {
+    public static String row(Catalogue.Entry e, int port) {
         return String.format("{\"instanceId\":\"%s\",\"hostPort\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"machineType\":\"m\","
                 + "\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":%d,\"role\":\"%s\"}", e.id(), port, e.zone(),
                 e.group(), e.lifecycle(), e.startedMs(), e.leads() ? "leader" : "follower");
--- a/src/main/java/dillfront/lab/rig/Catalogue.java
+++ b/src/main/java/dillfront/lab/rig/Catalogue.java
@@ -26,7 +26,7 @@
     private final List<Version> versions = new ArrayList<>();
     private final List<Runnable> heed = new ArrayList<>();
 
-    Catalogue(long first, List<Entry> entries) {
+    public Catalogue(long first, List<Entry> entries) {
         Map<String, Entry> all = new TreeMap<>();
         entries.forEach(e -> all.put(e.id(), e));
         versions.add(new Version(first, all));
--- a/src/main/java/dillfront/lab/rig/Group.java
+++ b/src/main/java/dillfront/lab/rig/Group.java
@@ -16,7 +16,7 @@
     private final Map<String, Long> effects = new HashMap<>();
     private long lastMs;
 
-    Group(Stage stage, int number, long windowMs) {
+    public Group(Stage stage, int number, long windowMs) {
         this.stage = stage;
         this.number = number;
         this.windowMs = windowMs;
--- a/src/main/java/dillfront/lab/rig/Node.java
+++ b/src/main/java/dillfront/lab/rig/Node.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannelConfig;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -53,8 +54,7 @@
     private final double[] sent = new double[PARTS];
     private long part;
     long statements;
-    /** When each statement came, in System.nanoTime(); only for whoever asks for it. */
-    final List<Long> arrivals = new java.util.ArrayList<>();
+    private final List<Long> arrivals = new ArrayList<>();
 
     /**
      * What nodes of a rig can do.
@@ -67,7 +67,7 @@
      */
     public record Work(int cores, long micros, double coldFrom, long coldMs, double tipMultiple, long tipMs) {}
 
-    Node(Stage stage, String id, Group group, boolean leads, Work work) {
+    public Node(Stage stage, String id, Group group, boolean leads, Work work) {
         this.stage = stage;
         this.id = id;
         this.group = group;
@@ -79,6 +79,15 @@
         port = Stage.port(door);
     }
 
+    public Group group() {
+        return group;
+    }
+
+    /** When each statement came, by System.nanoTime(). */
+    public List<Long> arrivals() {
+        return stage.call(() -> List.copyOf(arrivals));
+    }
+
     public String id() {
         return id;
     }
@@ -310,7 +319,8 @@
     }
 
     private String report() {
-        return "x0=" + position() / 1000.0 + ",x1=" + (leads ? 1 : 0);
+        long ms = position();
+        return "x0=" + ms / 1000 + "." + String.valueOf(1000 + ms % 1000).substring(1) + ",x1=" + (leads ? 1 : 0);
     }
 
     private ByteBuf notes(ByteBuf out, long position) {
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -33,7 +32,7 @@
     /** What has not come by then never comes: far beyond any time that a machine under load may take. */
     private static final long PATIENCE_MS = 30_000;
 
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("stage", true));
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1, Stage::thread);
     private final EventLoop loop = group.next();
     private final long startNanos = System.nanoTime();
     /** All that happened, in its order; on the loop. Ends with the rig. */
@@ -42,6 +41,12 @@
     /** Who is behind a connection, by the port that it comes from; emptied as they close. */
     private final Map<Integer, String> behind = new HashMap<>();
 
+    private static Thread thread(Runnable work) {
+        Thread thread = new Thread(work, "stage");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     public EventLoop loop() {
         return loop;
     }
