A fleet that is back cold as a whole is sent work by what cold nodes keep up with

Cause, seen in the rig (4 routers, 6 nodes, 210 txns a second, power lost by all at once): not one txn was sent from the cut until the nodes were warm, 6 s there, coldUs elsewhere. A cold node's budget is its part of what a warm node did for this router (heldRate), and a router that began while no node was warm knows none: 0, so open() refused every cold node.

Change: dillfront.recovery.Reckoning (pure) takes over what nodes can do. Unchanged where a warm node has worked. Where none has, it learns from cold nodes by their warmth, one and a half times that while they are strained little, and begins with a sixth of what it is asked for over all nodes that were ever listed at once. The rig's routers listen on addresses of their own, so that no connection takes a port while its process is down; Load keeps its rate on a busy machine.

--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -19,6 +19,7 @@
 import dillfront.port.Spans;
 import dillfront.port.Standing;
 import dillfront.port.TxnType;
+import dillfront.recovery.Reckoning;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -254,14 +255,8 @@
     private double probeCredit;
     private int taken;
     private double takeRate;
-    /**
-     * What warm nodes did, in usual times, since a report may be worth twenty views; not all that was sent:
-     * work turned away or done cold tells nothing of it.
-     */
-    private double done;
-    private double doneRate;
-    private double doneWeight;
-    private double heldRate;
+    /** What nodes can do, in usual times, since a report may be worth twenty views. */
+    private final Reckoning reckoning = new Reckoning();
     private Duration coldAt = NEVER;
     private double median;
     /** How strained the fleet's median is, and what was out to a warm node at most while it was not. */
@@ -312,6 +307,7 @@
         allQuotas = sum;
         roomLeast = ROOM_LEAST / next.routers();
         typical = slowest();
+        reckoning.settings(next.coldFor(), next.tipAfter());
         gather();
     }
 
@@ -664,7 +660,7 @@
         }
         n.gap = n.sentAt.equals(NEVER) ? n.gap : now.minus(n.sentAt);
         n.sentAt = now;
-        n.coldCredit -= seconds(t.type.usual);
+        n.coldCredit -= seconds(cost(t.type));
         outlet.submit(t.id, n.id, limit);
         return true;
     }
@@ -882,7 +878,7 @@
         // Where answers are rare, each tells of all the time since the last.
         double weight = Math.max(GAIN, Math.min(1, since));
         if (result == Result.COMMITTED) {
-            done += cold(n) ? 0 : seconds(type.usual);
+            reckoning.did(seconds(cost(type)), part(n));
             n.pace += weight * (Math.min(4, ratio(took, type.usual)) - n.pace);
             Duration usual = type.usual.plus(times(took.minus(type.usual), GAIN / 10));
             type.usual = earlier(usual, times(type.sla, 0.5));
@@ -997,6 +993,17 @@
         return now.compareTo(n.started.plus(set.coldFor())) < 0;
     }
 
+    /** The part of a warm node's work that it can do by now at the least. */
+    private double part(Node n) {
+        double age = cold(n) ? ratio(now.minus(n.started), set.coldFor()) : 1;
+        return set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, Math.min(1, age));
+    }
+
+    /** While little is known, a cold node's budget is charged as much for a light txn as for most. */
+    private Duration cost(Type type) {
+        return reckoning.allCold() ? later(typical, type.usual) : type.usual;
+    }
+
     // ---- the beat
 
     public void woken() {
@@ -1007,6 +1014,8 @@
         beatAt = now;
         outlet.wake(beat);
         double warm = 0;
+        double cold = 0;
+        double listed = 0;
         double back = Math.max(ROOM_BACK, set.routers() / ROOM_BACK_ROUTERS);
         List<Double> shares = new ArrayList<>();
         List<Double> strains = new ArrayList<>();
@@ -1018,24 +1027,18 @@
                 strains.add(n.strain);
                 out += cold(n) ? 0 : n.out;
             }
+            listed += n.group != null ? n.size : 0;
+            cold += n.group != null && n.standing == Standing.READY && !n.lost && cold(n) ? n.size : 0;
             if (n.room < 1) {
                 n.room *= Math.pow(2, seconds / (seconds(set.dial()) * back));
             }
         }
         median = Spans.median(shares);
         strain = Spans.median(strains);
-        double kept = Math.exp(-seconds / (seconds(set.coldFor()) + 2));
-        // A plain mean: one that follows rises faster than falls stands far too high at a router of few txns.
-        if (warm > 0) {
-            inWork = strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
-            doneWeight = doneWeight * kept + seconds;
-            doneRate += (done / warm - doneRate * seconds) / doneWeight;
-            // Held for a while: in a trouble that leaves txns undone, nodes can do what they did before it.
-            boolean sure = doneWeight * 2 > seconds(set.coldFor());
-            heldRate = Math.max(doneRate, heldRate * (kept + 1) / 2);
-            heldRate = sure ? heldRate : doneRate;
-        }
-        done = 0;
+        double kept = reckoning.kept(seconds);
+        inWork = warm > 0 && strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
+        reckoning.beat(seconds, new Reckoning.Seen(warm, cold, listed, takeRate * seconds(typical),
+                strain < STRAINED / 2, inWork > 0));
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
         double work = 0;
@@ -1061,9 +1064,7 @@
             coldAt = now.plus(window);
             for (Node n : nodes) {
                 if (cold(n)) {
-                    double age = (double) now.minus(n.started).toNanos() / set.coldFor().toNanos();
-                    double part = set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, age);
-                    double safe = part * heldRate * n.size * COLD_SHARE * set.tipMultiple();
+                    double safe = part(n) * reckoning.rate() * n.size * COLD_SHARE * set.tipMultiple();
                     // What is over lapses by chance, within that time in the mean: what many routers hold
                     // and might spend at once is then no more than they are dealt in it.
                     boolean lapses = chance.nextDouble() < COLD_WINDOW;
--- a/src/main/java/dillfront/lab/rig/Caller.java
+++ b/src/main/java/dillfront/lab/rig/Caller.java
@@ -92,7 +92,7 @@
         private String said = "";
 
         void dial() {
-            ChannelFuture connecting = Sockets.connect(stage.loop(), Stage.here(router.port()), this, 5000);
+            ChannelFuture connecting = Sockets.connect(stage.loop(), router.address(), this, 5000);
             if (connecting == null) {
                 stage.loop().execute(this::ended);
                 return;
--- a/src/main/java/dillfront/lab/rig/Load.java
+++ b/src/main/java/dillfront/lab/rig/Load.java
@@ -12,6 +12,8 @@
     private final long waitMs;
     private boolean on;
     private long asked;
+    /** When the next is due, whatever the machine does meanwhile. */
+    private long due;
 
     /** @param gapMicros between two queries, over all routers */
     public Load(Rig rig, long seed, long gapMicros) {
@@ -28,6 +30,7 @@
     public void start() {
         rig.stage().run(() -> {
             on = true;
+            due = rig.stage().now();
             next();
         });
     }
@@ -40,7 +43,8 @@
         if (!on) {
             return;
         }
-        rig.stage().loop().schedule(this::next, gapNanos, TimeUnit.NANOSECONDS);
+        due += gapNanos;
+        rig.stage().loop().schedule(this::next, due - rig.stage().now(), TimeUnit.NANOSECONDS);
         Router router = rig.router(chance.nextInt(rig.routers().size()));
         Mix.Type type = Mix.TYPES.get(chance.nextInt(Mix.TYPES.size()));
         int group = chance.nextInt(rig.groups().size());
--- a/src/main/java/dillfront/lab/rig/Node.java
+++ b/src/main/java/dillfront/lab/rig/Node.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.SocketChannelConfig;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -132,8 +131,7 @@
             life++;
             door.close();
             for (Talk talk : List.copyOf(talks)) {
-                ((SocketChannelConfig) talk.ctx.channel().config()).setSoLinger(0);
-                talk.ctx.close();
+                Stage.reset(talk.ctx.channel());
             }
             stage.happened(new Happening.Ended(id, true));
         });
--- a/src/main/java/dillfront/lab/rig/Relay.java
+++ b/src/main/java/dillfront/lab/rig/Relay.java
@@ -7,7 +7,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.SocketChannelConfig;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -180,8 +179,7 @@
         void reset() {
             for (Channel channel : new Channel[] {near, far}) {
                 if (channel != null && channel.isOpen()) {
-                    ((SocketChannelConfig) channel.config()).setSoLinger(0);
-                    channel.close();
+                    Stage.reset(channel);
                 }
             }
             over();
--- a/src/main/java/dillfront/lab/rig/Rig.java
+++ b/src/main/java/dillfront/lab/rig/Rig.java
@@ -97,7 +97,7 @@
             if (plan.operator != null) {
                 more.put("LB_OPERATOR", folder.resolve(name + ".star").toString());
             }
-            Router router = new Router(stage, name, Stage.freePort(), config, command, more);
+            Router router = new Router(stage, name, Stage.free(r), config, command, more);
             routers.add(router);
             for (Node node : nodes.values()) {
                 toNode.put(name + ">" + node.id(), new Relay(stage, router::life, () -> Stage.here(node.port())));
@@ -187,7 +187,7 @@
         for (Catalogue.Entry e : catalogue.upTo(FIRST_GENERATION).entries().values()) {
             known.add(Agent.row(e, toNode.get(name + ">" + e.id()).port()));
         }
-        String text = "{'name':'" + name + "','listen':'127.0.0.1:" + routers.get(r).port() + "','discovery':'127.0.0.1:"
+        String text = "{'name':'" + name + "','listen':'" + routers.get(r).address().getHostString() + ":" + routers.get(r).address().getPort() + "','discovery':'127.0.0.1:"
                 + toAgent.get(r).get(agent).port() + "','seed':'" + Long.toHexString(0x8c1f30d27a5be964L + r) + "','limits':"
                 + "{'cores':1.0,'memory_mb':128,'sockets':512},'known':{'generation':" + FIRST_GENERATION + ",'reset':true,"
                 + "'instances':[" + String.join(",", known) + "]},'settings':" + plan.settings.apply(Mix.settings(
--- a/src/main/java/dillfront/lab/rig/Router.java
+++ b/src/main/java/dillfront/lab/rig/Router.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,7 +20,7 @@
 
     private final Stage stage;
     private final String name;
-    private final int port;
+    private final InetSocketAddress address;
     private final Path config;
     private final List<String> command;
     private final Map<String, String> more;
@@ -30,10 +31,10 @@
     /** What the present life wrote; a rig's routers say little, and end. */
     private volatile List<String> lines = List.of();
 
-    Router(Stage stage, String name, int port, Path config, List<String> command, Map<String, String> more) {
+    Router(Stage stage, String name, InetSocketAddress address, Path config, List<String> command, Map<String, String> more) {
         this.stage = stage;
         this.name = name;
-        this.port = port;
+        this.address = address;
         this.config = config;
         this.command = command;
         this.more = more;
@@ -44,8 +45,8 @@
         return name;
     }
 
-    public int port() {
-        return port;
+    public InetSocketAddress address() {
+        return address;
     }
 
     /** The process that there is, or was last. */
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -4,11 +4,13 @@
 import dillfront.sockets.Sockets;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannelConfig;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -150,14 +152,28 @@
         return bound.channel();
     }
 
+    /** Ends a connection as a machine does that knows nothing of it. */
+    static void reset(Channel channel) {
+        try {
+            ((SocketChannelConfig) channel.config()).setSoLinger(0);
+        } catch (ChannelException over) {
+            // The other side has ended it in this moment.
+        }
+        channel.close();
+    }
+
     static int port(Channel door) {
         return ((InetSocketAddress) door.localAddress()).getPort();
     }
 
-    /** One that nobody listens on now. */
-    public static int freePort() {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+    /**
+     * A loopback address of its own, with a port that nobody listens on now. Nothing else in a rig uses that address, so that
+     * none of its many connections takes the port while a process is down.
+     */
+    static InetSocketAddress free(int number) {
+        String host = "127.0.1." + (1 + number);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(host, free.getLocalPort());
         } catch (IOException none) {
             throw new IllegalStateException(none);
         }
--- /dev/null
+++ b/src/main/java/dillfront/recovery/Reckoning.java
@@ -0,0 +1,105 @@
+package dillfront.recovery;
+
+import static dillfront.port.Spans.seconds;
+
+import java.time.Duration;
+
+/**
+ * What nodes can do, as this router can tell: the work of a warm node of size one for this router, in seconds of usual time a
+ * second. A cold node is sent its part of that, by its warmth; over all routers it is then sent its part of what all do.
+ *
+ * <p>Usually it is what warm nodes did, a plain mean over about the time in which one warms, held for a while: in a trouble that
+ * leaves txns undone nodes can do what they did before it. A router that began while no node was warm knows no such figure. It
+ * learns from cold nodes instead: what they did, by their warmth, and somewhat more while that strains them little; and, so that
+ * it can begin, a part of what it is asked for. Guards against a fleet that comes back cold as a whole, as from a loss of power,
+ * and is sent nothing until it is warm, since every router waits for a warm node to show what one can do.
+ *
+ * <p>Safe in the sum over routers, however many are back: what is learned is never more than nodes did and kept up with, and the
+ * part of what is asked for is of what this router is asked, over all nodes that were ever listed at once, so that the few that
+ * are back first do not get the share of all. Harm: a crowd that asks for many times what all nodes together can do seeds too
+ * much; at five times, still under what tips a node.
+ *
+ * <p>Pure: no clock, no chance, no I/O. What it remembers is gone with the process: warmth from before permits nothing.
+ */
+public final class Reckoning {
+
+    /** The part of what is asked for that a fleet which is cold as a whole may be sent, by its warmth, before it did anything. */
+    private static final double SEED = 1 / 6.0;
+    /** And so many times what it did by its warmth, while that strains it little. */
+    private static final double KEPT_UP = 1.5;
+
+    /**
+     * The fleet at a beat; sizes are sums over nodes.
+     *
+     * @param warm nodes that are listed as ready and warm
+     * @param cold nodes that are listed as ready, in reach, and cold
+     * @param listed all that any list has named and that are not forgotten
+     * @param asked the work that this router is asked for, in usual times a second
+     * @param easy the median node is strained little
+     * @param worked a warm node has worked for this router since it began
+     */
+    public record Seen(double warm, double cold, double listed, double asked, boolean easy, boolean worked) {}
+
+    private double coldSeconds;
+    private double windowSeconds;
+    private double done;
+    private double doneRate;
+    private double doneWeight;
+    private double rate;
+    private double fleet;
+    private boolean allCold;
+
+    /**
+     * By these settings from now on.
+     *
+     * @param coldFor how long a node warms
+     * @param tipAfter for how long too much must be sent to a cold node to push it over
+     */
+    public void settings(Duration coldFor, Duration tipAfter) {
+        coldSeconds = seconds(coldFor);
+        windowSeconds = seconds(tipAfter);
+    }
+
+    /** No node is warm, and none was since this router began. */
+    public boolean allCold() {
+        return allCold;
+    }
+
+    /**
+     * A node has committed a txn.
+     *
+     * @param work its usual time, in seconds; of a cold node in place of a warm one's
+     * @param part of a warm node's work that this node can do at the least; 1 if it is warm
+     */
+    public void did(double work, double part) {
+        done += part >= 1 ? work : allCold ? work / part : 0;
+    }
+
+    /** So many seconds have gone by since the last beat. */
+    public void beat(double seconds, Seen seen) {
+        fleet = Math.max(fleet, seen.listed);
+        allCold = seen.warm == 0 && !seen.worked;
+        double by = allCold ? seen.cold : seen.warm;
+        if (by > 0) {
+            double kept = kept(seconds);
+            doneWeight = doneWeight * kept + seconds;
+            // The plain mean rises no faster than it falls: else it stands far too high at a router of few txns.
+            doneWeight = allCold ? Math.min(doneWeight, Math.max(seconds, windowSeconds)) : doneWeight;
+            doneRate += (done / by - doneRate * seconds) / doneWeight;
+            boolean sure = !allCold && doneWeight * 2 > coldSeconds;
+            rate = allCold ? doneRate * (seen.easy ? KEPT_UP : 1) + seen.asked * SEED / fleet
+                    : sure ? Math.max(doneRate, rate * (kept + 1) / 2) : doneRate;
+        }
+        done = 0;
+    }
+
+    /** What is left after so long of what fades over about the time in which a node warms. */
+    public double kept(double seconds) {
+        return Math.exp(-seconds / (coldSeconds + 2));
+    }
+
+    /** What a warm node of size one can do for this router, in usual times a second. */
+    public double rate() {
+        return rate;
+    }
+}
