Tests of power lost by all at once: three losses in recovery, six orders of return

Change: PowerTest in the rig, four routers, two groups at three sites, under load: nodes that stay cold for an hour must serve, and the loss strikes again when one router has begun to serve, then some, then all; and six orders of return (routers first, nodes first, discovery last, one site with the primaries late, half of the routers never, all at once with replicas that lost the end of their logs). All is judged over all lives. Doors of stand-ins are at 127.0.0.2, where no connection takes their port, and a door opens again once the loop has let go of it.

--- a/src/main/java/dillfront/bench/StandIns.java
+++ b/src/main/java/dillfront/bench/StandIns.java
@@ -74,7 +74,7 @@
     /** A configuration for a router that listens there. */
     String config(int port, double cores) {
         String known = first.stream().map(e -> Agent.row(e, port(e.id()))).collect(Collectors.joining(","));
-        return ("{'name':'n0','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:" + discovery.port()
+        return ("{'name':'n0','listen':'127.0.0.1:" + port + "','discovery':'" + Stage.HOST + ":" + discovery.port()
                 + "','seed':'8c1f30d27a5be964','limits':{'cores':" + cores + ",'memory_mb':128,'sockets':512},'known':"
                 + "{'generation':" + FIRST_GENERATION + ",'reset':true,'instances':[" + known + "]},'settings':" + SETTINGS + "}")
                 .replace('\'', '"');
--- a/src/main/java/dillfront/lab/rig/Agent.java
+++ b/src/main/java/dillfront/lab/rig/Agent.java
@@ -68,6 +68,11 @@
             door.close();
             List.copyOf(askers).forEach(a -> a.ctx.close());
         });
+        stage.await("an agent's door closed", () -> !door.isOpen());
+    }
+
+    public boolean up() {
+        return door.isOpen();
     }
 
     /** Says nothing from now on, and has not heard either; or speaks up again. */
@@ -202,8 +207,8 @@
 
     /** As discovery lists a node, in its form. */
     public static String row(Catalogue.Entry e, int port) {
-        return String.format("{\"instanceId\":\"%s\",\"hostPort\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"machineType\":\"m\","
-                + "\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":%d,\"role\":\"%s\"}", e.id(), port, e.zone(),
+        return String.format("{\"instanceId\":\"%s\",\"hostPort\":\"%s:%d\",\"zone\":\"%s\",\"machineType\":\"m\","
+                + "\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":%d,\"role\":\"%s\"}", e.id(), Stage.HOST, port, e.zone(),
                 e.group(), e.lifecycle(), e.startedMs(), e.leads() ? "leader" : "follower");
     }
 }
--- a/src/main/java/dillfront/lab/rig/Load.java
+++ b/src/main/java/dillfront/lab/rig/Load.java
@@ -1,5 +1,7 @@
 package dillfront.lab.rig;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -11,6 +13,7 @@
     private final long gapNanos;
     private final long waitMs;
     private boolean on;
+    private final Map<String, Integer> committed = new HashMap<>();
     private long asked;
     /** When the next is due, whatever the machine does meanwhile. */
     private long due;
@@ -35,6 +38,11 @@
         });
     }
 
+    /** On the loop: how many this life of a router has served. */
+    public int committed(String life) {
+        return committed.getOrDefault(life, 0);
+    }
+
     public void stop() {
         rig.stage().run(() -> on = false);
     }
@@ -50,7 +58,9 @@
         int group = chance.nextInt(rig.groups().size());
         String key = type.write() ? "k" + ++asked : "16-" + chance.nextInt(1000);
         if (!router.down()) {
-            router.caller().ask(type.name(), group, key, waitMs, 0, null);
+            String life = router.life();
+            router.caller().ask(type.name(), group, key, waitMs, 0, a -> committed.merge(life, a.how().equals("committed") ? 1 : 0,
+                    Integer::sum));
         }
     }
 }
--- a/src/main/java/dillfront/lab/rig/Node.java
+++ b/src/main/java/dillfront/lab/rig/Node.java
@@ -99,6 +99,10 @@
         return leads;
     }
 
+    public boolean up() {
+        return door.isOpen();
+    }
+
     public void mood(Mood now) {
         stage.run(() -> mood = now);
     }
--- a/src/main/java/dillfront/lab/rig/Rig.java
+++ b/src/main/java/dillfront/lab/rig/Rig.java
@@ -187,7 +187,7 @@
         for (Catalogue.Entry e : catalogue.upTo(FIRST_GENERATION).entries().values()) {
             known.add(Agent.row(e, toNode.get(name + ">" + e.id()).port()));
         }
-        String text = "{'name':'" + name + "','listen':'" + routers.get(r).address().getHostString() + ":" + routers.get(r).address().getPort() + "','discovery':'127.0.0.1:"
+        String text = "{'name':'" + name + "','listen':'" + routers.get(r).address().getHostString() + ":" + routers.get(r).address().getPort() + "','discovery':'" + Stage.HOST + ":"
                 + toAgent.get(r).get(agent).port() + "','seed':'" + Long.toHexString(0x8c1f30d27a5be964L + r) + "','limits':"
                 + "{'cores':1.0,'memory_mb':128,'sockets':512},'known':{'generation':" + FIRST_GENERATION + ",'reset':true,"
                 + "'instances':[" + String.join(",", known) + "]},'settings':" + plan.settings.apply(Mix.settings(
@@ -206,6 +206,22 @@
         return stage.heard(lifeAndAgent);
     }
 
+    /** Power is gone for all at once: routers, nodes, and the agents that routers are at. */
+    public void cut() {
+        routers.stream().filter(r -> !r.down()).forEach(Router::kill);
+        nodes.values().stream().filter(Node::up).forEach(Node::kill);
+        agents.forEach(all -> all.stream().filter(Agent::up).forEach(Agent::close));
+    }
+
+    /** A node is back, cold, with its data so far behind what it had, and discovery knows of it. */
+    public void back(Node node, long lostMs) {
+        node.start(lostMs);
+        stage.run(() -> {
+            Catalogue.Entry before = catalogue.entry(node.id());
+            catalogue.change(before.startedAt(node.startedMs));
+        });
+    }
+
     /** Until nobody waits for an answer. */
     public void settle() {
         stage.await("all clients had their answers", () -> routers.stream().allMatch(r -> r.caller().waiting() == 0));
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -12,6 +12,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannelConfig;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -34,6 +35,11 @@
     /** What has not come by then never comes: far beyond any time that a machine under load may take. */
     private static final long PATIENCE_MS = 30_000;
 
+    /**
+     * Where stand-ins listen. Connections come from 127.0.0.1: none of them takes the port of a door that is shut for a while.
+     */
+    public static final String HOST = "127.0.0.2";
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, Stage::thread);
     private final EventLoop loop = group.next();
     private final long startNanos = System.nanoTime();
@@ -123,11 +129,7 @@
             if (System.nanoTime() - until > 0) {
                 throw new IllegalStateException("it never came that " + what);
             }
-            try {
-                Thread.sleep(1);
-            } catch (InterruptedException stopped) {
-                throw new IllegalStateException(stopped);
-            }
+            pause();
         }
     }
 
@@ -139,17 +141,32 @@
         loop.schedule(() -> loop.schedule(then, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
     }
 
-    /** A door on loopback; port 0 asks for one. On the loop or off it. */
+    /**
+     * A door on loopback; port 0 asks for one. Off the loop: one that was just shut lets go of its port only as the loop next
+     * looks at its sockets, so a port that is taken is tried again.
+     */
     Channel listen(int port, Supplier<Ears> each) {
-        ChannelFuture bound = call(() -> Sockets.listen(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024,
-                WriteBufferWaterMark.DEFAULT, () -> new Unpooled(each.get())));
-        if (!loop.inEventLoop()) {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (true) {
+            ChannelFuture bound = call(() -> Sockets.listen(loop, here(port), 1024, WriteBufferWaterMark.DEFAULT,
+                    () -> new Unpooled(each.get())));
             bound.awaitUninterruptibly(PATIENCE_MS);
+            if (bound.isSuccess()) {
+                return bound.channel();
+            }
+            if (!(bound.cause() instanceof BindException) || System.nanoTime() - until > 0) {
+                throw new IllegalStateException("port " + port, bound.cause());
+            }
+            pause();
         }
-        if (bound.isDone() && !bound.isSuccess()) {
-            throw new IllegalStateException("port " + port, bound.cause());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(1);
+        } catch (InterruptedException stopped) {
+            throw new IllegalStateException(stopped);
         }
-        return bound.channel();
     }
 
     /** Ends a connection as a machine does that knows nothing of it. */
@@ -180,7 +197,7 @@
     }
 
     static InetSocketAddress here(int port) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        return new InetSocketAddress(HOST, port);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/dillfront/lab/rig/PowerTest.java
@@ -0,0 +1,150 @@
+package dillfront.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** All lose power in one moment, under load, and come back in this order or that; the five rules hold over all of it. */
+class PowerTest {
+
+    private static final int ROUTERS = 4;
+    /** Far longer than a test may wait: who serves, serves from cold nodes. */
+    private static final Node.Work ALWAYS_COLD = new Node.Work(2, 5000, 0.2, 3_600_000, 2, 1000);
+    private static final Node.Work USUAL = new Node.Work(2, 5000, 0.2, 3000, 2, 1000);
+
+    private Rig rig;
+    private Load load;
+
+    private void begin(Node.Work work) throws Exception {
+        rig = new Rig(Rig.Plan.of(ROUTERS, 2, 3).work(work).zones("a", "b", "c"));
+        rig.start();
+        load = new Load(rig, 30, 5000);
+        load.start();
+        served(20, IntStream.range(0, ROUTERS).toArray());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+    }
+
+    /** Until each of these has served so many in its present life. */
+    private void served(int many, int... who) {
+        for (int r : who) {
+            String life = rig.router(r).life();
+            rig.stage().await(life + " served " + many, () -> load.committed(life) >= many);
+        }
+    }
+
+    private void back(long lostMs, String... ids) {
+        for (String id : ids) {
+            rig.back(rig.node(id), lostMs);
+        }
+    }
+
+    private void routers(int... who) {
+        for (int r : who) {
+            rig.router(r).start();
+        }
+        for (int r : who) {
+            rig.router(r).awaitServing();
+        }
+    }
+
+    private void agents() {
+        for (int r = 0; r < ROUTERS; r++) {
+            rig.agent(r, 0).open();
+        }
+    }
+
+    private void judge() {
+        load.stop();
+        rig.settle();
+        rig.routers().stream().filter(r -> !r.down()).forEach(Router::end);
+        Audit audit = Audit.of(rig.stage().record());
+        assertEquals(List.of(), audit.breaches().stream().limit(5).toList());
+        assertTrue(audit.peak() < 0.8, "a cold node got " + audit.peak() + " of what tips it");
+    }
+
+    /** Guards against routers that wait for a warm node to show what one can do, where there is none. */
+    @Test
+    void aFleetThatIsColdAsAWholeIsServedFrom() throws Exception {
+        begin(ALWAYS_COLD);
+        for (int loss = 0; loss < 3; loss++) {
+            rig.cut();
+            for (Node node : rig.nodes()) {
+                rig.back(node, 0);
+            }
+            agents();
+            routers(0, 1, 2, 3);
+            // The next loss strikes when one has just begun to serve, then some have, then all.
+            served(1 + 20 * loss, IntStream.rangeClosed(0, loss + 1).toArray());
+        }
+        judge();
+    }
+
+    /** Guards against what depends on who is back first. */
+    @Test
+    void theyComeBackInSixOrders() throws Exception {
+        begin(USUAL);
+        String[] all = rig.nodes().stream().map(Node::id).toArray(String[]::new);
+        for (int order = 0; order < 6; order++) {
+            rig.cut();
+            switch (order) {
+                case 0 -> {
+                    // Routers first: they know the nodes from of old, and nobody answers.
+                    routers(0, 1, 2, 3);
+                    back(0, all);
+                    agents();
+                }
+                case 1 -> {
+                    back(0, all);
+                    agents();
+                    routers(0, 1, 2, 3);
+                }
+                case 2 -> {
+                    // Discovery last: until then the old list holds.
+                    back(0, all);
+                    routers(0, 1, 2, 3);
+                    served(5, 0, 1, 2, 3);
+                    agents();
+                }
+                case 3 -> {
+                    // One site late, with the primaries of both groups.
+                    agents();
+                    back(0, "s-1", "s-2", "s-4", "s-5");
+                    routers(0, 1, 2, 3);
+                    back(0, "s-0", "s-3");
+                }
+                case 4 -> {
+                    // Half of the routers never come back.
+                    back(0, all);
+                    agents();
+                    routers(0, 1);
+                    served(40, 0, 1);
+                }
+                default -> {
+                    // All at once, in no order at all; replicas have lost the end of their logs.
+                    List<Thread> threads = new ArrayList<>();
+                    threads.add(new Thread(() -> routers(0, 1, 2, 3)));
+                    threads.add(new Thread(this::agents));
+                    threads.forEach(Thread::start);
+                    back(0, "s-0", "s-3");
+                    back(20_000, "s-1", "s-2", "s-4", "s-5");
+                    for (Thread thread : threads) {
+                        thread.join();
+                    }
+                }
+            }
+            if (order != 4) {
+                served(40, 0, 1, 2, 3);
+            }
+        }
+        judge();
+    }
+}
