Memory of what closed a node, over a loss of power, off without the operator's file

Need: a router that is started anew knows its nodes by an old list; where discovery comes back older than it was, a node that had been told to drain is sent to again.

Change: dillfront.memory, on by memory(folder) in the operator's file. `status` at the control door.

--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -30,6 +30,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The module and what it drives: words of the network become its calls, its results go out again. */
 final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener, Neighbours.Decisions {
@@ -88,6 +89,11 @@
         fleet.news(watch::look);
     }
 
+    /** Who remembers for a later life, and what is remembered from an earlier one. Before the first list. */
+    void remembers(Consumer<MemberList> memory) {
+        memory.accept(members);
+    }
+
     /** Others' words on nodes come through these. Before the first list. */
     void hears(Neighbours others) {
         neighbours = others;
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -6,6 +6,7 @@
 import dillfront.config.Setup;
 import dillfront.control.Control;
 import dillfront.log.Log;
+import dillfront.memory.Memory;
 import dillfront.operator.Operator;
 import dillfront.peers.Datagrams;
 import dillfront.peers.Neighbours;
@@ -23,6 +24,8 @@
     private final Datagrams datagrams;
     private final Control control;
     private final Doorkeeper doorkeeper;
+    /** Null where nothing is remembered. */
+    private final Memory memory;
 
     Side(Operator operator, Config config, Router router, Clients clients, EventLoop loop, Log log) throws Operator.BadOperator {
         String name = config.name();
@@ -32,6 +35,13 @@
         if (doorkeeper != null) {
             clients.ask(doorkeeper);
         }
+        memory = operator.memory() == null ? null : Memory.open(operator.memory(), name, log);
+        if (memory != null) {
+            router.remembers(members -> {
+                memory.closings().forEach(c -> members.recall(c.id(), c.standing(), c.startedMs(), c.generation()));
+                members.keeper(memory);
+            });
+        }
         Operator.GossipPart gossip = operator.gossip();
         if (gossip == null) {
             neighbours = null;
@@ -50,7 +60,8 @@
                 switch (question) {
                     case "peers" -> datagrams == null ? "gossip is off\n" : Standing.table(datagrams, neighbours);
                     case "peers json" -> datagrams == null ? "{}\n" : Standing.json(datagrams, neighbours);
-                    default -> "unknown question; known: peers, peers json\n";
+                    case "status" -> memory == null ? "memory is off\n" : memory.status();
+                    default -> "unknown question; known: peers, peers json, status\n";
                 });
     }
 
@@ -82,5 +93,8 @@
         if (doorkeeper != null) {
             doorkeeper.close();
         }
+        if (memory != null) {
+            memory.close();
+        }
     }
 }
--- a/src/main/java/dillfront/lab/rig/Audit.java
+++ b/src/main/java/dillfront/lab/rig/Audit.java
@@ -35,7 +35,11 @@
         boolean over;
         /** Told, and not yet shown to be read. */
         final List<Happening.Told> told = new ArrayList<>();
-        final Map<String, Closing> closed = new HashMap<>();
+        final Map<String, Closing> closed;
+
+        Life(Map<String, Closing> closed) {
+            this.closed = closed;
+        }
     }
 
     private static final class Txn {
@@ -53,11 +57,22 @@
     private double peak;
     private int sent;
 
-    private Audit() {}
+    /** What closes a node binds a router in all its lives, since it remembers; else in the life that has heard it. */
+    private final boolean remembers;
+    private final Map<String, Map<String, Closing>> closed = new HashMap<>();
+
+    private Audit(boolean remembers) {
+        this.remembers = remembers;
+    }
 
     /** All breaches of this record; the run is over, and who has no answer by now gets none. */
     public static Audit of(List<Happening> record) {
-        Audit audit = new Audit();
+        return of(record, false);
+    }
+
+    /** @param remembers routers keep over their lives what closes a node */
+    public static Audit of(List<Happening> record, boolean remembers) {
+        Audit audit = new Audit(remembers);
         record.forEach(audit::next);
         audit.end();
         return audit;
@@ -89,7 +104,8 @@
     }
 
     private Life life(String name) {
-        return lives.computeIfAbsent(name, k -> new Life());
+        String who = remembers ? name.replaceAll("#.*", "") : name;
+        return lives.computeIfAbsent(name, k -> new Life(closed.computeIfAbsent(who, w -> new HashMap<>())));
     }
 
     private Txn txn(String id) {
--- a/src/main/java/dillfront/list/Closings.java
+++ b/src/main/java/dillfront/list/Closings.java
@@ -15,7 +15,14 @@
  *
  * <p>Pure: no clock, no socket; decided by what the lists say alone.
  */
-final class Closings {
+public final class Closings {
+
+    /** Who is told of each change, so that a later life may begin with them. */
+    public interface Keeper {
+        void closed(String id, Standing standing, long startedMs, long generation);
+
+        void opened(String id);
+    }
 
     /** How many nodes are remembered, in lists of the present length; those closed first are forgotten first. */
     private static final int LISTS = 4;
@@ -26,6 +33,12 @@
 
     /** Emptied by words that open a node again, and at the bound. */
     private final Map<String, Closing> closed = new LinkedHashMap<>();
+    private Keeper keeper;
+
+    /** From now on; what is remembered from before is told by close() before that. */
+    void keeper(Keeper of) {
+        keeper = of;
+    }
 
     /**
      * A list says this of a node; what holds after it.
@@ -43,7 +56,9 @@
         if (older) {
             return before.standing;
         }
-        closed.remove(id);
+        if (closed.remove(id) != null && keeper != null) {
+            keeper.opened(id);
+        }
         return said;
     }
 
@@ -53,8 +68,12 @@
         if (before == null || generation >= before.generation || startedMs > before.startedMs) {
             boolean drained = before != null && before.standing == Standing.DRAINING && startedMs <= before.startedMs;
             closed.remove(id);
-            closed.put(id, new Closing(before == null ? generation : Math.max(generation, before.generation),
-                    drained ? Standing.DRAINING : said, before == null ? startedMs : Math.max(startedMs, before.startedMs)));
+            Closing now = new Closing(before == null ? generation : Math.max(generation, before.generation),
+                    drained ? Standing.DRAINING : said, before == null ? startedMs : Math.max(startedMs, before.startedMs));
+            closed.put(id, now);
+            if (keeper != null && !now.equals(before)) {
+                keeper.closed(id, now.standing, now.startedMs, now.generation);
+            }
         }
     }
 
@@ -63,8 +82,11 @@
         int most = Math.max(LEAST, LISTS * listed);
         Iterator<String> first = closed.keySet().iterator();
         while (closed.size() > most) {
-            first.next();
+            String forgotten = first.next();
             first.remove();
+            if (keeper != null) {
+                keeper.opened(forgotten);
+            }
         }
     }
 }
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -50,6 +50,16 @@
         setup = next;
     }
 
+    /** A word that closed a node, heard in an earlier life: only a newer word or a new start opens it again. */
+    public void recall(String id, Standing standing, long startedMs, long generation) {
+        closings.close(id, standing, startedMs, generation);
+    }
+
+    /** Who keeps such words for a later life. */
+    public void keeper(Closings.Keeper keeper) {
+        closings.keeper(keeper);
+    }
+
     /** Whether any list has named this group, or none has come yet. */
     public boolean mayHave(int group) {
         return groups.isEmpty() || groups.contains(group);
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -38,6 +38,7 @@
  *   peer("r1", address = "10.0.0.4:7946", keys = ["64 hex digits", {"key": "...", "from": "2026-12-01T00:00:00Z",
  *        "until": "2027-01-01T00:00:00Z"}])
  *   control("127.0.0.1:9946")
+ *   memory(folder = "/var/lib/dillfront/r1")
  *   identity(jwks = "keys.json", issuer = "depot", certificate = "door.pem", key = "door.key", revoked = "revoked.txt")
  *   role("reader", [allow(types = ["history"], access = "r", prefix = "hotel-7/"), deny(prefix = "hotel-7/safe")])
  *   principal("billing-7", tenant = "hotel-7", roles = ["reader"], rate = 50, at_once = 8)
@@ -46,11 +47,12 @@
  * @param gossip null where it is off
  * @param identity null where all are served
  * @param file where it was read
+ * @param memory the folder where a router keeps what restricts its next life; null where it keeps nothing
  * @param control where the instance answers questions about itself, on a loopback address; null where it does not
  */
-public record Operator(GossipPart gossip, InetSocketAddress control, IdentityPart identity, Path file) {
+public record Operator(GossipPart gossip, InetSocketAddress control, IdentityPart identity, Path memory, Path file) {
 
-    public static final Operator NONE = new Operator(null, null, null, null);
+    public static final Operator NONE = new Operator(null, null, null, null, null);
 
     /**
      * @param keyFile of this instance's private key, PKCS #8 in PEM
@@ -175,6 +177,7 @@
         private InetSocketAddress control;
         private final String file;
         private IdentityPart identity;
+        private Path memory;
         private final Map<String, List<RuleText>> roles = new HashMap<>();
         private final List<PrincipalText> principals = new ArrayList<>();
 
@@ -351,6 +354,16 @@
             return null;
         }
 
+        Object memory(Script.Arguments given) throws ScriptError {
+            String folder = given.text("folder", "");
+            given.done();
+            if (folder.isEmpty() || memory != null) {
+                throw given.error("folder", memory != null ? "memory() is there twice" : "memory() needs 'folder'");
+            }
+            memory = Path.of(folder);
+            return null;
+        }
+
         private static long number(Script.Arguments given, String name, long otherwise, long least, long most)
                 throws ScriptError {
             long value = given.number(name, otherwise);
@@ -392,7 +405,7 @@
                 throw new BadOperator("principals, but no identity(): all would be served");
             }
             if (tuning == null) {
-                return new Operator(null, control, identity, Path.of(file));
+                return new Operator(null, control, identity, memory, Path.of(file));
             }
             if (ring.size() < 2) {
                 throw new BadOperator("gossip() with " + ring.size() + " peers: expected this instance and another");
@@ -400,7 +413,7 @@
             if (3 * tuning.liars() > ring.size()) {
                 throw new BadOperator("liars = " + tuning.liars() + " of " + ring.size() + " peers: expected a third at the most");
             }
-            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey), control, identity, Path.of(file));
+            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey), control, identity, memory, Path.of(file));
         }
     }
 
@@ -428,6 +441,7 @@
         words.put("peer", saying::peer);
         words.put("control", saying::control);
         words.put("identity", saying::identity);
+        words.put("memory", saying::memory);
         words.put("allow", given -> saying.rule(true, given));
         words.put("deny", given -> saying.rule(false, given));
         words.put("role", saying::role);
--- a/src/test/java/dillfront/lab/rig/PowerTest.java
+++ b/src/test/java/dillfront/lab/rig/PowerTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -21,7 +25,11 @@
     private Load load;
 
     private void begin(Node.Work work) throws Exception {
-        rig = new Rig(Rig.Plan.of(ROUTERS, 2, 3).work(work).zones("a", "b", "c"));
+        begin(Rig.Plan.of(ROUTERS, 2, 3).work(work).zones("a", "b", "c"));
+    }
+
+    private void begin(Rig.Plan plan) throws Exception {
+        rig = new Rig(plan);
         rig.start();
         load = new Load(rig, 30, 5000);
         load.start();
@@ -63,10 +71,14 @@
     }
 
     private void judge() {
+        judge(false);
+    }
+
+    private void judge(boolean remember) {
         load.stop();
         rig.settle();
         rig.routers().stream().filter(r -> !r.down()).forEach(Router::end);
-        Audit audit = Audit.of(rig.stage().record());
+        Audit audit = Audit.of(rig.stage().record(), remember);
         assertEquals(List.of(), audit.breaches().stream().limit(5).toList());
         assertTrue(audit.peak() < 0.8, "a cold node got " + audit.peak() + " of what tips it");
     }
@@ -147,4 +159,48 @@
         }
         judge();
     }
+
+    private final InetSocketAddress[] doors = new InetSocketAddress[ROUTERS];
+
+    /** What an instance says of itself. */
+    private String asked(int r, String question) {
+        try (Socket socket = new Socket(doors[r].getAddress(), doors[r].getPort())) {
+            socket.setSoTimeout(3000);
+            socket.getOutputStream().write(question.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException notNow) {
+            return "";
+        }
+    }
+
+    /** Guards against a drain that is forgotten with the power, where discovery itself comes back older than it was. */
+    @Test
+    void aNodeThatDrainedStaysClosedInTheNextLife() throws Exception {
+        for (int r = 0; r < ROUTERS; r++) {
+            doors[r] = Stage.free(100 + r);
+        }
+        begin(Rig.Plan.of(ROUTERS, 2, 3).work(USUAL).operator((set, r) -> "memory(folder = \"" + set.folder().resolve("m" + r)
+                + "\")\ncontrol(\"" + doors[r].getHostString() + ":" + doors[r].getPort() + "\")\n"));
+        rig.stage().run(() -> rig.catalogue().change(rig.catalogue().entry("s-2").is("draining")));
+        rig.stage().run(() -> rig.catalogue().change(rig.catalogue().entry("s-5").is("gone")));
+        for (int r = 0; r < ROUTERS; r++) {
+            int who = r;
+            rig.stage().await("router " + r + " has heard", () -> rig.heard(rig.router(who).life() + "<a0") == 43);
+            while (!asked(r, "status\n").contains("closings=2 written=2 waiting=0")) {
+                Thread.sleep(5);
+            }
+        }
+        rig.cut();
+        // The nodes never went down: they are not newly started, so no list opens them by that.
+        for (Node node : rig.nodes()) {
+            node.start(0);
+        }
+        for (int r = 0; r < ROUTERS; r++) {
+            rig.agent(r, 0).upTo(41);
+        }
+        agents();
+        routers(0, 1, 2, 3);
+        served(40, 0, 1, 2, 3);
+        judge(true);
+    }
 }
