--- a/src/main/java/dillfront/cli/Commands.java
+++ b/src/main/java/dillfront/cli/Commands.java
@@ -32,7 +32,7 @@
             "  drill     decide on the simulator's wire, from standard input to standard output",
             "  serve     be one router, as LB_CONFIG, the other LB_ variables and LB_OPERATOR say",
             "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads"},
-        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Keygen.class, Keys.class})
+        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Status.class, Commands.Keygen.class, Keys.class})
 final class Commands implements Runnable {
 
     private static final int PATIENCE_MS = 3000;
@@ -97,16 +97,14 @@
         }
     }
 
-    /** Asks a running instance. */
-    @Command(name = "peers", description = "What a running instance thinks of its peers, and of nodes by hearsay.")
-    static final class Peers implements Callable<Integer> {
+    /** Asks a running instance one question. */
+    abstract static class Asking implements Callable<Integer> {
 
         @Option(names = "--control", paramLabel = "ADDRESS", required = true,
                 description = "where it answers, as control() in the operator's file says")
         private String control;
 
-        @Option(names = "--json", description = "as JSON instead of a table")
-        private boolean json;
+        abstract String question();
 
         @Override
         public Integer call() {
@@ -117,7 +115,7 @@
             try (Socket socket = new Socket()) {
                 socket.connect(address, PATIENCE_MS);
                 socket.setSoTimeout(PATIENCE_MS);
-                socket.getOutputStream().write((json ? "peers json\n" : "peers\n").getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write((question() + "\n").getBytes(StandardCharsets.US_ASCII));
                 InputStream in = socket.getInputStream();
                 new PrintStream(System.out, true, StandardCharsets.UTF_8).print(new String(in.readAllBytes(), StandardCharsets.UTF_8));
                 return 0;
@@ -127,6 +125,27 @@
         }
     }
 
+    @Command(name = "peers", description = "What a running instance thinks of its peers, and of nodes by hearsay.")
+    static final class Peers extends Asking {
+
+        @Option(names = "--json", description = "as JSON instead of a table")
+        private boolean json;
+
+        @Override
+        String question() {
+            return json ? "peers json" : "peers";
+        }
+    }
+
+    @Command(name = "status", description = "What a running instance remembers for its next life.")
+    static final class Status extends Asking {
+
+        @Override
+        String question() {
+            return "status";
+        }
+    }
+
     /** Makes a key pair. */
     @Command(name = "keygen", description = "Makes a key of an instance: the private one into FILE, the public one is printed.")
     static final class Keygen implements Callable<Integer> {
