The rig tells connections apart by both ports; connections hang as a node leaves

Cause: one round in three of WordsTest, with connections to a node that hang, ended with a router that never knew the list. The record named whoever asked by the port it came from; one port may serve connections to several places at once, so the end of one took the name from another, and what it heard went to nobody. Not the router: its log had no list-silent, and it asked on.

Change: Stage keeps who is behind a connection by both its ports, and lets go as soon as that connection ends. WordsTest plays one kind of round more: connections to a node come up and hang while it leaves the list and its row is taken again (an index given back while an old pool is held: nothing is sent, as reading had said). The message of a round that never ends says what the router said.

--- a/src/main/java/dillfront/lab/rig/Relay.java
+++ b/src/main/java/dillfront/lab/rig/Relay.java
@@ -104,6 +104,7 @@
         private Channel far;
         private boolean farUp;
         private int farPort;
+        private int targetPort;
         private boolean over;
 
         void open(Channel from) {
@@ -126,7 +127,8 @@
         void up() {
             farUp = true;
             farPort = ((InetSocketAddress) far.localAddress()).getPort();
-            stage.behind(farPort, origin);
+            targetPort = ((InetSocketAddress) far.remoteAddress()).getPort();
+            stage.behind(farPort, targetPort, origin);
             goOn();
         }
 
@@ -164,6 +166,9 @@
 
         /** The other side hears of an end as it would without a relay, but through a cut nobody hears of it. */
         void ended(boolean nearEnded) {
+            if (!nearEnded) {
+                portIsFree();
+            }
             if (nearEnded && there == Way.PASS && far != null) {
                 over();
                 far.flush();
@@ -185,11 +190,19 @@
             over();
         }
 
+        /** Once, and as soon as it is so: the next connection may have the same port, and another name behind it. */
+        private void portIsFree() {
+            if (farPort != 0) {
+                stage.behind(farPort, targetPort, null);
+                farPort = 0;
+            }
+        }
+
         private void over() {
             if (!over) {
                 over = true;
                 links.remove(this);
-                stage.behind(farPort, null);
+                portIsFree();
                 toFar.forEach(ByteBuf::release);
                 toNear.forEach(ByteBuf::release);
                 toFar.clear();
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -46,8 +46,8 @@
     /** All that happened, in its order; on the loop. Ends with the rig. */
     private final List<Happening> record = new ArrayList<>();
     private final Map<String, Long> heard = new HashMap<>();
-    /** Who is behind a connection, by the port that it comes from; emptied as they close. */
-    private final Map<Integer, String> behind = new HashMap<>();
+    /** Who is behind a connection, by both its ports, as one port may serve to several places; emptied as they close. */
+    private final Map<Long, String> behind = new HashMap<>();
 
     private static Thread thread(Runnable work) {
         Thread thread = new Thread(work, "stage");
@@ -77,19 +77,23 @@
         return heard.getOrDefault(lifeAndAgent, -1L);
     }
 
-    /** On the loop: from here on a connection from this port is known as that of the one named. */
-    void behind(int port, String who) {
+    /** On the loop: this connection, open on our side, is one of whoever is named; null once it is over. */
+    void behind(int from, int to, String who) {
         if (who == null) {
-            behind.remove(port);
+            behind.remove(key(from, to));
         } else {
-            behind.put(port, who);
+            behind.put(key(from, to), who);
         }
     }
 
-    /** On the loop; the port itself where nobody is known behind it. */
+    private static long key(int from, int to) {
+        return (long) from << 16 | to;
+    }
+
+    /** On the loop: who is behind one that was accepted; its port where nobody is known. */
     String behind(Channel accepted) {
-        int port = ((InetSocketAddress) accepted.remoteAddress()).getPort();
-        return behind.getOrDefault(port, "port-" + port);
+        int from = ((InetSocketAddress) accepted.remoteAddress()).getPort();
+        return behind.getOrDefault(key(from, port(accepted)), "port-" + from);
     }
 
     /** A copy of what happened so far. */
--- a/src/test/java/dillfront/lab/rig/WordsTest.java
+++ b/src/test/java/dillfront/lab/rig/WordsTest.java
@@ -96,7 +96,7 @@
             set.start();
             Load load = new Load(set, 7, 2000);
             load.start();
-            int[] seen = new int[9];
+            int[] seen = new int[10];
             for (int round = 0; round < ROUNDS; round++) {
                 int kind = chance.nextInt(seen.length);
                 seen[kind]++;
@@ -120,7 +120,12 @@
     /** Until this router has shown, at the agent that it is at, that it knows the latest that this agent knows. */
     private void knows(int r) {
         String life = rig.router(r).life() + "<a" + at[r];
-        rig.stage().await(life + " knows the list", () -> rig.heard(life) >= rig.catalogue().latest().generation());
+        try {
+            rig.stage().await(life + " knows the list", () -> rig.heard(life) >= rig.catalogue().latest().generation());
+        } catch (IllegalStateException never) {
+            throw new IllegalStateException(never.getMessage() + "; it knows " + rig.heard(life) + " of "
+                    + rig.catalogue().latest().generation() + ", and said " + rig.router(r).lines(), never);
+        }
     }
 
     private void play(int kind, int r, int node) {
@@ -148,6 +153,15 @@
                 rig.stage().run(() -> catalogue.change(toggled(id)));
                 rig.router(r).signal("CONT");
             }
+            case 8 -> {
+                // Connections to the node hang as they come up, while it leaves the list and another takes its row.
+                rig.link(r, id).ways(Relay.Way.PASS, Relay.Way.HOLD);
+                for (int i = 0; i < 3; i++) {
+                    rig.stage().run(() -> catalogue.change(toggled(id)));
+                    knows(r);
+                }
+                rig.link(r, id).ways(Relay.Way.PASS, Relay.Way.PASS);
+            }
             default -> {
                 Router router = rig.router(r);
                 if (node % 2 == 0) {
