--- a/src/main/java/dillfront/lab/rig/Load.java
+++ b/src/main/java/dillfront/lab/rig/Load.java
@@ -1,5 +1,7 @@
 package dillfront.lab.rig;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -11,7 +13,10 @@
     private final long gapNanos;
     private final long waitMs;
     private boolean on;
+    private final Map<String, Integer> committed = new HashMap<>();
     private long asked;
+    /** When the next is due, whatever the machine does meanwhile. */
+    private long due;
 
     /** @param gapMicros between two queries, over all routers */
     public Load(Rig rig, long seed, long gapMicros) {
@@ -28,10 +33,16 @@
     public void start() {
         rig.stage().run(() -> {
             on = true;
+            due = rig.stage().now();
             next();
         });
     }
 
+    /** On the loop: how many this life of a router has served. */
+    public int committed(String life) {
+        return committed.getOrDefault(life, 0);
+    }
+
     public void stop() {
         rig.stage().run(() -> on = false);
     }
@@ -40,13 +51,16 @@
         if (!on) {
             return;
         }
-        rig.stage().loop().schedule(this::next, gapNanos, TimeUnit.NANOSECONDS);
+        due += gapNanos;
+        rig.stage().loop().schedule(this::next, due - rig.stage().now(), TimeUnit.NANOSECONDS);
         Router router = rig.router(chance.nextInt(rig.routers().size()));
         Mix.Type type = Mix.TYPES.get(chance.nextInt(Mix.TYPES.size()));
         int group = chance.nextInt(rig.groups().size());
         String key = type.write() ? "k" + ++asked : "16-" + chance.nextInt(1000);
         if (!router.down()) {
-            router.caller().ask(type.name(), group, key, waitMs, 0, null);
+            String life = router.life();
+            router.caller().ask(type.name(), group, key, waitMs, 0, a -> committed.merge(life, a.how().equals("committed") ? 1 : 0,
+                    Integer::sum));
         }
     }
 }
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -4,12 +4,15 @@
 import dillfront.sockets.Sockets;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannelConfig;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -32,14 +35,19 @@
     /** What has not come by then never comes: far beyond any time that a machine under load may take. */
     private static final long PATIENCE_MS = 30_000;
 
+    /**
+     * Where stand-ins listen. Connections come from 127.0.0.1: none of them takes the port of a door that is shut for a while.
+     */
+    public static final String HOST = "127.0.0.2";
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, Stage::thread);
     private final EventLoop loop = group.next();
     private final long startNanos = System.nanoTime();
     /** All that happened, in its order; on the loop. Ends with the rig. */
     private final List<Happening> record = new ArrayList<>();
     private final Map<String, Long> heard = new HashMap<>();
-    /** Who is behind a connection, by the port that it comes from; emptied as they close. */
-    private final Map<Integer, String> behind = new HashMap<>();
+    /** Who is behind a connection, by both its ports, as one port may serve to several places; emptied as they close. */
+    private final Map<Long, String> behind = new HashMap<>();
 
     private static Thread thread(Runnable work) {
         Thread thread = new Thread(work, "stage");
@@ -69,19 +77,23 @@
         return heard.getOrDefault(lifeAndAgent, -1L);
     }
 
-    /** On the loop: from here on a connection from this port is known as that of the one named. */
-    void behind(int port, String who) {
+    /** On the loop: this connection, open on our side, is one of whoever is named; null once it is over. */
+    void behind(int from, int to, String who) {
         if (who == null) {
-            behind.remove(port);
+            behind.remove(key(from, to));
         } else {
-            behind.put(port, who);
+            behind.put(key(from, to), who);
         }
     }
 
-    /** On the loop; the port itself where nobody is known behind it. */
+    private static long key(int from, int to) {
+        return (long) from << 16 | to;
+    }
+
+    /** On the loop: who is behind one that was accepted; its port where nobody is known. */
     String behind(Channel accepted) {
-        int port = ((InetSocketAddress) accepted.remoteAddress()).getPort();
-        return behind.getOrDefault(port, "port-" + port);
+        int from = ((InetSocketAddress) accepted.remoteAddress()).getPort();
+        return behind.getOrDefault(key(from, port(accepted)), "port-" + from);
     }
 
     /** A copy of what happened so far. */
@@ -121,11 +133,7 @@
             if (System.nanoTime() - until > 0) {
                 throw new IllegalStateException("it never came that " + what);
             }
-            try {
-                Thread.sleep(1);
-            } catch (InterruptedException stopped) {
-                throw new IllegalStateException(stopped);
-            }
+            pause();
         }
     }
 
@@ -137,34 +145,63 @@
         loop.schedule(() -> loop.schedule(then, 0, TimeUnit.NANOSECONDS), 0, TimeUnit.NANOSECONDS);
     }
 
-    /** A door on loopback; port 0 asks for one. On the loop or off it. */
+    /**
+     * A door on loopback; port 0 asks for one. Off the loop: one that was just shut lets go of its port only as the loop next
+     * looks at its sockets, so a port that is taken is tried again.
+     */
     Channel listen(int port, Supplier<Ears> each) {
-        ChannelFuture bound = call(() -> Sockets.listen(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024,
-                WriteBufferWaterMark.DEFAULT, () -> new Unpooled(each.get())));
-        if (!loop.inEventLoop()) {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        while (true) {
+            ChannelFuture bound = call(() -> Sockets.listen(loop, here(port), 1024, WriteBufferWaterMark.DEFAULT,
+                    () -> new Unpooled(each.get())));
             bound.awaitUninterruptibly(PATIENCE_MS);
+            if (bound.isSuccess()) {
+                return bound.channel();
+            }
+            if (!(bound.cause() instanceof BindException) || System.nanoTime() - until > 0) {
+                throw new IllegalStateException("port " + port, bound.cause());
+            }
+            pause();
         }
-        if (bound.isDone() && !bound.isSuccess()) {
-            throw new IllegalStateException("port " + port, bound.cause());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(1);
+        } catch (InterruptedException stopped) {
+            throw new IllegalStateException(stopped);
         }
-        return bound.channel();
+    }
+
+    /** Ends a connection as a machine does that knows nothing of it. */
+    static void reset(Channel channel) {
+        try {
+            ((SocketChannelConfig) channel.config()).setSoLinger(0);
+        } catch (ChannelException over) {
+            // The other side has ended it in this moment.
+        }
+        channel.close();
     }
 
     static int port(Channel door) {
         return ((InetSocketAddress) door.localAddress()).getPort();
     }
 
-    /** One that nobody listens on now. */
-    public static int freePort() {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+    /**
+     * A loopback address of its own, with a port that nobody listens on now. Nothing else in a rig uses that address, so that
+     * none of its many connections takes the port while a process is down.
+     */
+    static InetSocketAddress free(int number) {
+        String host = "127.0.1." + (1 + number);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(host, free.getLocalPort());
         } catch (IOException none) {
             throw new IllegalStateException(none);
         }
     }
 
     static InetSocketAddress here(int port) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        return new InetSocketAddress(HOST, port);
     }
 
     @Override
