--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -1038,7 +1038,8 @@
         double kept = reckoning.kept(seconds);
         inWork = warm > 0 && strain < STRAINED ? Math.max(inWork * kept, out / warm) : inWork;
         boolean easy = strains.isEmpty() || strains.get(strains.size() - 1) < STRAINED / 2;
-        reckoning.beat(seconds, new Reckoning.Seen(warm, cold, listed, takeRate, seconds(typical), easy, inWork > 0));
+        reckoning.beat(seconds, new Reckoning.Seen(warm, cold, listed, takeRate, seconds(typical), easy,
+                inWork > 0));
         takeRate += Math.min(1, seconds) * (taken / seconds - takeRate);
         taken = 0;
         double work = 0;
