--- a/src/main/java/dillfront/lab/PowerMeasure.java
+++ b/src/main/java/dillfront/lab/PowerMeasure.java
@@ -5,10 +5,19 @@
 import dillfront.lab.rig.Node;
 import dillfront.lab.rig.Rig;
 import dillfront.lab.rig.Router;
+import dillfront.log.Log;
+import dillfront.memory.Memory;
+import dillfront.port.Standing;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * Power lost by all at once: real processes that lose it again and again and come back, judged over all of it; and the return of
@@ -25,7 +34,7 @@
     public static void main(String[] args) throws Exception {
         Dark.Outcome[] hundred = play(100, 200);
         Dark.Outcome[] thousand = play(1000, 12);
-        String line = "power: processes=" + ROUTERS + " " + losses();
+        String line = "power: processes=" + ROUTERS + " " + losses() + " recover_ms_100k=" + recoverMs(100_000);
         System.out.printf(Locale.ROOT, "%s first_s_100=%.2f served_of_could_100=%.2f cold_peak_of_limit_100=%.2f first_s_1000=%.2f "
                 + "served_of_could_1000=%.2f cold_peak_of_limit_1000=%.2f%n", line, worst(hundred, 0), mean(hundred), worst(hundred, 1),
                 worst(thousand, 0), mean(thousand), worst(thousand, 1));
@@ -44,6 +53,37 @@
         return Arrays.stream(of).mapToDouble(Dark.Outcome::served).average().orElse(0);
     }
 
+    /** How long the next life takes to read a memory of so many closed nodes, in a JVM that has read one before. */
+    private static long recoverMs(int closings) throws Exception {
+        Path folder = Files.createTempDirectory("dillfront-memory");
+        Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
+        try {
+            Memory first = Memory.open(folder, "r0", log);
+            for (int i = 0; i < closings; i++) {
+                first.closed("s-" + i, Standing.DRAINING, i, i);
+            }
+            while (!first.status().contains(" waiting=0 ") || first.closings().size() < closings) {
+                Thread.sleep(5);
+            }
+            first.close();
+            long from = System.nanoTime();
+            Memory next = Memory.open(folder, "r0", log);
+            int found = next.closings().size();
+            long took = (System.nanoTime() - from) / 1_000_000;
+            next.close();
+            if (found != closings) {
+                throw new IllegalStateException("of " + closings + " there are " + found);
+            }
+            return took;
+        } finally {
+            try (Stream<Path> all = Files.walk(folder)) {
+                for (Path file : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
     /** Real processes: all lose power, nodes and routers come back side by side, each serves again, and so on. */
     private static String losses() throws Exception {
         try (Rig rig = new Rig(Rig.Plan.of(ROUTERS, 2, 3).work(WORK).zones("a", "b", "c"))) {
