One pause for the rig's waits; a conversion that converted nothing is out

Cause, by reading the change once more: Router of the rig had a pause of its own beside Stage's, and the memory's end turned milliseconds into milliseconds. Change: Stage.pause serves both; join takes the figure.

--- a/src/main/java/dillfront/lab/rig/Router.java
+++ b/src/main/java/dillfront/lab/rig/Router.java
@@ -117,7 +117,7 @@
             if (System.nanoTime() - until > 0 || !process.isAlive() && lines().stream().noneMatch(such)) {
                 throw new IllegalStateException(life() + " never said " + what + "; it said " + lines());
             }
-            pause();
+            Stage.pause();
         }
     }
 
@@ -163,14 +163,6 @@
         }
     }
 
-    private static void pause() {
-        try {
-            Thread.sleep(2);
-        } catch (InterruptedException stopped) {
-            throw new IllegalStateException(stopped);
-        }
-    }
-
     void close() {
         if (process != null && process.isAlive()) {
             process.destroyForcibly();
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -165,7 +165,8 @@
         }
     }
 
-    private static void pause() {
+    /** Between two looks at what is awaited. */
+    static void pause() {
         try {
             Thread.sleep(1);
         } catch (InterruptedException stopped) {
--- a/src/main/java/dillfront/memory/Memory.java
+++ b/src/main/java/dillfront/memory/Memory.java
@@ -10,7 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * What a router keeps for its next life, on a disk that lasts: the words of the lists that closed nodes. It restricts and never
@@ -173,7 +172,7 @@
             waiting.notifyAll();
         }
         try {
-            writer.join(TimeUnit.MILLISECONDS.toMillis(LAST_MS));
+            writer.join(LAST_MS);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
