Routers that talk tell each other what they have in doubt, by a bounded digest

Need: a client whose router is gone asks another one, by the same key; a router whose disk is gone with the power knows nothing of what it had sent. Both had the write's effect twice.

A form of datagram DOUBTS, within the budget of bytes. gossip(bind = ...) for a socket behind a translation of addresses, which the rig's UDP relays (lab.rig.Hub) need as well.

Off without gossip() and doubts().

--- a/src/main/java/dillfront/daemon/Ledger.java
+++ b/src/main/java/dillfront/daemon/Ledger.java
@@ -10,12 +10,12 @@
 import dillfront.port.Standing;
 import dillfront.recovery.Doubts;
 import dillfront.recovery.Groups;
+import dillfront.recovery.Others;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.LongPredicate;
 
 /**
  * What a router keeps in mind beyond the txn that asks, where the operator's file has it: referenced txns that may have run,
@@ -37,8 +37,8 @@
     private int lines;
     private long unsaid;
     private Duration now = Duration.ZERO;
-    /** Whether another router may have this key in doubt. */
-    private LongPredicate others = key -> false;
+    /** What other routers have in doubt; null where none tells. */
+    private Others others;
 
     /**
      * @param bounds of the txns in doubt; null where they are not kept in mind
@@ -58,8 +58,12 @@
         }
     }
 
-    void others(LongPredicate mayDoubt) {
-        others = mayDoubt;
+    void others(Others tell) {
+        others = tell;
+    }
+
+    private boolean elsewhere(long key) {
+        return others != null && others.mayDoubt(key);
     }
 
     Doubts doubts() {
@@ -84,7 +88,7 @@
     /** Since when it may have run; null where nothing here or elsewhere says so. */
     Duration ran(long key) {
         Duration ran = doubts.ran(key);
-        return ran == null && others.test(key) ? Doubts.LONG_AGO : ran;
+        return ran == null && elsewhere(key) ? Doubts.LONG_AGO : ran;
     }
 
     void sends(long key, Duration clock) {
@@ -112,7 +116,7 @@
      * that waited for the disk or a connection while another router told that it may have run.
      */
     boolean mayWrite(long key, int node, Duration clock) {
-        return (key == 0 || !others.test(key)) && groups.mayWrite(node, clock);
+        return (key == 0 || !elsewhere(key)) && groups.mayWrite(node, clock);
     }
 
     // ---- nodes
@@ -146,6 +150,9 @@
         if (doubts != null) {
             doubts.expire(clock);
         }
+        if (others != null) {
+            others.expire(clock);
+        }
     }
 
     @Override
@@ -201,6 +208,14 @@
             rows.put("refused", doubts.refused());
             all.put("doubts", rows);
         }
+        if (others != null) {
+            Map<String, Object> rows = new LinkedHashMap<>();
+            rows.put("telling", others.telling());
+            rows.put("echoing", others.echoing());
+            rows.put("heard", others.heard());
+            rows.put("refused", others.refused());
+            all.put("others", rows);
+        }
         return all;
     }
 }
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -12,6 +12,8 @@
 import dillfront.peers.Neighbours;
 import dillfront.peers.Ring;
 import dillfront.peers.Standing;
+import dillfront.peers.Telling;
+import dillfront.recovery.Others;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.HexFormat;
@@ -56,11 +58,16 @@
             int self = gossip.self(name);
             Ring ring = gossip.ring();
             neighbours = new Neighbours(gossip.tuning(), ring.size(), router);
-            datagrams = new Datagrams(gossip.tuning(), ring, self, Ring.id(HexFormat.of().parseHex(gossip.publicKey())), gossip.key(),
+            datagrams = new Datagrams(gossip.tuning(), ring, self, gossip.bind(), Ring.id(HexFormat.of().parseHex(gossip.publicKey())), gossip.key(),
                     loop, log, router.clock()::now, () -> Duration.ofMillis(router.clock().unixMillis()),
                     new SplittableRandom(~seed), (word, age) -> neighbours.claimed(word, age, router.clock().now()));
             neighbours.speaksBy(datagrams::gossip);
             router.hears(neighbours);
+            if (ledger != null && ledger.keeps()) {
+                Others others = new Others(ring.size(), operator.doubts().keeps());
+                ledger.others(others);
+                datagrams.tells(new Telling(ledger.doubts(), others, router.clock()::now));
+            }
         }
         control = operator.control() == null ? null : new Control(loop, operator.control(), log, question ->
                 switch (question) {
--- a/src/main/java/dillfront/gossip/Gossip.java
+++ b/src/main/java/dillfront/gossip/Gossip.java
@@ -418,6 +418,11 @@
 
     // ---- sends
 
+    /** Whether so many bytes may go now beside what instances say of each other; if so they are counted as sent. */
+    public boolean pays(int bytes) {
+        return budget.takes(bytes, Budget.Use.WORDS, now);
+    }
+
     private interface Sender {
         void send(List<Word> words);
     }
--- a/src/main/java/dillfront/lab/Loopback.java
+++ b/src/main/java/dillfront/lab/Loopback.java
@@ -102,7 +102,7 @@
             }
             World.Router router = routers.get(i);
             LoopTime time = times.get(i);
-            all.add(new Datagrams(Tuning.USUAL, ring, i, Ring.id(Ring.raw(keys.get(i).getPublic())), keys.get(i).getPrivate(),
+            all.add(new Datagrams(Tuning.USUAL, ring, i, null, Ring.id(Ring.raw(keys.get(i).getPublic())), keys.get(i).getPrivate(),
                     time.loop(), log, time::now, () -> Duration.ofMillis(System.currentTimeMillis()),
                     new SplittableRandom(script.seed() + i), (word, age) -> router.neighbours.claimed(word, age, time.now())));
         }
--- a/src/main/java/dillfront/lab/rig/Rig.java
+++ b/src/main/java/dillfront/lab/rig/Rig.java
@@ -1,6 +1,7 @@
 package dillfront.lab.rig;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -73,6 +74,7 @@
     /** By router: its agents, as many as it was ever moved to, and the ways there. */
     private final List<List<Agent>> agents = new ArrayList<>();
     private final List<List<Relay>> toAgent = new ArrayList<>();
+    private final List<Hub> hubs = new ArrayList<>();
 
     /** Sets all up; the routers are started by start(). */
     public Rig(Plan plan) throws IOException {
@@ -207,6 +209,20 @@
         return stage.heard(lifeAndAgent);
     }
 
+    /** Datagrams between these two are lost from now on, both ways, or pass; for routers that talk. */
+    public void apart(int one, int other, boolean lost) {
+        hubs.get(one).cut(other, lost);
+        hubs.get(other).cut(one, lost);
+    }
+
+    /** A hub before each router's datagrams, whose own sockets are at these addresses. Before start(). */
+    public List<Hub> hubs(List<InetSocketAddress> sockets) {
+        if (hubs.isEmpty()) {
+            sockets.forEach(s -> hubs.add(new Hub(stage, s, sockets)));
+        }
+        return hubs;
+    }
+
     /** Power is gone for all at once: routers, nodes, and the agents that routers are at. */
     public void cut() {
         routers.stream().filter(r -> !r.down()).forEach(Router::kill);
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -35,7 +35,7 @@
  *
  * <pre>
  *   gossip(key = "/etc/dillfront/r1.key", public = "64 hex digits", period = "1s", bytes_per_second = 3000, liars = 1,
- *          lasts = "5s", datagram = 1200)
+ *          lasts = "5s", datagram = 1200, bind = "10.0.0.4:7946")
  *   peer("r1", address = "10.0.0.4:7946", keys = ["64 hex digits", {"key": "...", "from": "2026-12-01T00:00:00Z",
  *        "until": "2027-01-01T00:00:00Z"}])
  *   control("127.0.0.1:9946")
@@ -59,9 +59,10 @@
 
     /**
      * @param keyFile of this instance's private key, PKCS #8 in PEM
+     * @param bind where its socket is, where others reach it by another address than that; null where they do not
      * @param publicKey what belongs to it: one of this instance's keys in the ring, in hexadecimal
      */
-    public record GossipPart(Tuning tuning, Ring ring, Path keyFile, String publicKey) {
+    public record GossipPart(Tuning tuning, Ring ring, Path keyFile, String publicKey, InetSocketAddress bind) {
 
         /** The index of the instance of this name. */
         public int self(String name) throws BadOperator {
@@ -177,6 +178,7 @@
         private Tuning tuning;
         private Path keyFile;
         private String publicKey;
+        private InetSocketAddress bind;
         private InetSocketAddress control;
         private final String file;
         private IdentityPart identity;
@@ -303,7 +305,12 @@
             long liars = number(given, "liars", usual.liars(), 0, 100);
             Duration lasts = span(given, "lasts", usual.lasts());
             long datagram = number(given, "datagram", usual.datagram(), 400, 1400);
+            String at = given.text("bind", null);
             given.done();
+            bind = at == null ? null : Address.parse(at);
+            if (at != null && bind == null) {
+                throw given.error("bind", "'" + at + "' is no address: expected an IPv4 address and a port, as 10.0.0.4:7946");
+            }
             if (key == null || publicKey == null) {
                 throw given.error("", "gossip() needs '" + (key == null ? "key" : "public") + "'");
             }
@@ -428,7 +435,7 @@
             if (3 * tuning.liars() > ring.size()) {
                 throw new BadOperator("liars = " + tuning.liars() + " of " + ring.size() + " peers: expected a third at the most");
             }
-            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey), control, identity, memory, doubts, Path.of(file));
+            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey, bind), control, identity, memory, doubts, Path.of(file));
         }
     }
 
--- a/src/main/java/dillfront/peers/Codec.java
+++ b/src/main/java/dillfront/peers/Codec.java
@@ -29,6 +29,9 @@
  * A word: 8 key id of who said it, 4 incarnation, 4 number, 1 kind, 8 subject, 4 detail, 2 evidence, 4 milliseconds since,
  * 8 said, Unix microseconds, 4 and 2 address and port where ALIVE, 64 Ed25519 signature of these behind "dillfront word 1".
  *
+ * <p>A datagram of the form DOUBTS has no words; the byte that counts them counts 64-bit parts of a recovery.Digest, which
+ * stand in their place, and the name it is about is whose keys these are. Instances that do not know the form drop it.
+ *
  * <p>What comes is looked at in the order of cost, and nothing is allocated by a length that it names: the count of words
  * must fit the size that came. Signatures of words that were checked before are known by their bytes.
  */
@@ -43,9 +46,10 @@
     private static final byte[] DATAGRAM_TEXT = "dillfront datagram 1".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] WORD_TEXT = "dillfront word 1".getBytes(StandardCharsets.US_ASCII);
     private static final int CHECKED = 1024;
+    private static final int MOST_PARTS = 128;
 
     /** What a datagram is for. */
-    public enum Form { PING, ACK, ASK, PUSH, SWAP }
+    public enum Form { PING, ACK, ASK, PUSH, SWAP, DOUBTS }
 
     /** Takes what was read and found right. */
     public interface Reader {
@@ -55,6 +59,12 @@
          */
         void read(int from, int incarnation, Duration sent, Form form, int probe, int about, List<Word> words);
 
+        /**
+         * @param life which of the sender's
+         * @param about whose keys in doubt these are: the sender's, or what it says were this instance's
+         */
+        void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest);
+
         /** An instance's own word tells where it is. */
         void at(int peer, int incarnation, InetSocketAddress address);
 
@@ -104,6 +114,15 @@
         return BELOW + HEAD + words * WORD + SIGNATURE;
     }
 
+    /** Bytes on the wire of a datagram of keys in doubt, and how many parts of 64 bits the largest one holds. */
+    public static int doubtBytes(int parts) {
+        return BELOW + HEAD + parts * Long.BYTES + SIGNATURE;
+    }
+
+    public static int mostParts(int datagram) {
+        return Math.min(MOST_PARTS, (datagram - HEAD - SIGNATURE) / Long.BYTES);
+    }
+
     // ---- out
 
     /** Signs an own word. */
@@ -122,14 +141,32 @@
     /** One datagram; the buffer is the caller's. */
     public void write(ByteBuf out, int to, int incarnation, Form form, int probe, int about, List<Word> words,
             Duration unix) {
+        int start = head(out, to, incarnation, form, probe, about, words.size(), unix);
+        for (Word word : words) {
+            out.writeBytes(word.sealed());
+        }
+        seal(out, start);
+    }
+
+    /** One datagram of keys in doubt; in place of a probe's number, which life of the sender this is. */
+    public void write(ByteBuf out, int to, int incarnation, int life, int about, long[] digest, Duration unix) {
+        int start = head(out, to, incarnation, Form.DOUBTS, life, about, digest.length, unix);
+        for (long part : digest) {
+            out.writeLong(part);
+        }
+        seal(out, start);
+    }
+
+    private int head(ByteBuf out, int to, int incarnation, Form form, int probe, int about, int count, Duration unix) {
         int start = out.writerIndex();
         out.writeByte('d').writeByte('f').writeByte(1).writeByte(form.ordinal());
         out.writeLong(keyId).writeInt(incarnation).writeLong(++number).writeLong(micros(unix));
         out.writeLong(Ring.hash(ring.name(to))).writeInt(probe).writeLong(about < 0 ? 0 : Ring.hash(ring.name(about)));
-        out.writeByte(words.size());
-        for (Word word : words) {
-            out.writeBytes(word.sealed());
-        }
+        out.writeByte(count);
+        return start;
+    }
+
+    private void seal(ByteBuf out, int start) {
         byte[] all = new byte[out.writerIndex() - start];
         out.getBytes(start, all);
         out.writeBytes(sign(DATAGRAM_TEXT, all, all.length));
@@ -163,7 +200,8 @@
             return;
         }
         int count = in.getUnsignedByte(start + HEAD - 1);
-        if (size != HEAD + count * WORD + SIGNATURE) {
+        Form form = Form.values()[in.getByte(start + 3)];
+        if (size != HEAD + count * (form == Form.DOUBTS ? Long.BYTES : WORD) + SIGNATURE) {
             reader.dropped(Drop.FORM);
             return;
         }
@@ -197,6 +235,18 @@
         }
         window.read(from.peer(), its, now);
         int about = ring.peer(in.getLong(start + 44));
+        int incarnation = in.getInt(start + 12);
+        Duration sent = Duration.ofNanos(in.getLong(start + 24) * 1000);
+        if (form == Form.DOUBTS) {
+            long[] digest = new long[count];
+            ByteBuffer.wrap(all, HEAD, count * Long.BYTES).asLongBuffer().get(digest);
+            if (count > MOST_PARTS || about != from.peer() && about != self) {
+                reader.dropped(Drop.FORM);
+            } else {
+                reader.doubts(from.peer(), incarnation, sent, in.getInt(start + 40), about, digest);
+            }
+            return;
+        }
         Word[] words = new Word[count];
         int good = 0;
         for (int i = 0; i < count; i++) {
@@ -207,8 +257,7 @@
                 words[good++] = word;
             }
         }
-        reader.read(from.peer(), in.getInt(start + 12), Duration.ofNanos(in.getLong(start + 24) * 1000), Form.values()[in.getByte(start + 3)], in.getInt(start + 40), about,
-                List.of(java.util.Arrays.copyOf(words, good)));
+        reader.read(from.peer(), incarnation, sent, form, in.getInt(start + 40), about, List.of(java.util.Arrays.copyOf(words, good)));
     }
 
     /** Null where it is not as its origin said it. */
--- a/src/main/java/dillfront/peers/Datagrams.java
+++ b/src/main/java/dillfront/peers/Datagrams.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.security.PrivateKey;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -46,27 +47,74 @@
     private final NioDatagramChannel channel = new NioDatagramChannel();
     private final long[] dropped = new long[Drop.values().length];
     private final int[] addressOf;
+    private final List<Told> told = new ArrayList<>();
+    private int next;
     private long read;
     private long sent;
     private long noAddress;
     private boolean closed;
+    /** Null where none is told. */
+    private Telling telling;
+    private final InetSocketAddress bind;
+    /** Unlike any other of this instance, but for two in one second: never 0. */
+    private final int life;
+
+    /** Keys in doubt: what this instance tells, and where others' words go. */
+    public interface Telling {
+
+        /** Changes with what there is to tell. */
+        long version();
+
+        long[] own(int mostParts);
+
+        /** What an instance told in its life before this one; null where nothing is known. */
+        long[] before(int peer);
+
+        /** Which life of an instance has last told something; 0 where none has. */
+        int life(int peer);
+
+        void says(int peer, int life, long[] digest);
+
+        void echoes(int peer, long[] digest);
+    }
+
+    /** What one other instance was told of keys in doubt, in this life of it. */
+    private static final class Told {
+        int life;
+        long version = -1;
+        Duration at;
+        boolean empty;
+        /** How often it is still told what it said in an earlier life. */
+        int echoes;
+        Duration echoedAt;
+    }
+
+    /** Datagrams get lost: so often an earlier life's word is told back, and what is in doubt is told again after so many periods. */
+    private static final int ECHOES = 3;
+    private static final int AGAIN = 10;
 
     /**
+     * @param bind where the socket is, if not at the address that others reach it by; null where it is
      * @param keyId of this instance's key in the ring, to which the private one belongs
      * @param clock since the start
      * @param unix Unix time
      * @param claims takes each new claim of others and how old it is
      */
-    public Datagrams(Tuning tuning, Ring ring, int self, long keyId, PrivateKey key, EventLoop loop, Log log,
+    public Datagrams(Tuning tuning, Ring ring, int self, InetSocketAddress bind, long keyId, PrivateKey key, EventLoop loop, Log log,
             Supplier<Duration> clock, Supplier<Duration> unix, RandomGenerator chance, BiConsumer<Word, Duration> claims) {
         this.tuning = tuning;
         this.ring = ring;
         this.self = self;
+        this.bind = bind == null ? ring.address(self) : bind;
+        for (int i = 0; i < ring.size(); i++) {
+            told.add(new Told());
+        }
         this.loop = loop;
         this.log = log;
         this.clock = clock;
         this.unix = unix;
         this.claims = claims;
+        life = (int) unix.get().toSeconds() | 1 << 31;
         addressOf = new int[ring.size()];
         Arrays.fill(addressOf, -1);
         codec = new Codec(ring, self, keyId, key, ring.address(self), tuning.datagram(), unix.get().toNanos() / 1000);
@@ -102,9 +150,9 @@
             }
         });
         loop.register(channel).syncUninterruptibly();
-        channel.bind(ring.address(self)).addListener(done -> {
+        channel.bind(bind).addListener(done -> {
             if (!done.isSuccess()) {
-                log.warn("gossip-not-bound", "address", ring.address(self), "fault", done.cause());
+                log.warn("gossip-not-bound", "address", bind, "fault", done.cause());
                 close();
                 return;
             }
@@ -122,10 +170,69 @@
         if (!closed) {
             at();
             gossip.woken();
+            tellDoubts();
             loop.schedule(this::look, tuning.period().toNanos() / LOOKS, TimeUnit.NANOSECONDS);
         }
     }
 
+    /** Before open(). */
+    public void tells(Telling of) {
+        telling = of;
+    }
+
+    /** One datagram a look at the most, to those in turn who lack something, as far as the budget allows. */
+    private void tellDoubts() {
+        for (int i = 0; i < ring.size() && telling != null; i++) {
+            int peer = next;
+            next = (next + 1) % ring.size();
+            if (peer != self && gossip.members().present(peer) && tellDoubts(peer, told.get(peer))) {
+                return;
+            }
+        }
+    }
+
+    /** The first word of a life goes out though there is nothing to tell: others see by it that this is another life. */
+    private boolean tellDoubts(int peer, Told its) {
+        Duration now = clock.get();
+        long[] before = telling.before(peer);
+        if (telling.life(peer) != its.life) {
+            its.life = telling.life(peer);
+            its.version = -1;
+            its.echoes = before == null ? 0 : ECHOES;
+            its.echoedAt = null;
+        }
+        if (its.echoes > 0 && before != null && (its.echoedAt == null || now.minus(its.echoedAt).compareTo(tuning.period()) >= 0)) {
+            its.echoedAt = now;
+            its.echoes--;
+            return sendDoubts(peer, peer, before);
+        }
+        boolean soon = its.at != null && now.minus(its.at).compareTo(tuning.period()) < 0;
+        boolean again = its.at != null && !its.empty && now.minus(its.at).compareTo(tuning.period().multipliedBy(AGAIN)) >= 0;
+        if (soon || its.version == telling.version() && !again) {
+            return false;
+        }
+        long[] own = telling.own(Codec.mostParts(tuning.datagram()));
+        if (!sendDoubts(peer, self, own)) {
+            return false;
+        }
+        its.version = telling.version();
+        its.empty = own.length == 0;
+        its.at = now;
+        return true;
+    }
+
+    private boolean sendDoubts(int to, int about, long[] digest) {
+        InetSocketAddress address = ring.address(to);
+        if (address == null || !channel.isActive() || !gossip.pays(Codec.doubtBytes(digest.length))) {
+            return false;
+        }
+        ByteBuf out = channel.alloc().buffer(Codec.doubtBytes(digest.length));
+        codec.write(out, to, gossip.incarnation(), life, about, digest, unix.get());
+        sent++;
+        channel.writeAndFlush(new DatagramPacket(out, address));
+        return true;
+    }
+
     /** Says that it leaves, once, and ends. */
     public void close() {
         if (closed) {
@@ -173,6 +280,20 @@
         }
     }
 
+    @Override
+    public void doubts(int from, int incarnation, Duration at, int its, int about, long[] digest) {
+        read++;
+        ring.address(from, sender);
+        addressOf[from] = Math.max(addressOf[from], incarnation);
+        at();
+        gossip.from(from, incarnation, at);
+        if (telling != null && about == self) {
+            telling.echoes(from, digest);
+        } else if (telling != null) {
+            telling.says(from, its, digest);
+        }
+    }
+
     @Override
     public void at(int peer, int incarnation, InetSocketAddress address) {
         if (peer != self && incarnation > addressOf[peer]) {
--- a/src/test/java/dillfront/lab/rig/Losses.java
+++ b/src/test/java/dillfront/lab/rig/Losses.java
@@ -3,10 +3,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dillfront.peers.KeyFile;
+import dillfront.peers.Ring;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
@@ -102,6 +111,45 @@
                 + doors[r].getHostString() + ":" + doors[r].getPort() + "\")\n";
     }
 
+    private final List<KeyPair> keys = new ArrayList<>();
+    private final List<InetSocketAddress> sockets = new ArrayList<>();
+
+    /** The same, for one of so many that talk to each other; the last of them may be no router, but whoever has its key. */
+    String talks(Rig set, int r, int routers, int peers) throws IOException, GeneralSecurityException {
+        if (keys.isEmpty()) {
+            for (int p = 0; p < peers; p++) {
+                keys.add(KeyPairGenerator.getInstance("Ed25519").generateKeyPair());
+                sockets.add(Stage.free(150 + p));
+            }
+        }
+        List<Hub> hubs = set.hubs(sockets.subList(0, routers));
+        Path key = set.folder().resolve("key" + r);
+        Files.writeString(key, KeyFile.text(keys.get(r).getPrivate()));
+        StringBuilder text = new StringBuilder(remembers(set, r)).append("gossip(key = \"" + key + "\", public = \"" + hex(r)
+                + "\", period = \"200ms\", liars = " + (peers < 3 ? 0 : 1) + ", bytes_per_second = 20000, bind = \"" + text(sockets.get(r)) + "\")\n");
+        for (int p = 0; p < peers; p++) {
+            text.append("peer(\"r" + p + "\", address = \"" + text(p < routers ? hubs.get(p).address() : sockets.get(p))
+                    + "\", keys = [\"" + hex(p) + "\"])\n");
+        }
+        return text.toString();
+    }
+
+    String hex(int peer) {
+        return HexFormat.of().formatHex(Ring.raw(keys.get(peer).getPublic()));
+    }
+
+    KeyPair key(int peer) {
+        return keys.get(peer);
+    }
+
+    InetSocketAddress socket(int peer) {
+        return sockets.get(peer);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Until this router says such a thing of itself. */
     void status(int r, String what, Predicate<String> such) throws InterruptedException {
         String said = asked(r, "status\n");
--- a/src/test/java/dillfront/peers/CodecTest.java
+++ b/src/test/java/dillfront/peers/CodecTest.java
@@ -85,6 +85,9 @@
         trace.clear();
         int before = bytes.readableBytes();
         by.read(bytes, now, unix, new Codec.Reader() {
+            @Override
+            public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) { }
+
             @Override
             public void read(int from, int incarnation, Duration sent, Codec.Form form, int probe, int about, List<Word> words) {
                 trace.add(ring.name(from) + "." + incarnation + " " + form + " " + probe + " about " + about + " words "
@@ -236,6 +239,9 @@
                 Duration.ofMillis(sinceMs), UNIX.plusMillis(offMs)));
         List<Word> got = new ArrayList<>();
         alice.read(write(bob, 0, Codec.Form.PUSH, UNIX, word), now, UNIX, new Codec.Reader() {
+            @Override
+            public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) { }
+
             @Override
             public void read(int from, int its, Duration sent, Codec.Form form, int probe, int about, List<Word> words) {
                 got.addAll(words);
