--- a/src/main/java/dillfront/Decide.java
+++ b/src/main/java/dillfront/Decide.java
@@ -615,7 +615,7 @@
         boolean harmless = t.ranAt == null || t.type.set.effect() == Effect.REPEATABLE
                 || t.type.set.effect() == Effect.REFERENCED && !t.type.set.groupDrops();
         if (harmless) {
-            outlet.decline(t.id, earlier(pause, set.maxPause()));
+            outlet.decline(t.id, earlier(reckoning.back(pause, chance), set.maxPause()));
         } else {
             outlet.rollBack(t.id);
         }
--- a/src/main/java/dillfront/lab/Dark.java
+++ b/src/main/java/dillfront/lab/Dark.java
@@ -31,24 +31,28 @@
      * @param coldFrom the part of its work that a node can do at its start
      * @param tries how often a client asks at the most
      * @param surge what is asked for in the first second, as a multiple of the usual
+     * @param crowd how many clients ask in one moment as the routers are there, as a multiple of a second's first tries
      * @param lateNodes the part of the nodes that is back only after half of the time to warm
      * @param lateRouters the part of the routers that starts only then; their clients go to the others meanwhile
      */
-    public record Case(int routers, int groups, int members, double load, double coldFrom, double tipMultiple, int tries, double surge,
+    public record Case(int routers, int groups, int members, double load, double coldFrom, double tipMultiple, int tries, double surge, double crowd,
             double lateNodes, double lateRouters, long seed) {}
 
     /**
      * @param peak how near a cold node came to falling over, 1 and it did
      * @param served what was served until all were warm, as a part of what nodes could have done of it
+     * @param wave of the tries that come again, how many came in the fullest tenth of a second of the crowd's, as a multiple of the
+     *     mean over the two seconds behind it; 0 without a crowd
      * @param first when the first txn was served after the first router was there, in seconds
      */
-    public record Outcome(double peak, double served, double first) {}
+    public record Outcome(double peak, double served, double first, double wave) {}
 
     private static final double COLD = 6;
     private static final double TIP_AFTER = 1;
     private static final double WORK = 0.02;
     private static final double WIRE = 0.0005;
     private static final double EXPIRY = 1.5;
+    private static final double CROWD = 0.7;
     private static final int PARTS = 10;
     private static final Duration STEP = Duration.ofMillis(5);
 
@@ -62,6 +66,8 @@
     private double now;
     private final List<Node> nodes = new ArrayList<>();
     private final List<Router> routers = new ArrayList<>();
+    /** Tries that came again, by tenths of a second, from when the first of a crowd were given up. */
+    private final int[] waves = new int[20];
     private double peak;
     private double done;
     private double first = Double.NaN;
@@ -85,9 +91,9 @@
     }
 
     private Outcome play() {
-        int all = given.groups * given.members;
+        int count = given.groups * given.members;
         double late = COLD / 2;
-        for (int i = 0; i < all; i++) {
+        for (int i = 0; i < count; i++) {
             nodes.add(new Node(i, chance.nextDouble() < given.lateNodes ? late + chance.nextDouble() : chance.nextDouble() * 0.3));
         }
         double weights = 0;
@@ -98,11 +104,15 @@
             routers.add(router);
             after(router.startsAt, router::start);
         }
-        double rate = given.load * all / WORK;
+        double rate = given.load * count / WORK;
         for (Router router : routers) {
             router.rate = rate * router.weight / weights;
             after(0, () -> client(router));
         }
+        for (int i = 0; i < given.crowd * rate; i++) {
+            Router router = routers.get(chance.nextInt(routers.size()));
+            after(CROWD + chance.nextDouble() * 0.05, () -> ask(router, given.tries));
+        }
         double end = (given.lateNodes > 0 ? late + 1 : 0.3) + COLD;
         double could = 0;
         double from = 0;
@@ -118,7 +128,13 @@
             now = next.at;
             next.what.run();
         }
-        return new Outcome(peak, done / could, first - 0.3);
+        int fullest = 0;
+        int all = 0;
+        for (int again : waves) {
+            fullest = Math.max(fullest, again);
+            all += again;
+        }
+        return new Outcome(peak, done / could, first - 0.3, given.crowd > 0 ? fullest * waves.length / Math.max(1.0, all) : 0);
     }
 
     /** The clients of one router, one after another; while it is not there they ask at another one. */
@@ -129,6 +145,10 @@
     }
 
     private void ask(Router of, int tries) {
+        int wave = (int) ((now - CROWD - EXPIRY / 2) * 10);
+        if (tries < given.tries && wave >= 0 && wave < waves.length) {
+            waves[wave]++;
+        }
         Router to = of;
         for (int i = 0; i < 3 && to.decide == null; i++) {
             to = routers.get(chance.nextInt(routers.size()));
--- a/src/main/java/dillfront/lab/PowerMeasure.java
+++ b/src/main/java/dillfront/lab/PowerMeasure.java
@@ -43,7 +43,7 @@
 
     private static Dark.Outcome[] play(int routers, int seeds) {
         return IntStream.range(0, seeds).parallel().mapToObj(seed -> Dark.play(new Dark.Case(routers, 4, 4, 0.3 + 0.1 * (seed % 8),
-                0.2, 2 + seed % 2, 1 + seed % 3, 1 + seed % 3, seed % 4 * 0.15, seed % 5 * 0.1, seed))).toArray(Dark.Outcome[]::new);
+                0.2, 2 + seed % 2, 1 + seed % 3, 1 + seed % 3, 0, seed % 4 * 0.15, seed % 5 * 0.1, seed))).toArray(Dark.Outcome[]::new);
     }
 
     private static double worst(Dark.Outcome[] of, int which) {
--- a/src/main/java/dillfront/recovery/Reckoning.java
+++ b/src/main/java/dillfront/recovery/Reckoning.java
@@ -1,8 +1,10 @@
 package dillfront.recovery;
 
 import static dillfront.port.Spans.seconds;
+import static dillfront.port.Spans.times;
 
 import java.time.Duration;
+import java.util.random.RandomGenerator;
 
 /**
  * What nodes can do, as this router can tell: the work of a warm node of size one for this router, in seconds of usual time a
@@ -29,6 +31,9 @@
     /** So many times what it did by its warmth, while that strains no node; and once it strains one. */
     private static final double KEPT_UP = 1.5;
     private static final double STRAINS = 0.75;
+    /** A client that is declined then may come again after these parts of its usual pause, each as likely as the next. */
+    private static final double NEAREST = 0.5;
+    private static final double FURTHEST = 2;
 
     /**
      * The fleet at a beat; sizes are sums over nodes.
@@ -53,6 +58,7 @@
     private double served;
     private double fleet;
     private boolean allCold;
+    private boolean returning;
 
     /**
      * By these settings from now on.
@@ -70,6 +76,16 @@
         return allCold;
     }
 
+    /**
+     * After how long a client that is declined may come again. Where no node is warm and none was, declines come together, as
+     * those of a crowd that power has brought back at once, and would come again together: each is drawn by itself then.
+     *
+     * @param pause in an ordinary time
+     */
+    public Duration back(Duration pause, RandomGenerator chance) {
+        return returning ? times(pause, NEAREST + chance.nextDouble() * (FURTHEST - NEAREST)) : pause;
+    }
+
     /**
      * A node has committed a txn.
      *
@@ -85,6 +101,7 @@
     public void beat(double seconds, Seen seen) {
         fleet = Math.max(fleet, seen.listed);
         allCold = seen.warm == 0 && !seen.worked;
+        returning = allCold && seen.cold > 0;
         double by = allCold ? seen.cold : seen.warm;
         if (by > 0) {
             double kept = kept(seconds);
--- a/src/test/java/dillfront/lab/DarkTest.java
+++ b/src/test/java/dillfront/lab/DarkTest.java
@@ -9,7 +9,7 @@
 class DarkTest {
 
     private static Dark.Case of(int routers, double load, int tries, double surge, double late, long seed) {
-        return new Dark.Case(routers, 4, 4, load, 0.2, 2, tries, surge, late, late, seed);
+        return new Dark.Case(routers, 4, 4, load, 0.2, 2, tries, surge, 0, late, late, seed);
     }
 
     @Test
@@ -35,6 +35,17 @@
         }
     }
 
+    /** Guards against a crowd that power brings back at once, is declined at once, and comes again at once. */
+    @Test
+    void theSecondWaveIsFlat() {
+        for (int routers : new int[] {10, 100}) {
+            for (long seed = 0; seed < 6; seed++) {
+                Dark.Outcome outcome = Dark.play(new Dark.Case(routers, 4, 4, 0.3 + 0.2 * (seed % 4), 0.2, 2, 3, 1, 1, 0, 0, seed));
+                assertTrue(outcome.wave() < 2 && outcome.peak() < 0.8, routers + " routers, seed " + seed + ": " + outcome);
+            }
+        }
+    }
+
     @Test
     void theSameCaseIsTheSameRun() {
         assertEquals(Dark.play(of(10, 0.6, 3, 3, 0.5, 9)), Dark.play(of(10, 0.6, 3, 3, 0.5, 9)));
