Of two that claim to lead the former one is believed; power lost in each state

Need: a former primary that is back first, or that an old list names, took writes that its group loses; and once both had spoken, the latest word won, whoever's it was (seen in the rig: with both claiming no write went through for 100 asks, then writes at the former one).

Change: Groups keeps to the one that led before while he says that he leads and is heard; others that claim against him get no write, and nothing that they say of themselves reaches the decisions (Desk.believed).

--- a/src/main/java/dillfront/daemon/Ledger.java
+++ b/src/main/java/dillfront/daemon/Ledger.java
@@ -6,6 +6,7 @@
 import dillfront.port.NodeRow;
 import dillfront.port.Report;
 import dillfront.port.Result;
+import dillfront.port.Role;
 import dillfront.port.Settings;
 import dillfront.port.Standing;
 import dillfront.recovery.Doubts;
@@ -119,6 +120,11 @@
         return (key == 0 || !elsewhere(key)) && groups.mayWrite(node, clock);
     }
 
+    /** One that claims to lead, and gets no write, stands at no present either: nothing that it says of itself counts. */
+    Report believed(int node, Report says, Duration clock) {
+        return says.role() == Role.PRIMARY && !groups.mayWrite(node, clock) ? Report.NOTHING : says;
+    }
+
     // ---- nodes
 
     void probed(int node, boolean answered, Report report, Duration clock) {
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -255,11 +255,15 @@
     }
 
     @Override
-    public Report ended(Exchange exchange, int node, Result result, boolean told, Report note) {
+    public void ended(Exchange exchange, int node, Result result, boolean told, Report note) {
         if (ledger != null) {
             ledger.ended(exchange.key(), node, result, told, note, clock.now());
         }
-        return note;
+    }
+
+    @Override
+    public Report believed(int node, Report says) {
+        return ledger == null ? says : ledger.believed(node, says, clock.now());
     }
 
     @Override
@@ -295,7 +299,7 @@
         if (ledger != null) {
             ledger.probed(node, answered, report, clock.now());
         }
-        decide.probed(node, answered, report);
+        decide.probed(node, answered, believed(node, report));
     }
 
     // ---- what others say
--- a/src/main/java/dillfront/exchange/Desk.java
+++ b/src/main/java/dillfront/exchange/Desk.java
@@ -25,9 +25,11 @@
      * A submission ended; before the module is told.
      *
      * @param told its client gets its answer by that
-     * @return what the module is to believe of what the node says of itself
      */
-    Report ended(Exchange exchange, int node, Result result, boolean told, Report note);
+    void ended(Exchange exchange, int node, Result result, boolean told, Report note);
+
+    /** What the module is to believe of what a node says of itself. */
+    Report believed(int node, Report says);
 
     /** Whether it may go to this node, beyond what the module knows of it. */
     boolean may(Exchange exchange, int node);
--- a/src/main/java/dillfront/exchange/Exchange.java
+++ b/src/main/java/dillfront/exchange/Exchange.java
@@ -100,14 +100,14 @@
         desk.tick();
         out--;
         boolean told = answer != null && !answered;
-        Report heard = desk.ended(this, node, result, told, note);
+        desk.ended(this, node, result, told, note);
         if (told) {
             answered = true;
             asker.committed(answer);
         } else if (answer != null) {
             answer.release();
         }
-        handle.ended(node, result, took, answered, heard, report);
+        handle.ended(node, result, took, answered, desk.believed(node, note), desk.believed(node, report));
         releaseIfOver();
     }
 
--- a/src/main/java/dillfront/lab/rig/Node.java
+++ b/src/main/java/dillfront/lab/rig/Node.java
@@ -156,6 +156,14 @@
         });
     }
 
+    /** As if it had been up for long. */
+    public void warm() {
+        stage.run(() -> {
+            startedMs = 0;
+            frozenMs = Long.MAX_VALUE;
+        });
+    }
+
     /** In Unix milliseconds: all that was committed before is here. */
     long position() {
         long now = System.currentTimeMillis();
--- a/src/main/java/dillfront/recovery/Groups.java
+++ b/src/main/java/dillfront/recovery/Groups.java
@@ -82,6 +82,8 @@
         State state = State.DARK;
         /** Who led in an earlier life; null once that is settled, one way or the other. */
         String former;
+        /** He leads by his own word in this life too: against him others' claims count only once he has gone silent. */
+        boolean confirmed;
         /** When another than he first claimed the place, or was to be sent a write. */
         Duration claimedAt;
         /** Who was last told of as leading. */
@@ -173,7 +175,8 @@
         Place place = place(row.group);
         if (row.id.equals(place.former) && role != null) {
             // He has spoken: what he says now counts, and no longer what was.
-            place.former = null;
+            place.confirmed = role == Role.PRIMARY;
+            place.former = place.confirmed ? place.former : null;
         } else if (role == Role.PRIMARY && place.former != null && place.claimedAt == null) {
             place.claimedAt = now;
         }
@@ -188,8 +191,8 @@
     }
 
     /**
-     * Whether a write may go to this node, as far as it is known who led before. His silence tells nothing: where power comes
-     * back, he may be the last to be there.
+     * Whether a write may go to this node, as far as it is known who led before. His silence tells nothing until he has spoken:
+     * where power comes back, he may be the last to be there. Once he has said that he leads, it ends what is known of him.
      */
     public boolean mayWrite(int node, Duration now) {
         Row row = node < rows.size() ? rows.get(node) : null;
@@ -198,9 +201,11 @@
                 || Trust.of(Trust.Thing.LEADER, place.state) != Trust.RESTRICTS) {
             return true;
         }
-        boolean listed = place.members.stream().anyMatch(m -> m.ready && m.id.equals(place.former));
+        Row former = place.members.stream().filter(m -> m.ready && m.id.equals(place.former)).findAny().orElse(null);
         place.claimedAt = place.claimedAt == null ? now : place.claimedAt;
-        if (!listed || now.minus(place.claimedAt).compareTo(awaited) >= 0) {
+        boolean over = former == null || (place.confirmed ? former.silent || former.heardAt.plus(awaited).compareTo(now) < 0
+                : now.minus(place.claimedAt).compareTo(awaited) >= 0);
+        if (over) {
             place.former = null;
             return true;
         }
@@ -291,7 +296,7 @@
     /** Who led before and is awaited now; null where nobody is. */
     public String awaits(int group) {
         Place place = places.get(group);
-        return place == null || place.claimedAt == null ? null : place.former;
+        return place == null || place.claimedAt == null || place.confirmed ? null : place.former;
     }
 
     /** Sends of writes that were held back for that, since the start. */
--- a/src/test/java/dillfront/lab/rig/PowerTest.java
+++ b/src/test/java/dillfront/lab/rig/PowerTest.java
@@ -109,4 +109,52 @@
         served(40, 0, 1, 2, 3);
         judge(true);
     }
+
+    /** Guards against what holds only where recovery comes to its end: power goes again in each of its states. */
+    @Test
+    void powerGoesAgainInEachStateOfRecovery() throws Exception {
+        begin(Rig.Plan.of(2, 1, 3).work(ALWAYS_COLD).operator(this::remembers));
+        for (String state : List.of("dark", "contested", "known", "covered", "warm", "covered")) {
+            if (state.equals("warm")) {
+                // Nodes that never went down: routers and discovery alone lose their power.
+                rig.routers().forEach(Router::kill);
+                rig.agent(0, 0).close();
+                rig.agent(1, 0).close();
+                rig.stage().run(() -> rig.nodes().forEach(n -> rig.catalogue().change(rig.catalogue().entry(n.id()).startedAt(0))));
+                rig.nodes().forEach(Node::warm);
+            } else {
+                rig.cut();
+            }
+            switch (state) {
+                case "dark" -> { }
+                case "contested" -> back(0, "s-1", "s-2");
+                case "known" -> {
+                    back(0, "s-0");
+                    // They come back behind what they had told before.
+                    back(20_000, "s-1", "s-2");
+                }
+                case "covered" -> back(0, "s-0", "s-1", "s-2");
+                default -> { }
+            }
+            agent(0);
+            agent(1);
+            routers(0, 1);
+            for (int r = 0; r < 2; r++) {
+                status(r, "its group is " + state, said -> said.contains("groups 0=" + state));
+            }
+            status(0, "what was lost", said -> said.contains(switch (state) {
+                case "dark" -> "loss=unsure";
+                case "warm" -> "loss=router";
+                default -> "loss=all";
+            }));
+        }
+        served(20, 0, 1);
+        judge(true);
+    }
+
+    private void agent(int r) {
+        if (!rig.agent(r, 0).up()) {
+            rig.agent(r, 0).open();
+        }
+    }
 }
--- a/src/test/java/dillfront/lab/rig/RemembersTest.java
+++ b/src/test/java/dillfront/lab/rig/RemembersTest.java
@@ -108,6 +108,11 @@
         for (int r = 0; r < 2; r++) {
             status(r, "s-1 has spoken", said -> !said.contains("awaits s-1"));
         }
+        // Both say that they lead now; what is served is served by the one that led before.
+        for (int r = 0, i = 0; r < 2; i++) {
+            r += how(rig.ask(r, "move", 0, "both-" + i, 1500)).equals("committed") ? 1 : 0;
+            assertTrue(i < 100, "no write goes through");
+        }
         assertEquals(before, rig.stage().call(() -> rig.stage().writes("s-0")));
         rig.groups().get(0).lead(rig.node("s-1"));
         served(40, 0, 1);
