--- a/src/main/java/dillfront/lab/rig/Mix.java
+++ b/src/main/java/dillfront/lab/rig/Mix.java
@@ -8,7 +8,7 @@
     /** @param boundMs how old a bounded read's data may be */
     public record Type(String name, String effect, String read, long boundMs) {
 
-        boolean write() {
+        public boolean write() {
             return read.equals("mutate");
         }
 
