No time runs against a former leader while nobody claims his place; sessions over losses

Seen: PowerTest on a busy machine, state dark: `groups 0="dark, awaits s-0"`. A write that was to be tried at another member began the two seconds that the former leader has to speak, with all nodes still without power; after that a former primary that is first back got the writes. Not seen before, since the scene was over sooner. To blame: Groups.mayWrite, which set claimedAt itself.

Change: the time runs from another's claim alone. PowerTest asks a session's reads with its token from before at each state of recovery; the auditor looks at what they see.

--- a/src/main/java/dillfront/recovery/Groups.java
+++ b/src/main/java/dillfront/recovery/Groups.java
@@ -84,7 +84,7 @@
         String former;
         /** He leads by his own word in this life too: against him others' claims count only once he has gone silent. */
         boolean confirmed;
-        /** When another than he first claimed the place, or was to be sent a write. */
+        /** When another than he first claimed the place; while nobody does, no time runs against him. */
         Duration claimedAt;
         /** Who was last told of as leading. */
         String leader;
@@ -202,9 +202,8 @@
             return true;
         }
         Row former = place.members.stream().filter(m -> m.ready && m.id.equals(place.former)).findAny().orElse(null);
-        place.claimedAt = place.claimedAt == null ? now : place.claimedAt;
         boolean over = former == null || (place.confirmed ? former.silent || former.heardAt.plus(awaited).compareTo(now) < 0
-                : now.minus(place.claimedAt).compareTo(awaited) >= 0);
+                : place.claimedAt != null && now.minus(place.claimedAt).compareTo(awaited) >= 0);
         if (over) {
             place.former = null;
             return true;
--- a/src/test/java/dillfront/recovery/DoubtsTest.java
+++ b/src/test/java/dillfront/recovery/DoubtsTest.java
@@ -165,6 +165,7 @@
         groups.listed(1, "n1", 4, null, true);
         groups.listed(2, "n2", 4, null, true);
         at(10, "the list of the configuration", groups);
+        assertFalse(groups.mayWrite(0, ms(100_000)), "while all is dark no time runs against the one that led before");
         groups.discovery(true);
         for (int n = 0; n < 3; n++) {
             groups.listed(n, "n" + n, 4, ms(100), true);
