The plan for the loss of each site and each pair, worked out ahead; dillfront site plan

Need: a lost site is found node by node today, its load falls wherever there is room, and nobody can say beforehand what will have to be refused.

Change: dillfront.plan (pure): an estate out of the list and the settings, one linear programme a group by commons-math's simplex with Bland's rule, so that the same list makes the same plan to the byte; which limit binds where not all is served. `dillfront site plan CONFIG` as table and JSON; `make measure-site`; docs/sites.md. No router acts on it: switched off until the rest.

No class of it is loaded by serve.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # A command as the operators have it.
 deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
 
-.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power
+.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power measure-site
 
 # The text that a measurement compares with, built into a folder of its own.
 BEFORE ?= 6172edf
@@ -45,3 +45,7 @@
 # Power lost by all at once: real processes, and the return of a cold fleet in virtual time; under 50 s.
 measure-power: build
 	java -cp target/dillfront.jar dillfront.lab.PowerMeasure
+
+# The plans for lost sites: how long they take, and what a greedy order loses against them.
+measure-site: build
+	java -cp target/dillfront.jar dillfront.lab.SiteMeasure
--- a/src/main/java/dillfront/cli/Commands.java
+++ b/src/main/java/dillfront/cli/Commands.java
@@ -32,7 +32,7 @@
             "  drill     decide on the simulator's wire, from standard input to standard output",
             "  serve     be one router, as LB_CONFIG, the other LB_ variables and LB_OPERATOR say",
             "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads"},
-        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Status.class, Commands.Keygen.class, Keys.class})
+        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Status.class, Commands.Keygen.class, Keys.class, Site.class})
 final class Commands implements Runnable {
 
     private static final int PATIENCE_MS = 3000;
--- /dev/null
+++ b/src/main/java/dillfront/plan/Lists.java
@@ -0,0 +1,57 @@
+package dillfront.plan;
+
+import dillfront.config.BadConfig;
+import dillfront.config.Tree;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** An estate out of what a router is told: the settings, and the list in discovery's form. */
+public final class Lists {
+
+    private Lists() {}
+
+    /**
+     * @param config a configuration, as the platform gives it to a router
+     * @param use what is asked, as a part of what all nodes can do
+     * @param mix the share of each txn type in the work; empty where all have the same
+     */
+    public static Estate read(Tree config, double use, Map<String, Double> mix) throws BadConfig {
+        Tree settings = config.tree("settings");
+        List<?> reads = settings.tree("familyInfo").list("classRead");
+        List<Tree> types = settings.trees("classes");
+        List<Estate.Kind> kinds = new ArrayList<>();
+        Map<String, Double> shares = new TreeMap<>(mix);
+        for (int i = 0; i < types.size(); i++) {
+            String name = types.get(i).text("name");
+            String read = i < reads.size() ? String.valueOf(reads.get(i)) : "";
+            boolean primaryOnly = !List.of("eventual", "lag_bound", "causal").contains(read);
+            Double share = mix.isEmpty() ? 1.0 / types.size() : shares.getOrDefault(name, 0.0);
+            shares.remove(name);
+            kinds.add(new Estate.Kind(name, primaryOnly, types.get(i).number("worth", 1), share));
+        }
+        if (!shares.isEmpty()) {
+            throw new BadConfig("no txn type '" + shares.keySet().iterator().next() + "' in the settings");
+        }
+        List<Estate.Node> nodes = new ArrayList<>();
+        List<String> sites = new ArrayList<>();
+        settings.list("zones").forEach(z -> sites.add(String.valueOf(z)));
+        for (Tree entry : config.tree("known").trees("instances")) {
+            if (!entry.text("lifecycle").equals("ready")) {
+                continue;
+            }
+            double weight = entry.number("weight", 1);
+            String site = entry.text("zone");
+            if (!sites.contains(site)) {
+                sites.add(site);
+            }
+            nodes.add(new Estate.Node(entry.text("instanceId"), site, (int) entry.whole("cell"), weight > 0 ? weight : 1,
+                    entry.text("role").equals("leader")));
+        }
+        if (nodes.isEmpty()) {
+            throw new BadConfig("'known' lists no node that is ready");
+        }
+        return new Estate(sites, nodes, kinds, use, settings.tree("charges").number("crossZone", 0));
+    }
+}
