Which sites are lost, by a router's own evidence, in status and the log

Need: today a lost site is many lost nodes, found one by one; nobody can say which of a lost site, one that is partly ill, and a router that is cut off itself it is.

Off in `run`, no class of it loaded.

--- a/src/main/java/dillfront/daemon/Ledger.java
+++ b/src/main/java/dillfront/daemon/Ledger.java
@@ -1,5 +1,6 @@
 package dillfront.daemon;
 
+import dillfront.config.Setup;
 import dillfront.list.Member;
 import dillfront.log.Log;
 import dillfront.memory.Memory;
@@ -8,21 +9,25 @@
 import dillfront.port.Result;
 import dillfront.port.Role;
 import dillfront.port.Settings;
+import dillfront.port.Sight;
 import dillfront.port.Standing;
 import dillfront.recovery.Doubts;
 import dillfront.recovery.Groups;
 import dillfront.recovery.Others;
+import dillfront.site.Sites;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.IntFunction;
 
 /**
  * What a router keeps in mind beyond the txn that asks, where the operator's file has it: referenced txns that may have run,
  * and how far each group has come back. Joins these decisions to the disk and to the router's words. On the loop.
  */
-final class Ledger implements Groups.Listener {
+final class Ledger implements Groups.Listener, Sites.Listener {
 
     /** State changes that are logged within one span of this length, in dial time-outs; the rest are counted. */
     private static final int LINES = 64;
@@ -33,6 +38,9 @@
     private final Doubts doubts;
     private final Memory memory;
     private final Groups groups;
+    /** Null where they are not watched. */
+    private final Sites sites;
+    private Map<Integer, String> zones = Map.of();
     private Duration dial;
     private Duration linesFrom = Duration.ZERO;
     private int lines;
@@ -44,11 +52,15 @@
     /**
      * @param bounds of the txns in doubt; null where they are not kept in mind
      * @param memory null where nothing is remembered
+     * @param watchesSites what is lost is judged by site
      */
-    Ledger(Doubts.Bounds bounds, Memory memory, Settings settings, Duration began, Log log) {
+    Ledger(Doubts.Bounds bounds, Memory memory, boolean watchesSites, Setup setup, Duration began, Log log) {
         this.log = log;
         this.memory = memory;
+        Settings settings = setup.settings();
         dial = settings.dial();
+        named(setup);
+        sites = watchesSites ? new Sites(zones.getOrDefault(settings.zone(), ""), dial, this) : null;
         doubts = bounds == null ? null : new Doubts(bounds, memory);
         groups = new Groups(began, dial, settings.coldFor(), this);
         if (memory != null) {
@@ -71,9 +83,19 @@
         return doubts;
     }
 
-    void settings(Settings next) {
-        dial = next.dial();
-        groups.settings(dial, next.coldFor());
+    void settings(Setup next) {
+        dial = next.settings().dial();
+        groups.settings(dial, next.settings().coldFor());
+        named(next);
+        if (sites != null) {
+            sites.settings(dial);
+        }
+    }
+
+    private void named(Setup setup) {
+        Map<Integer, String> names = new HashMap<>();
+        setup.zones().forEach((name, index) -> names.put(index, name));
+        zones = names;
     }
 
     // ---- txns
@@ -139,6 +161,9 @@
         for (Member m : members) {
             NodeRow row = m.row();
             groups.listed(row.node(), m.id(), row.group(), row.started(), row.standing() == Standing.READY);
+            if (sites != null) {
+                sites.listed(row.node(), zones.getOrDefault(row.zone(), "?"), row.standing() == Standing.READY);
+            }
         }
     }
 
@@ -148,11 +173,21 @@
 
     void forget(int node) {
         groups.forget(node);
+        if (sites != null) {
+            sites.forget(node);
+        }
     }
 
-    void beat(Duration clock) {
+    /** @param sees what the router sees of each node, by its index, of so many */
+    void beat(Duration clock, int nodes, IntFunction<Sight> sees) {
         now = clock;
         groups.beat(clock);
+        for (int node = 0; node < nodes && sites != null; node++) {
+            sites.seen(node, sees.apply(node));
+        }
+        if (sites != null) {
+            sites.beat(clock);
+        }
         if (doubts != null) {
             doubts.expire(clock);
         }
@@ -161,18 +196,38 @@
         }
     }
 
-    @Override
-    public void changed(int group, Groups.State from, Groups.State to) {
+    private boolean mayLog() {
         if (now.minus(linesFrom).compareTo(dial.multipliedBy(LINES_DIALS)) > 0) {
             linesFrom = now;
             lines = 0;
         }
         if (lines++ >= LINES) {
             unsaid++;
-            return;
+            return false;
+        }
+        return true;
+    }
+
+    @Override
+    public void changed(int group, Groups.State from, Groups.State to) {
+        if (mayLog()) {
+            log.info("recovery", "group", group, "from", name(from), "to", name(to), "loss", name(groups.loss()), "sure",
+                    String.format(Locale.ROOT, "%.2f", groups.sure()));
+        }
+    }
+
+    @Override
+    public void changed(String site, Sites.State from, Sites.State to) {
+        if (mayLog()) {
+            log.info("site", "site", site, "from", name(from), "to", name(to));
+        }
+    }
+
+    @Override
+    public void changed(Sites.Self from, Sites.Self to) {
+        if (mayLog()) {
+            log.info("site", "self", name(to), "from", name(from));
         }
-        log.info("recovery", "group", group, "from", name(from), "to", name(to), "loss", name(groups.loss()), "sure",
-                String.format(Locale.ROOT, "%.2f", groups.sure()));
     }
 
     private static String name(Enum<?> of) {
@@ -200,6 +255,12 @@
         groups.states().forEach((group, state) -> states.put(String.valueOf(group), name(state)
                 + (groups.awaits(group) == null ? "" : ", awaits " + groups.awaits(group))));
         all.put("groups", states);
+        if (sites != null) {
+            Map<String, Object> rows = new LinkedHashMap<>();
+            rows.put("self", name(sites.self()));
+            sites.states().forEach((site, state) -> rows.put(site, name(state)));
+            all.put("sites", rows);
+        }
         if (memory != null) {
             Map<String, Object> kept = memory.status();
             kept.put("leaders", String.join(",", groups.leaders()));
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -128,7 +128,7 @@
         fleet.settings(next);
         decide.settings(next.settings());
         if (ledger != null) {
-            ledger.settings(next.settings());
+            ledger.settings(next);
         }
     }
 
@@ -370,7 +370,7 @@
                     neighbours.beat(clock.now());
                 }
                 if (ledger != null) {
-                    ledger.beat(clock.now());
+                    ledger.beat(clock.now(), members.indices(), decide::sees);
                 }
                 forget();
             } catch (RuntimeException fault) {
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -45,8 +45,8 @@
                 members.keeper(memory);
             });
         }
-        ledger = memory == null && operator.doubts() == null ? null
-                : new Ledger(operator.doubts(), memory, config.setup().settings(), router.clock().now(), log);
+        ledger = memory == null && operator.doubts() == null && !operator.sites() ? null
+                : new Ledger(operator.doubts(), memory, operator.sites(), config.setup(), router.clock().now(), log);
         if (ledger != null) {
             router.keeps(ledger, memory == null ? null : memory::whenKept);
         }
@@ -73,7 +73,7 @@
                 switch (question) {
                     case "peers" -> datagrams == null ? "gossip is off\n" : Standing.table(datagrams, neighbours);
                     case "peers json" -> datagrams == null ? "{}\n" : Standing.json(datagrams, neighbours);
-                    case "status" -> ledger == null ? "memory and doubts are off\n" : Status.table(ledger.status(router.closings()));
+                    case "status" -> ledger == null ? "memory, doubts and sites are off\n" : Status.table(ledger.status(router.closings()));
                     case "status json" -> ledger == null ? "{}\n" : Status.json(ledger.status(router.closings()));
                     default -> "unknown question; known: peers, peers json, status, status json\n";
                 });
--- a/src/main/java/dillfront/operator/Operator.java
+++ b/src/main/java/dillfront/operator/Operator.java
@@ -40,7 +40,8 @@
  *        "until": "2027-01-01T00:00:00Z"}])
  *   control("127.0.0.1:9946")
  *   memory(folder = "/var/lib/dillfront/r1")
- *   doubts(most = 65536, keeps = "10m")
+ *   doubts(most = 65536, keeps = "600s")
+ *   sites()
  *   identity(jwks = "keys.json", issuer = "depot", certificate = "door.pem", key = "door.key", revoked = "revoked.txt")
  *   role("reader", [allow(types = ["history"], access = "r", prefix = "hotel-7/"), deny(prefix = "hotel-7/safe")])
  *   principal("billing-7", tenant = "hotel-7", roles = ["reader"], rate = 50, at_once = 8)
@@ -51,11 +52,12 @@
  * @param file where it was read
  * @param memory the folder where a router keeps what restricts its next life; null where it keeps nothing
  * @param doubts how many referenced txns that may have run are kept in mind, and for how long; null where none is
+ * @param sites whether what is lost is judged by site
  * @param control where the instance answers questions about itself, on a loopback address; null where it does not
  */
-public record Operator(GossipPart gossip, InetSocketAddress control, IdentityPart identity, Path memory, Doubts.Bounds doubts, Path file) {
+public record Operator(GossipPart gossip, InetSocketAddress control, IdentityPart identity, Path memory, Doubts.Bounds doubts, boolean sites, Path file) {
 
-    public static final Operator NONE = new Operator(null, null, null, null, null, null);
+    public static final Operator NONE = new Operator(null, null, null, null, null, false, null);
 
     /**
      * @param keyFile of this instance's private key, PKCS #8 in PEM
@@ -184,6 +186,7 @@
         private IdentityPart identity;
         private Path memory;
         private Doubts.Bounds doubts;
+        private boolean sites;
         private final Map<String, List<RuleText>> roles = new HashMap<>();
         private final List<PrincipalText> principals = new ArrayList<>();
 
@@ -386,6 +389,12 @@
             return null;
         }
 
+        Object sites(Script.Arguments given) throws ScriptError {
+            given.done();
+            sites = true;
+            return null;
+        }
+
         private static long number(Script.Arguments given, String name, long otherwise, long least, long most)
                 throws ScriptError {
             long value = given.number(name, otherwise);
@@ -427,7 +436,7 @@
                 throw new BadOperator("principals, but no identity(): all would be served");
             }
             if (tuning == null) {
-                return new Operator(null, control, identity, memory, doubts, Path.of(file));
+                return new Operator(null, control, identity, memory, doubts, sites, Path.of(file));
             }
             if (ring.size() < 2) {
                 throw new BadOperator("gossip() with " + ring.size() + " peers: expected this instance and another");
@@ -435,7 +444,7 @@
             if (3 * tuning.liars() > ring.size()) {
                 throw new BadOperator("liars = " + tuning.liars() + " of " + ring.size() + " peers: expected a third at the most");
             }
-            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey, bind), control, identity, memory, doubts, Path.of(file));
+            return new Operator(new GossipPart(tuning, ring, keyFile, publicKey, bind), control, identity, memory, doubts, sites, Path.of(file));
         }
     }
 
@@ -465,6 +474,7 @@
         words.put("identity", saying::identity);
         words.put("memory", saying::memory);
         words.put("doubts", saying::doubts);
+        words.put("sites", saying::sites);
         words.put("allow", given -> saying.rule(true, given));
         words.put("deny", given -> saying.rule(false, given));
         words.put("role", saying::role);
