A held write is counted once; nothing is told on a loop that has ended

Seen on reading the change again: Ledger.believed asked by the call that counts held writes, so each answer of a former primary counted as one; and a failing disk at a router's end told an empty list on its loop, which may be gone by then. mayLead does not count; nothing is told where nobody waits. DoubtsTest and RemembersTest green.

--- a/src/main/java/dillfront/daemon/Ledger.java
+++ b/src/main/java/dillfront/daemon/Ledger.java
@@ -144,7 +144,7 @@
 
     /** One that claims to lead, and gets no write, stands at no present either: nothing that it says of itself counts. */
     Report believed(int node, Report says, Duration clock) {
-        return says.role() == Role.PRIMARY && !groups.mayWrite(node, clock) ? Report.NOTHING : says;
+        return says.role() == Role.PRIMARY && !groups.mayLead(node, clock) ? Report.NOTHING : says;
     }
 
     // ---- nodes
--- a/src/main/java/dillfront/memory/Memory.java
+++ b/src/main/java/dillfront/memory/Memory.java
@@ -260,7 +260,9 @@
             waiting.putIfAbsent("tried", "");
             List<Consumer<Boolean>> tell = new ArrayList<>(told);
             told.clear();
-            loop.execute(() -> tell.forEach(t -> t.accept(false)));
+            if (!tell.isEmpty()) {
+                loop.execute(() -> tell.forEach(t -> t.accept(false)));
+            }
             long until = System.nanoTime() + AGAIN_MS * 1_000_000;
             try {
                 for (long left = AGAIN_MS; left > 0 && !over; left = (until - System.nanoTime()) / 1_000_000) {
--- a/src/main/java/dillfront/recovery/Groups.java
+++ b/src/main/java/dillfront/recovery/Groups.java
@@ -191,10 +191,10 @@
     }
 
     /**
-     * Whether a write may go to this node, as far as it is known who led before. His silence tells nothing until he has spoken:
+     * Whether this node's word that it leads counts, as far as it is known who led before. His silence tells nothing until he has spoken:
      * where power comes back, he may be the last to be there. Once he has said that he leads, it ends what is known of him.
      */
-    public boolean mayWrite(int node, Duration now) {
+    public boolean mayLead(int node, Duration now) {
         Row row = node < rows.size() ? rows.get(node) : null;
         Place place = row == null ? null : place(row.group);
         if (place == null || place.former == null || place.former.equals(row.id)
@@ -208,10 +208,16 @@
             place.former = null;
             return true;
         }
-        held++;
         return false;
     }
 
+    /** Whether a write may go to this node: not to one that may not lead. */
+    public boolean mayWrite(int node, Duration now) {
+        boolean may = mayLead(node, now);
+        held += may ? 0 : 1;
+        return may;
+    }
+
     // ---- the beat
 
     public void beat(Duration now) {
