--- a/src/test/java/dillfront/peers/CodecTest.java
+++ b/src/test/java/dillfront/peers/CodecTest.java
@@ -86,7 +86,10 @@
         int before = bytes.readableBytes();
         by.read(bytes, now, unix, new Codec.Reader() {
             @Override
-            public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) { }
+            public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) {
+                trace.add(ring.name(from) + "." + incarnation + " life " + life + " doubts of " + ring.name(about) + " "
+                        + java.util.Arrays.toString(digest));
+            }
 
             @Override
             public void read(int from, int incarnation, Duration sent, Codec.Form form, int probe, int about, List<Word> words) {
@@ -120,6 +123,29 @@
         assertEquals("NOT_MINE", read(carol, bytes, UNIX), "to another");
     }
 
+    private static ByteBuf doubts(Codec by, int about, long... digest) {
+        ByteBuf out = Unpooled.buffer();
+        by.write(out, 0, 2, 9, about, digest, UNIX);
+        return out;
+    }
+
+    @Example
+    void doubtsAreOfTheSenderOrOfWhoReads() {
+        ByteBuf bytes = doubts(bob, 1, 7, -1);
+        assertEquals(Codec.doubtBytes(2) - Codec.BELOW, bytes.readableBytes());
+        assertEquals("r1.2 life 9 doubts of r1 [7, -1]", read(alice, bytes, UNIX));
+        assertEquals("r1.2 life 9 doubts of r1 []", read(alice, doubts(bob, 1), UNIX));
+        assertEquals("r1.2 life 9 doubts of r0 [5]", read(alice, doubts(bob, 0, 5), UNIX));
+        assertEquals("FORM", read(alice, doubts(bob, 2, 5), UNIX), "of a third one");
+        assertEquals("FORM", read(alice, doubts(bob, -1, 5), UNIX), "of nobody");
+        ByteBuf cut = doubts(bob, 1, 5, 6);
+        assertEquals("FORM", read(alice, cut.slice(0, cut.readableBytes() - 8), UNIX), "a part is missing");
+        ByteBuf spoilt = doubts(bob, 1, 5, 6);
+        spoilt.setByte(Codec.HEAD + 3, 1);
+        assertEquals("SIGNATURE", read(alice, spoilt, UNIX));
+        assertEquals(Codec.doubtBytes(Codec.mostParts(DATAGRAM)) - Codec.BELOW <= DATAGRAM, true, "the largest fits");
+    }
+
     @Example
     void passesOnWhatAnotherSigned() {
         Word claim = bob.seal(claim(1, 2, UNIX));
