A drain that others were told of by newer lists binds where one's own agent lags

Need: after a loss of power an agent may come back older than it was, or lag for long; its router goes on sending to a node that drains, while others know better.

Change: list.Witnesses (pure): what others' lists have closed, with generation and start; more than may lie, by lists newer than the latest here, close a node, as far as the least of them goes; one's own list of that generation goes before it, and nothing opens by it. A form of datagram CLOSED; told with gossip() alone, within its budget.

Result: AskedTest's fourth scene with four real routers (one witness closes nothing, two do, nothing is sent there from then on, the own list opens it again), CodecTest: green.

--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -11,10 +11,13 @@
 import dillfront.list.Member;
 import dillfront.list.MemberList;
 import dillfront.list.Watch;
+import dillfront.list.Witnesses;
 import dillfront.log.Counters;
 import dillfront.log.Log;
 import dillfront.pace.Pace;
 import dillfront.peers.Neighbours;
+import dillfront.peers.Ring;
+import dillfront.peers.Telling;
 import dillfront.pgwire.Statement;
 import dillfront.port.Effect;
 import dillfront.port.NodeRow;
@@ -28,15 +31,17 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** The module and what it drives: words of the network become its calls, its results go out again. */
-final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener, Neighbours.Decisions {
+final class Router implements Outlet, Desk, Fleet.Listener, Watch.Listener, Neighbours.Decisions, Telling.Lists {
 
     /** The part of the memory that one answer may take: 2 MB where it is 128. */
     private static final int LONGEST_PART = 64;
@@ -304,6 +309,43 @@
 
     // ---- what others say
 
+    @Override
+    public long closedVersion() {
+        return members.closingsVersion();
+    }
+
+    @Override
+    public Map<String, long[]> closed() {
+        return members.closed();
+    }
+
+    /** What is closed elsewhere by lists that have not come here yet is closed here too. */
+    @Override
+    public void witnessed(Witnesses witnesses) {
+        List<Witnesses.Word> newer = witnesses.newerThan(members.latest());
+        if (newer.isEmpty()) {
+            return;
+        }
+        Map<Long, String> ids = new HashMap<>();
+        members.ids().forEach(id -> ids.put(Ring.hash(id), id));
+        List<Member> closed = new ArrayList<>();
+        for (Witnesses.Word word : newer) {
+            String id = ids.get(word.node());
+            Member member = id == null ? null : members.closedElsewhere(id, word.generation(), word.startedMs());
+            if (member != null) {
+                closed.add(member);
+                log.info("closed-elsewhere", "id", id, "generation", word.generation(), "latest_here", members.latest());
+            }
+        }
+        if (!closed.isEmpty()) {
+            tick();
+            decide.list(false, closed.stream().map(Member::row).toList());
+            if (ledger != null) {
+                ledger.listed(closed);
+            }
+        }
+    }
+
     @Override
     public Sight sees(int node) {
         return decide.sees(node);
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -5,6 +5,7 @@
 import dillfront.config.Config;
 import dillfront.config.Setup;
 import dillfront.control.Control;
+import dillfront.list.Witnesses;
 import dillfront.log.Log;
 import dillfront.memory.Memory;
 import dillfront.operator.Operator;
@@ -63,11 +64,12 @@
                     new SplittableRandom(~seed), (word, age) -> neighbours.claimed(word, age, router.clock().now()));
             neighbours.speaksBy(datagrams::gossip);
             router.hears(neighbours);
-            if (ledger != null && ledger.keeps()) {
-                Others others = new Others(ring.size(), operator.doubts().keeps());
+            Others others = operator.doubts() == null ? null : new Others(ring.size(), operator.doubts().keeps());
+            if (others != null) {
                 ledger.others(others);
-                datagrams.tells(new Telling(ledger.doubts(), others, router.clock()::now));
             }
+            datagrams.tells(new Telling(others == null ? null : ledger.doubts(), others, new Witnesses(gossip.tuning().liars()), router,
+                    router.clock()::now));
         }
         control = operator.control() == null ? null : new Control(loop, operator.control(), log, question ->
                 switch (question) {
--- a/src/main/java/dillfront/lab/rig/Stage.java
+++ b/src/main/java/dillfront/lab/rig/Stage.java
@@ -102,6 +102,11 @@
         record.forEach(of);
     }
 
+    /** On the loop: how many statements of this life of a router the node has read so far. */
+    long sent(String life, String node) {
+        return record.stream().filter(h -> h instanceof Happening.Sent s && s.life().equals(life) && s.node().equals(node)).count();
+    }
+
     /** On the loop: how many statements that write this node has read so far. */
     long writes(String node) {
         return record.stream().filter(h -> h instanceof Happening.Sent s && s.node().equals(node) && Mix.type(s.type()).write()).count();
--- a/src/main/java/dillfront/list/Closings.java
+++ b/src/main/java/dillfront/list/Closings.java
@@ -34,6 +34,7 @@
     /** Emptied by words that open a node again, and at the bound. */
     private final Map<String, Closing> closed = new LinkedHashMap<>();
     private Keeper keeper;
+    private long version;
 
     /** From now on; what is remembered from before is told by close() before that. */
     public void keeper(Keeper of) {
@@ -56,8 +57,11 @@
         if (older) {
             return before.standing;
         }
-        if (closed.remove(id) != null && keeper != null) {
-            keeper.opened(id);
+        if (closed.remove(id) != null) {
+            version++;
+            if (keeper != null) {
+                keeper.opened(id);
+            }
         }
         return said;
     }
@@ -71,12 +75,25 @@
             Closing now = new Closing(before == null ? generation : Math.max(generation, before.generation),
                     drained ? Standing.DRAINING : said, before == null ? startedMs : Math.max(startedMs, before.startedMs));
             closed.put(id, now);
+            version += now.equals(before) ? 0 : 1;
             if (keeper != null && !now.equals(before)) {
                 keeper.closed(id, now.standing, now.startedMs, now.generation);
             }
         }
     }
 
+    /** The words that hold, by the ids of their nodes, the latest last. */
+    Map<String, long[]> words() {
+        Map<String, long[]> words = new LinkedHashMap<>();
+        closed.forEach((id, closing) -> words.put(id, new long[] {closing.generation, closing.startedMs}));
+        return words;
+    }
+
+    /** Changes with what is closed. */
+    long version() {
+        return version;
+    }
+
     int size() {
         return closed.size();
     }
--- a/src/main/java/dillfront/list/MemberList.java
+++ b/src/main/java/dillfront/list/MemberList.java
@@ -36,6 +36,10 @@
     /** Indices that may be given again, and how many there are in all. */
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
     private int indices;
+    /** Of the latest list that was read. */
+    private long latest = -1;
+    /** The last row of each, to be said again where others close it. */
+    private final Map<String, Member> rows = new HashMap<>();
     /** Grows with the groups that any list has named. */
     private final Set<Integer> groups = new HashSet<>();
 
@@ -74,6 +78,7 @@
     public List<Member> read(Tree list) {
         List<Member> members = new ArrayList<>();
         long generation = list.whole("generation");
+        latest = Math.max(latest, generation);
         Set<String> open = new TreeSet<>();
         if (list.flag("reset")) {
             open.addAll(nodes.keySet());
@@ -113,9 +118,10 @@
             int node = before != null ? before.index : free.isEmpty() ? indices++ : free.poll();
             nodes.put(id, new Known(node, startedMs));
             groups.add((int) entry.whole("cell"));
-            members.add(new Member(id, new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
+            rows.put(id, new Member(id, new NodeRow(node, (int) entry.whole("cell"), setup.zone(entry.text("zone")),
                     entry.number("weight", 1), entry.text("role").equals("leader"),
                     startedMs == 0 ? null : clock.since(startedMs), standing), address, startedMs));
+            members.add(rows.get(id));
         }
         // A whole list closes those that it leaves out.
         for (String id : open) {
@@ -131,11 +137,49 @@
             String id = ids.next();
             if (over.test(nodes.get(id).index)) {
                 free.add(nodes.remove(id).index);
+                rows.remove(id);
                 ids.remove();
             }
         }
     }
 
+    /** Of all nodes that a list has named and that are not forgotten. */
+    public Set<String> ids() {
+        return Set.copyOf(nodes.keySet());
+    }
+
+    /** Of the latest list that was read; negative where none was. */
+    public long latest() {
+        return latest;
+    }
+
+    /** Changes with closings(). */
+    public long closingsVersion() {
+        return closings.version();
+    }
+
+    /** What is closed now, by the ids of nodes: the generation of the list that closed it, and the start it spoke of. */
+    public Map<String, long[]> closed() {
+        return closings.words();
+    }
+
+    /**
+     * Others' lists have closed this node, in a generation that no list here has reached: it is closed here as well, as by a word
+     * that is remembered. Null where it is not known here, has started since, or is closed already.
+     */
+    public Member closedElsewhere(String id, long generation, long startedMs) {
+        Member member = rows.get(id);
+        if (member == null || member.row().standing() != Standing.READY || member.startedMs() > startedMs || generation <= latest) {
+            return null;
+        }
+        closings.close(id, Standing.DRAINING, startedMs, generation);
+        NodeRow row = member.row();
+        Member now = new Member(id, new NodeRow(row.node(), row.group(), row.zone(), row.size(), row.primary(), row.started(),
+                Standing.DRAINING), member.address(), member.startedMs());
+        rows.put(id, now);
+        return now;
+    }
+
     /** How many indices were ever needed at once. */
     public int indices() {
         return indices;
--- a/src/main/java/dillfront/peers/Codec.java
+++ b/src/main/java/dillfront/peers/Codec.java
@@ -30,7 +30,9 @@
  * 8 said, Unix microseconds, 4 and 2 address and port where ALIVE, 64 Ed25519 signature of these behind "dillfront word 1".
  *
  * <p>A datagram of the form DOUBTS has no words; the byte that counts them counts 64-bit parts of a recovery.Digest, which
- * stand in their place, and the name it is about is whose keys these are. Instances that do not know the form drop it.
+ * stand in their place, and the name it is about is whose keys these are. CLOSED is the same with three parts for each node that
+ * the sender's lists have closed: the first 8 bytes of the SHA-256 of its id, the generation of that list, the start of the process
+ * it spoke of. Instances that do not know these forms drop them.
  *
  * <p>What comes is looked at in the order of cost, and nothing is allocated by a length that it names: the count of words
  * must fit the size that came. Signatures of words that were checked before are known by their bytes.
@@ -47,9 +49,11 @@
     private static final byte[] WORD_TEXT = "dillfront word 1".getBytes(StandardCharsets.US_ASCII);
     private static final int CHECKED = 1024;
     private static final int MOST_PARTS = 128;
+    /** What one closed node takes of those parts. */
+    static final int CLOSED_PARTS = 3;
 
     /** What a datagram is for. */
-    public enum Form { PING, ACK, ASK, PUSH, SWAP, DOUBTS }
+    public enum Form { PING, ACK, ASK, PUSH, SWAP, DOUBTS, CLOSED }
 
     /** Takes what was read and found right. */
     public interface Reader {
@@ -65,6 +69,9 @@
          */
         void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest);
 
+        /** @param words of what the sender's lists have closed, three numbers each: the node's hash, generation, start */
+        void closed(int from, int incarnation, Duration sent, long[] words);
+
         /** An instance's own word tells where it is. */
         void at(int peer, int incarnation, InetSocketAddress address);
 
@@ -150,8 +157,17 @@
 
     /** One datagram of keys in doubt; in place of a probe's number, which life of the sender this is. */
     public void write(ByteBuf out, int to, int incarnation, int life, int about, long[] digest, Duration unix) {
-        int start = head(out, to, incarnation, Form.DOUBTS, life, about, digest.length, unix);
-        for (long part : digest) {
+        write(out, to, incarnation, Form.DOUBTS, life, about, digest, unix);
+    }
+
+    /** One datagram of what this instance's lists have closed. */
+    public void write(ByteBuf out, int to, int incarnation, long[] closed, Duration unix) {
+        write(out, to, incarnation, Form.CLOSED, 0, self, closed, unix);
+    }
+
+    private void write(ByteBuf out, int to, int incarnation, Form form, int life, int about, long[] parts, Duration unix) {
+        int start = head(out, to, incarnation, form, life, about, parts.length, unix);
+        for (long part : parts) {
             out.writeLong(part);
         }
         seal(out, start);
@@ -201,7 +217,7 @@
         }
         int count = in.getUnsignedByte(start + HEAD - 1);
         Form form = Form.values()[in.getByte(start + 3)];
-        if (size != HEAD + count * (form == Form.DOUBTS ? Long.BYTES : WORD) + SIGNATURE) {
+        if (size != HEAD + count * (form == Form.DOUBTS || form == Form.CLOSED ? Long.BYTES : WORD) + SIGNATURE) {
             reader.dropped(Drop.FORM);
             return;
         }
@@ -237,11 +253,14 @@
         int about = ring.peer(in.getLong(start + 44));
         int incarnation = in.getInt(start + 12);
         Duration sent = Duration.ofNanos(in.getLong(start + 24) * 1000);
-        if (form == Form.DOUBTS) {
+        if (form == Form.DOUBTS || form == Form.CLOSED) {
             long[] digest = new long[count];
             ByteBuffer.wrap(all, HEAD, count * Long.BYTES).asLongBuffer().get(digest);
-            if (count > MOST_PARTS || about != from.peer() && about != self) {
+            boolean closed = form == Form.CLOSED;
+            if (count > MOST_PARTS || about != from.peer() && (closed || about != self) || closed && count % CLOSED_PARTS != 0) {
                 reader.dropped(Drop.FORM);
+            } else if (closed) {
+                reader.closed(from.peer(), incarnation, sent, digest);
             } else {
                 reader.doubts(from.peer(), incarnation, sent, in.getInt(start + 40), about, digest);
             }
--- a/src/main/java/dillfront/peers/Datagrams.java
+++ b/src/main/java/dillfront/peers/Datagrams.java
@@ -76,6 +76,14 @@
         void says(int peer, int life, long[] digest);
 
         void echoes(int peer, long[] digest);
+
+        /** Changes with what the lists have closed. */
+        long closedVersion();
+
+        /** That, three numbers each, the latest of so many. */
+        long[] closed(int mostParts);
+
+        void closes(int peer, long[] words);
     }
 
     /** What one other instance was told of keys in doubt, in this life of it. */
@@ -87,6 +95,8 @@
         /** How often it is still told what it said in an earlier life. */
         int echoes;
         Duration echoedAt;
+        long closedVersion = -1;
+        Duration closedAt;
     }
 
     /** Datagrams get lost: so often an earlier life's word is told back, and what is in doubt is told again after so many periods. */
@@ -198,6 +208,7 @@
         if (telling.life(peer) != its.life) {
             its.life = telling.life(peer);
             its.version = -1;
+            its.closedVersion = -1;
             its.echoes = before == null ? 0 : ECHOES;
             its.echoedAt = null;
         }
@@ -206,6 +217,9 @@
             its.echoes--;
             return sendDoubts(peer, peer, before);
         }
+        if (tellClosed(peer, its, now)) {
+            return true;
+        }
         boolean soon = its.at != null && now.minus(its.at).compareTo(tuning.period()) < 0;
         boolean again = its.at != null && !its.empty && now.minus(its.at).compareTo(tuning.period().multipliedBy(AGAIN)) >= 0;
         if (soon || its.version == telling.version() && !again) {
@@ -221,13 +235,41 @@
         return true;
     }
 
+    /** What is closed, as it changes, and again: an agent that lags does so for long. Nothing where nothing is and was. */
+    private boolean tellClosed(int peer, Told its, Duration now) {
+        boolean soon = its.closedAt != null && now.minus(its.closedAt).compareTo(tuning.period()) < 0;
+        boolean again = its.closedAt != null && now.minus(its.closedAt).compareTo(tuning.period().multipliedBy(AGAIN)) >= 0;
+        if (soon || its.closedVersion == telling.closedVersion() && !again) {
+            return false;
+        }
+        long[] closed = telling.closed(Codec.mostParts(tuning.datagram()));
+        if (closed.length == 0 && its.closedAt == null) {
+            its.closedVersion = telling.closedVersion();
+            return false;
+        }
+        if (!send(peer, self, closed, true)) {
+            return false;
+        }
+        its.closedVersion = telling.closedVersion();
+        its.closedAt = closed.length == 0 ? null : now;
+        return true;
+    }
+
     private boolean sendDoubts(int to, int about, long[] digest) {
+        return send(to, about, digest, false);
+    }
+
+    private boolean send(int to, int about, long[] parts, boolean closed) {
         InetSocketAddress address = ring.address(to);
-        if (address == null || !channel.isActive() || !gossip.pays(Codec.doubtBytes(digest.length))) {
+        if (address == null || !channel.isActive() || !gossip.pays(Codec.doubtBytes(parts.length))) {
             return false;
         }
-        ByteBuf out = channel.alloc().buffer(Codec.doubtBytes(digest.length));
-        codec.write(out, to, gossip.incarnation(), life, about, digest, unix.get());
+        ByteBuf out = channel.alloc().buffer(Codec.doubtBytes(parts.length));
+        if (closed) {
+            codec.write(out, to, gossip.incarnation(), parts, unix.get());
+        } else {
+            codec.write(out, to, gossip.incarnation(), life, about, parts, unix.get());
+        }
         sent++;
         channel.writeAndFlush(new DatagramPacket(out, address));
         return true;
@@ -280,13 +322,26 @@
         }
     }
 
-    @Override
-    public void doubts(int from, int incarnation, Duration at, int its, int about, long[] digest) {
+    /** Its sender signed it just now, so it is there. */
+    private void heard(int from, int incarnation, Duration at) {
         read++;
         ring.address(from, sender);
         addressOf[from] = Math.max(addressOf[from], incarnation);
         at();
         gossip.from(from, incarnation, at);
+    }
+
+    @Override
+    public void closed(int from, int incarnation, Duration at, long[] words) {
+        heard(from, incarnation, at);
+        if (telling != null) {
+            telling.closes(from, words);
+        }
+    }
+
+    @Override
+    public void doubts(int from, int incarnation, Duration at, int its, int about, long[] digest) {
+        heard(from, incarnation, at);
         if (telling != null && about == self) {
             telling.echoes(from, digest);
         } else if (telling != null) {
--- a/src/test/java/dillfront/lab/rig/AskedTest.java
+++ b/src/test/java/dillfront/lab/rig/AskedTest.java
@@ -99,6 +99,39 @@
         judge(true);
     }
 
+    /** Guards against an agent that lags: what two others were told binds, what one alone says does not. */
+    @Test
+    void whatOthersListsHaveClosedIsClosedWhereTheAgentLags() throws Exception {
+        begin(4, 4);
+        rig.apart(0, 3, true);
+        rig.agent(0, 0).upTo(41);
+        rig.agent(2, 0).upTo(41);
+        rig.agent(3, 0).upTo(41);
+        rig.stage().run(() -> rig.catalogue().change(rig.catalogue().entry("s-2").is("draining")));
+        rig.stage().await("router 1 has heard", () -> rig.heard(rig.router(1).life() + "<a0") == 42);
+        status(1, "it is closed", said -> said.contains("closings=1 "));
+        // One witness: it may lie.
+        otherWritesGoThrough(0);
+        status(0, "nothing is closed", said -> said.contains("closings=0 "));
+        rig.agent(2, 0).upTo(Long.MAX_VALUE);
+        status(0, "two say so", said -> said.contains("closings=1 "));
+        rig.router(0).awaitLine("that s-2 is closed", l -> l.contains("closed-elsewhere id=s-2 generation=42 latest_here=41"));
+        String life = rig.router(0).life();
+        // What was on its way then has come; from here on nothing does.
+        load.stop();
+        rig.settle();
+        long before = rig.stage().call(() -> rig.stage().sent(life, "s-2"));
+        load.start();
+        served(rig.stage().call(() -> load.committed(life)) + 100, 0);
+        assertEquals(before, rig.stage().call(() -> rig.stage().sent(life, "s-2")));
+        rig.agent(0, 0).upTo(Long.MAX_VALUE);
+        rig.agent(3, 0).upTo(Long.MAX_VALUE);
+        rig.stage().run(() -> rig.catalogue().change(rig.catalogue().entry("s-2").is("ready")));
+        rig.stage().await("router 0 has heard", () -> rig.heard(rig.router(0).life() + "<a0") == 43);
+        status(0, "its own list opens it again", said -> said.contains("closings=0 "));
+        judge(true);
+    }
+
     /** One that says that it has everything in doubt is not heard; one that says it of some costs those alone. */
     @Test
     void oneThatDoubtsEverythingHoldsNothingBack() throws Exception {
--- a/src/test/java/dillfront/peers/CodecTest.java
+++ b/src/test/java/dillfront/peers/CodecTest.java
@@ -85,6 +85,11 @@
         trace.clear();
         int before = bytes.readableBytes();
         by.read(bytes, now, unix, new Codec.Reader() {
+            @Override
+            public void closed(int from, int incarnation, Duration sent, long[] words) {
+                trace.add(ring.name(from) + " closed " + java.util.Arrays.toString(words));
+            }
+
             @Override
             public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) {
                 trace.add(ring.name(from) + "." + incarnation + " life " + life + " doubts of " + ring.name(about) + " "
@@ -143,6 +148,12 @@
         ByteBuf spoilt = doubts(bob, 1, 5, 6);
         spoilt.setByte(Codec.HEAD + 3, 1);
         assertEquals("SIGNATURE", read(alice, spoilt, UNIX));
+        ByteBuf closed = Unpooled.buffer();
+        bob.write(closed, 0, 2, new long[] {1, 42, 0}, UNIX);
+        assertEquals("r1 closed [1, 42, 0]", read(alice, closed, UNIX));
+        closed = Unpooled.buffer();
+        bob.write(closed, 0, 2, new long[] {1, 42}, UNIX);
+        assertEquals("FORM", read(alice, closed, UNIX), "two parts of three");
         assertEquals(Codec.doubtBytes(Codec.mostParts(DATAGRAM)) - Codec.BELOW <= DATAGRAM, true, "the largest fits");
     }
 
@@ -265,6 +276,11 @@
                 Duration.ofMillis(sinceMs), UNIX.plusMillis(offMs)));
         List<Word> got = new ArrayList<>();
         alice.read(write(bob, 0, Codec.Form.PUSH, UNIX, word), now, UNIX, new Codec.Reader() {
+            @Override
+            public void closed(int from, int incarnation, Duration sent, long[] words) {
+                trace.add(ring.name(from) + " closed " + java.util.Arrays.toString(words));
+            }
+
             @Override
             public void doubts(int from, int incarnation, Duration sent, int life, int about, long[] digest) { }
 
