Status counts the witnesses of closed nodes; its scene waits to have heard one

To blame: the test, which observed nothing.

Change: `status` counts instances whose lists have closed anything; the scene waits for one, then looks, lets writes through and looks again.

--- a/src/main/java/dillfront/daemon/Ledger.java
+++ b/src/main/java/dillfront/daemon/Ledger.java
@@ -242,12 +242,13 @@
     }
 
     /** For the operator: sections of names and values, in the order in which they are shown. */
-    Map<String, Object> status(int closings) {
+    Map<String, Object> status(int closings, int witnesses) {
         Map<String, Object> all = new LinkedHashMap<>();
         Map<String, Object> recovery = new LinkedHashMap<>();
         recovery.put("loss", name(groups.loss()));
         recovery.put("sure", Math.round(groups.sure() * 100) / 100.0);
         recovery.put("closings", closings);
+        recovery.put("witnesses", witnesses);
         recovery.put("writes_held_back", groups.held());
         recovery.put("changes_unsaid", unsaid);
         all.put("recovery", recovery);
--- a/src/main/java/dillfront/daemon/Router.java
+++ b/src/main/java/dillfront/daemon/Router.java
@@ -67,6 +67,8 @@
     private final List<Integer> free = new ArrayList<>();
     /** Null where gossip is off. */
     private Neighbours neighbours;
+    /** How many others say that their lists have closed anything. */
+    private int telling;
     /** Null where nothing is kept in mind beyond the txns that are out. */
     private Ledger ledger;
 
@@ -109,6 +111,10 @@
         return members.closings();
     }
 
+    int witnesses() {
+        return telling;
+    }
+
     /** What is kept in mind beyond the txns that are out, and, where not null, what a txn with a key waits for. Before the first list. */
     void keeps(Ledger by, Fleet.Kept before) {
         ledger = by;
@@ -322,6 +328,7 @@
     /** What is closed elsewhere by lists that have not come here yet is closed here too. */
     @Override
     public void witnessed(Witnesses witnesses) {
+        telling = witnesses.telling();
         List<Witnesses.Word> newer = witnesses.newerThan(members.latest());
         if (newer.isEmpty()) {
             return;
--- a/src/main/java/dillfront/daemon/Side.java
+++ b/src/main/java/dillfront/daemon/Side.java
@@ -75,8 +75,8 @@
                 switch (question) {
                     case "peers" -> datagrams == null ? "gossip is off\n" : Standing.table(datagrams, neighbours);
                     case "peers json" -> datagrams == null ? "{}\n" : Standing.json(datagrams, neighbours);
-                    case "status" -> ledger == null ? "memory, doubts and sites are off\n" : Status.table(ledger.status(router.closings()));
-                    case "status json" -> ledger == null ? "{}\n" : Status.json(ledger.status(router.closings()));
+                    case "status" -> ledger == null ? "memory, doubts and sites are off\n" : Status.table(ledger.status(router.closings(), router.witnesses()));
+                    case "status json" -> ledger == null ? "{}\n" : Status.json(ledger.status(router.closings(), router.witnesses()));
                     default -> "unknown question; known: peers, peers json, status, status json\n";
                 });
     }
--- a/src/main/java/dillfront/list/Witnesses.java
+++ b/src/main/java/dillfront/list/Witnesses.java
@@ -33,6 +33,11 @@
         said.put(instance, List.copyOf(words));
     }
 
+    /** How many instances say that their lists have closed anything. */
+    public int telling() {
+        return (int) said.values().stream().filter(words -> !words.isEmpty()).count();
+    }
+
     /** What enough of them say of nodes in lists newer than this generation. */
     public List<Word> newerThan(long generation) {
         Map<Long, List<Word>> byNode = new HashMap<>();
--- a/src/test/java/dillfront/lab/rig/AskedTest.java
+++ b/src/test/java/dillfront/lab/rig/AskedTest.java
@@ -111,10 +111,11 @@
         rig.stage().await("router 1 has heard", () -> rig.heard(rig.router(1).life() + "<a0") == 42);
         status(1, "it is closed", said -> said.contains("closings=1 "));
         // One witness: it may lie.
+        status(0, "one says so, and nothing is closed", said -> said.contains("closings=0 witnesses=1 "));
         otherWritesGoThrough(0);
-        status(0, "nothing is closed", said -> said.contains("closings=0 "));
+        status(0, "still nothing is closed", said -> said.contains("closings=0 witnesses=1 "));
         rig.agent(2, 0).upTo(Long.MAX_VALUE);
-        status(0, "two say so", said -> said.contains("closings=1 "));
+        status(0, "two say so", said -> said.contains("closings=1 witnesses=2 "));
         rig.router(0).awaitLine("that s-2 is closed", l -> l.contains("closed-elsewhere id=s-2 generation=42 latest_here=41"));
         String life = rig.router(0).life();
         // What was on its way then has come; from here on nothing does.
