A disk that was full is left by a whole new file; a dead method and twins are out

What waits to be taken out is a record of its own, which the full file had no room for, for good. To blame: Shelf.put, which appended after a failure and wrote anew only where half was dead already.

Change: after a failed write the next put goes into a whole new file, with what it takes out gone. Beside it, no change of behaviour: Small.plants, which nobody called, is out; `how` and the asking of other writes stand once, in Losses; Shelf keeps whether a file was set aside instead of reading it out of a text. MemoryTest, AskedTest and RemembersTest green, the full disk again after the mend.

--- a/src/main/java/dillfront/lab/Small.java
+++ b/src/main/java/dillfront/lab/Small.java
@@ -20,10 +20,8 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -654,13 +652,4 @@
         @Override
         public void opened(String id) { }
     }
-
-    /** As the measurement and its readers have them. */
-    public static Map<Plant, Found> plants(int depth, int most) {
-        Map<Plant, Found> found = new TreeMap<>();
-        for (Plant plant : Plant.values()) {
-            found.put(plant, explore(depth, most, plant));
-        }
-        return found;
-    }
 }
--- a/src/main/java/dillfront/memory/Shelf.java
+++ b/src/main/java/dillfront/memory/Shelf.java
@@ -67,6 +67,7 @@
     private long live;
     private long record;
     private String cut;
+    private boolean aside;
     /** A write failed: what is behind the good part is not known. */
     private boolean doubtful;
 
@@ -213,6 +214,7 @@
     }
 
     private void aside(byte[] all, String fault) throws IOException {
+        aside = true;
         cut = fault + "; the file as it was is kept as " + ASIDE;
         disk.delete(ASIDE);
         disk.append(ASIDE, ByteBuffer.wrap(all));
@@ -221,7 +223,7 @@
 
     /** More than a torn tail was wrong, and the file as it was lies beside. */
     boolean isAside() {
-        return cut != null && cut.endsWith(ASIDE);
+        return aside;
     }
 
     /** What was wrong with the file that was found; null where nothing was. */
@@ -238,12 +240,23 @@
     void put(Map<String, String> named, Map<Long, Long> numbered) throws Broken {
         try {
             if (doubtful) {
+                // A disk that is full gets back what is no longer needed, by this put too: as a whole new file.
                 disk.cut(FILE, length);
-                doubtful = false;
-                live = size();
-                if (length > 2 * live) {
-                    // A disk that is full gets back what is no longer needed.
+                Map<String, String> texts = new HashMap<>(this.texts);
+                Map<Long, Long> numbers = new HashMap<>(this.numbers);
+                named.forEach(this::put);
+                numbered.forEach(this::put);
+                try {
                     anew();
+                    doubtful = false;
+                    return;
+                } finally {
+                    if (doubtful) {
+                        this.texts.clear();
+                        this.texts.putAll(texts);
+                        this.numbers.clear();
+                        this.numbers.putAll(numbers);
+                    }
                 }
             }
             ByteBuffer bytes = record(record + 1, named, numbered);
--- a/src/test/java/dillfront/lab/rig/AskedTest.java
+++ b/src/test/java/dillfront/lab/rig/AskedTest.java
@@ -16,17 +16,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** What routers that talk tell each other of writes that may have run: one that is gone, one without its disk, one that lies. */
 class AskedTest extends Losses {
 
-    private String how(CompletableFuture<Happening.Answered> answer) throws Exception {
-        return answer.get(30, TimeUnit.SECONDS).how();
-    }
-
     private void begin(int routers, int peers) throws Exception {
         begin(Rig.Plan.of(routers, 1, 3).work(USUAL).operator((set, r) -> {
             try {
@@ -50,13 +45,6 @@
         status(r, "it is in doubt", said -> said.contains("in_doubt=1 "));
     }
 
-    private void otherWritesGoThrough(int r) throws Exception {
-        int other = 0;
-        while (!how(rig.ask(r, "move", 0, "other-" + r + "-" + ++other, 1500)).equals("committed")) {
-            assertTrue(other < 100, "no other write goes through");
-        }
-    }
-
     /** Guards against a client that goes to another router, once its own is gone; also where that one was cut off for a while. */
     @Test
     void anotherRouterMeetsTheDoubtOfOneThatIsGone() throws Exception {
--- a/src/test/java/dillfront/lab/rig/Losses.java
+++ b/src/test/java/dillfront/lab/rig/Losses.java
@@ -17,6 +17,8 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -104,6 +106,18 @@
         }
     }
 
+    static String how(CompletableFuture<Happening.Answered> answer) throws Exception {
+        return answer.get(30, TimeUnit.SECONDS).how();
+    }
+
+    /** Writes by keys of their own, until one is committed: nodes may be cold. */
+    void otherWritesGoThrough(int r) throws Exception {
+        int other = 0;
+        while (!how(rig.ask(r, "move", 0, "other-" + r + "-" + ++other, 1500)).equals("committed")) {
+            assertTrue(other < 100, "no other write goes through");
+        }
+    }
+
     /** The operator's file of a router that remembers, and can be asked how far it is. */
     String remembers(Rig set, int r) {
         doors[r] = Stage.free(100 + r);
--- a/src/test/java/dillfront/lab/rig/RemembersTest.java
+++ b/src/test/java/dillfront/lab/rig/RemembersTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -16,10 +15,6 @@
 /** What a router keeps for its next life: writes that may have run, who led, and what it does where its disk fails. */
 class RemembersTest extends Losses {
 
-    private static String how(CompletableFuture<Happening.Answered> answer) throws Exception {
-        return answer.get(30, TimeUnit.SECONDS).how();
-    }
-
     /** This write runs, and nobody hears of it: with nothing else out, nodes' answers to this router are held from now on. */
     private void runsUnheard(int r, String key, long waitMs) {
         load.stop();
@@ -52,10 +47,7 @@
         load.start();
         served(5, 0, 1);
         // Other writes go through, once there is room: their nodes are cold.
-        int other = 0;
-        while (!how(rig.ask(0, "move", 0, "other-" + ++other, 1500)).equals("committed")) {
-            assertTrue(other < 100, "no other write goes through");
-        }
+        otherWritesGoThrough(0);
         // A client that comes inside the window cannot be told from one that comes after it: no clock counted the outage.
         assertEquals("rolled-back", how(rig.ask(0, "move", 0, "held-1", 1500)));
         forgotten("held-1");
