--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -6,9 +6,13 @@
 import dillfront.daemon.Rehearsal;
 import dillfront.drill.BadInput;
 import dillfront.drill.Drill;
+import dillfront.host.Settings;
 import dillfront.log.Log;
 import dillfront.log.Silence;
+import dillfront.memory.Keep;
 import dillfront.operator.Operator;
+import dillfront.programs.ControlPlane;
+import dillfront.programs.DataPlane;
 import java.io.IOException;
 import java.util.List;
 
@@ -18,7 +22,7 @@
     private Main() {}
 
     public static void main(String[] args) {
-        if (args.length != 1 || !List.of("drill", "serve", "rehearse").contains(args[0])) {
+        if (args.length != 1 || !List.of("drill", "serve", "rehearse", "data-plane", "control-plane").contains(args[0])) {
             // Not for what the platform starts: the library's classes would cost each start.
             System.exit(Commands.run(args));
         }
@@ -35,6 +39,10 @@
                 Log log = new Log(System.err);
                 Silence.over(log);
                 Rehearsal.run(log);
+            } else if (args[0].equals("data-plane")) {
+                DataPlane.run();
+            } else if (args[0].equals("control-plane")) {
+                ControlPlane.run();
             } else {
                 new Drill(System.in, System.out).run();
             }
@@ -44,6 +52,9 @@
         } catch (Operator.BadOperator bad) {
             System.err.println("dillfront: LB_OPERATOR " + bad.getMessage());
             System.exit(1);
+        } catch (Settings.Bad | Keep.Broken bad) {
+            System.err.println("dillfront: " + bad.getMessage());
+            System.exit(1);
         } catch (BadInput bad) {
             System.err.println("dillfront: " + bad.getMessage());
             System.exit(1);
--- /dev/null
+++ b/src/main/java/dillfront/core/Askers.java
@@ -0,0 +1,171 @@
+package dillfront.core;
+
+import dillfront.host.Host;
+import dillfront.host.Pack;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The fronts that ask this control process for news: each question waits until there is some, or a while. */
+final class Askers {
+
+    private static final long HOLD_MS = 600;
+    /** A front that has not asked for so long is not counted. */
+    static final long COUNTED_MS = 5_000;
+    private static final int MOST = 6_000;
+
+    /** One front, over all the connections it has had here. */
+    private static final class Asker {
+        Host.Link link;
+        long question;
+        long heard;
+        boolean waits;
+        String boot = "";
+        long has;
+        long version = -1;
+        /** That no other leads was said to hold until then. */
+        long sureTill;
+        final Map<String, Long> records = new HashMap<>();
+        final Map<String, Sight> sights = new HashMap<>();
+    }
+
+    private final Core core;
+    private final TreeMap<String, Asker> fronts = new TreeMap<>();
+
+    Askers(Core core) {
+        this.core = core;
+    }
+
+    void asked(Host.Link link, Pack.Fields in) {
+        String name = in.text("n");
+        if (name.isEmpty() || fronts.size() >= MOST && !fronts.containsKey(name)) {
+            return;
+        }
+        Asker a = fronts.computeIfAbsent(name, n -> new Asker());
+        a.link = link;
+        a.question = in.number("q", 0);
+        a.heard = core.host.now();
+        a.waits = true;
+        a.boot = in.text("b");
+        a.has = in.number("r", 0);
+        a.version = in.number("c", -1);
+        a.records.clear();
+        a.sights.clear();
+        for (Pack.Fields row : in.list("s")) {
+            String service = row.text("s");
+            a.records.put(service, row.number("k", -1));
+            long sees = row.number("h", 0);
+            a.sights.put(service, new Sight(row.text("p"), sees > 0 ? 1 : 0, sees < 0 ? 1 : 0,
+                    (int) Math.max(0, Math.min(1 << 20, row.number("o", 0)))));
+        }
+        long question = a.question;
+        if (!answer(a)) {
+            core.host.after(HOLD_MS, () -> {
+                if (a.waits && a.question == question) {
+                    send(a);
+                }
+            });
+        }
+        core.duty.look();
+    }
+
+    /** Whether this front lacks anything, and has been told so. */
+    private boolean answer(Asker a) {
+        boolean lacks = !a.boot.equals(core.boot()) || a.has < core.members.changes()
+                || a.version < core.register.committed().version();
+        for (Lead lead : core.leads()) {
+            lacks |= a.records.getOrDefault(lead.service(), -1L) < lead.number();
+        }
+        if (lacks) {
+            send(a);
+        }
+        return lacks;
+    }
+
+    private void send(Asker a) {
+        a.waits = false;
+        Map<String, Object> out = new LinkedHashMap<>();
+        out.put("q", a.question);
+        boolean whole = !a.boot.equals(core.boot());
+        if (whole || a.has < core.members.changes()) {
+            out.put("b", core.boot());
+            out.put("r", core.members.changes());
+            out.put("w", whole);
+            out.put("m", core.members.since(whole ? -1 : a.has));
+        }
+        if (a.version < core.register.committed().version()) {
+            out.put("cb", core.register.committed().body());
+        }
+        List<Object> records = new ArrayList<>();
+        for (Lead lead : core.leads()) {
+            if (a.records.getOrDefault(lead.service(), -1L) < lead.number()) {
+                records.add(lead.row());
+            }
+        }
+        if (!records.isEmpty()) {
+            out.put("p", records);
+        }
+        out.put("f", core.fronts());
+        long sure = core.sureFor();
+        if (sure > 0) {
+            out.put("su", sure);
+            // It counts from its question, which was before now.
+            a.sureTill = Math.max(a.sureTill, core.host.now() + sure);
+        }
+        if (core.alone()) {
+            out.put("alone", true);
+        }
+        if (whole) {
+            out.put("cp", core.ips());
+        }
+        a.link.send(Pack.write(out));
+    }
+
+    /** There is news: whoever waits and lacks it is answered. */
+    void news() {
+        for (Asker a : fronts.values()) {
+            if (a.waits) {
+                answer(a);
+            }
+        }
+    }
+
+    /** The newest record of a service that all who ask here have, or hold nothing sure against. */
+    boolean cleared(String service, long record) {
+        long now = core.host.now();
+        for (Asker a : fronts.values()) {
+            if (a.sureTill > now && a.records.getOrDefault(service, -1L) < record) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    Sight sight(String service, String primary) {
+        Sight all = new Sight(primary, 0, 0, 0);
+        long now = core.host.now();
+        for (Asker a : fronts.values()) {
+            Sight one = a.sights.get(service);
+            if (one != null && one.primary().equals(primary) && now - a.heard < 1_500) {
+                all = all.plus(one);
+            }
+        }
+        return all;
+    }
+
+    /** When each was last heard, of those that count. */
+    Map<String, Long> heard() {
+        Map<String, Long> heard = new TreeMap<>();
+        long now = core.host.now();
+        fronts.values().removeIf(a -> now - a.heard > 60_000);
+        fronts.forEach((name, a) -> {
+            if (now - a.heard < COUNTED_MS) {
+                heard.put(name, a.heard);
+            }
+        });
+        return heard;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/core/Duty.java
@@ -0,0 +1,563 @@
+package dillfront.core;
+
+import com.eclipsesource.json.Json;
+import dillfront.host.Position;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The one duty there is: which server leads each service. Only the holder of the lease acts. A service whose primary is
+ * lost or drains is first recorded as moving, and nothing is done before a majority has that record: whoever holds the
+ * lease next finds it and goes on. A replica is named only when no acknowledged commit can be missing from its log, and no
+ * front can still take another for the primary.
+ */
+final class Duty {
+
+    private static final long PROBE_MS = 500;
+    private static final long PROBE_GAP_MS = 250;
+    private static final long PLATFORM_MS = 1_500;
+    private static final long AGAIN_MS = 200;
+    /** Open transactions may end, before a planned move. */
+    private static final long OPEN_MS = 900;
+    /** A replica gets so long to receive what the old primary had last, before the longest log is taken as it is. */
+    private static final long CATCH_UP_MS = 2_500;
+    /** A server that was silent for so long when its primary was still there holds nothing that others lack. */
+    private static final long LONG_SILENT_MS = 10_000;
+    private static final long NO_LEAD_MS = 4_000;
+    private static final long LEAD_PROBE_MS = 350;
+    /** A lease that ends sooner is no ground to begin a call on. */
+    private static final long LEFT_MS = 300;
+
+    /** What is watched of a primary that leads. */
+    private static final class Watch {
+        int misses;
+        long probedAt = Long.MIN_VALUE / 2;
+        boolean probing;
+        boolean calling;
+        long refusedUntil;
+    }
+
+    private enum Step { CLEAR, STOP, CHOOSE, NAME, WAIT }
+
+    /** A service on its way to another primary. */
+    private static final class Move {
+        final Lead lead;
+        final boolean planned;
+        final long since;
+        /** Found as it was left by an earlier holder: a call of that one may still be on its way. */
+        final boolean inherited;
+        Step step = Step.CLEAR;
+        boolean busy;
+        long again;
+        boolean stepped;
+        Position last;
+        long steppedAt;
+        boolean forced;
+        final Map<String, Question.Row> rows = new TreeMap<>();
+        final TreeSet<String> asking = new TreeSet<>();
+        final Map<String, Long> askAgain = new TreeMap<>();
+        final TreeSet<String> refused = new TreeSet<>();
+        String target;
+        long namedAt;
+        boolean fenced;
+
+        Move(Lead lead, boolean planned, boolean inherited, long since) {
+            this.lead = lead;
+            this.planned = planned;
+            this.inherited = inherited;
+            this.since = since;
+        }
+    }
+
+    private final Core core;
+    private final Map<String, Watch> watches = new TreeMap<>();
+    private final Map<String, Move> moves = new TreeMap<>();
+    /** The lease under which all of this was begun. */
+    private long held;
+    private long heldFrom;
+    private boolean taken;
+    private long next;
+
+    Duty(Core core) {
+        this.core = core;
+    }
+
+    /** This process holds the lease and knows all that earlier holders recorded. */
+    boolean settled() {
+        return taken && core.lease.holds() && core.lease.number() == held;
+    }
+
+    private long now() {
+        return core.host.now();
+    }
+
+    void look() {
+        if (!core.lease.holds()) {
+            if (held != 0) {
+                held = 0;
+                taken = false;
+                moves.clear();
+                watches.clear();
+            }
+            return;
+        }
+        if (held != core.lease.number()) {
+            held = core.lease.number();
+            heldFrom = now();
+            next = 0;
+            taken = false;
+            moves.clear();
+            watches.clear();
+        }
+        if (!taken) {
+            take();
+            return;
+        }
+        TreeSet<String> services = new TreeSet<>();
+        core.members.all().forEach(m -> services.add(m.service));
+        for (String service : services) {
+            Move move = moves.get(service);
+            if (move != null) {
+                go(move);
+            } else {
+                Lead lead = core.lead(service);
+                if (lead == null) {
+                    begin(service);
+                } else {
+                    watch(lead);
+                }
+            }
+        }
+    }
+
+    /** Once a majority has answered since the lease began, what earlier holders recorded is known, and is recorded anew. */
+    private void take() {
+        int have = 1;
+        for (Peer p : core.peers()) {
+            have += p.voter && !p.recovering && p.echo >= heldFrom && p.record <= core.record() ? 1 : 0;
+        }
+        if (have < core.majority()) {
+            return;
+        }
+        taken = true;
+        List<Lead> all = new ArrayList<>();
+        core.leads().forEach(all::add);
+        for (Lead lead : all) {
+            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving());
+            core.lead(mine);
+            if (lead.moving()) {
+                moves.put(lead.service(), new Move(mine, false, true, now()));
+            }
+        }
+        core.poke();
+    }
+
+    private long number() {
+        return (held << 24) + ++next;
+    }
+
+    private Watch watchOf(String service) {
+        return watches.computeIfAbsent(service, s -> new Watch());
+    }
+
+    private Member leader(String service) {
+        Member leads = null;
+        for (Member m : core.members.of(service)) {
+            if (m.leads() && now() - m.heard < 3 * core.settings.beat()) {
+                if (leads != null) {
+                    return null;
+                }
+                leads = m;
+            }
+        }
+        return leads;
+    }
+
+    /** Nothing is recorded: the one that says it leads does. Where others held this duty before, their calls are fenced first. */
+    private void begin(String service) {
+        Watch w = watchOf(service);
+        Member leads = leader(service);
+        if (leads == null || w.calling || now() < w.refusedUntil) {
+            return;
+        }
+        if (core.settings.first() && held == 1) {
+            core.lead(new Lead(service, number(), leads.id, false));
+            return;
+        }
+        w.calling = true;
+        name(service, leads.id).whenComplete((status, fault) -> {
+            w.calling = false;
+            w.refusedUntil = now() + AGAIN_MS;
+            boolean unheard = fault != null && ++w.misses >= 2;
+            if (settled() && core.lead(service) == null && (fault == null && status == 200 || unheard)) {
+                w.misses = 0;
+                core.lead(new Lead(service, number(), leads.id, false));
+            }
+        });
+    }
+
+    private java.util.concurrent.CompletableFuture<Integer> name(String service, String id) {
+        String json = Json.object().add("service", service).add("instance_id", id).toString();
+        return core.host.post(core.settings.platform(), "/promotion", json, Map.of("Dillfront-Duty-Holder", core.settings.name(),
+                "Dillfront-Fence-Number", Long.toString(held)), (int) PLATFORM_MS).thenApply(dillfront.host.Host.Answer::status);
+    }
+
+    // ---- a primary that leads
+
+    private void watch(Lead lead) {
+        Member m = core.members.get(lead.primary());
+        Watch w = watchOf(lead.service());
+        Member says = leader(lead.service());
+        if (says != null && !says.id.equals(lead.primary()) && (m == null || m.left() || !m.leads())) {
+            // Promoted by a call of an earlier holder that arrived late: so it is.
+            core.lead(new Lead(lead.service(), number(), says.id, false));
+            return;
+        }
+        if (m == null || m.left()) {
+            move(lead, false);
+            return;
+        }
+        if (m.draining() && candidate(lead)) {
+            move(lead, true);
+            return;
+        }
+        Sight seen = seen(lead.service(), lead.primary());
+        boolean quiet = now() - m.heard > core.settings.beat() * 5 / 2;
+        boolean suspect = quiet || seen.lost() > 0 && seen.lost() >= seen.well();
+        if (!suspect) {
+            w.misses = 0;
+            return;
+        }
+        if (w.probing || now() < w.probedAt + PROBE_GAP_MS) {
+            return;
+        }
+        w.probing = true;
+        w.probedAt = now();
+        Question.ask(core, m, PROBE_MS, null).whenComplete((row, fault) -> {
+            w.probing = false;
+            w.probedAt = now();
+            boolean alive = fault == null || fault instanceof Question.Unanswered u && u.alive;
+            w.misses = alive ? 0 : w.misses + 1;
+            Sight sees = seen(lead.service(), lead.primary());
+            boolean others = sees.lost() > sees.well() || sees.well() == 0 && now() - m.heard > core.settings.beat() * 5 / 2;
+            if (w.misses >= 2 && others && settled() && core.lead(lead.service()) == lead) {
+                move(lead, false);
+            }
+        });
+    }
+
+    private Sight seen(String service, String primary) {
+        Sight all = core.askers.sight(service, primary);
+        for (Peer p : core.peers()) {
+            Sight one = p.sights.get(service);
+            if (core.touch(p) && one != null && one.primary().equals(primary)) {
+                all = all.plus(one);
+            }
+        }
+        return all;
+    }
+
+    private boolean candidate(Lead lead) {
+        for (Member m : core.members.of(lead.service())) {
+            if (!m.id.equals(lead.primary()) && !m.draining() && now() - m.heard < 2 * core.settings.beat()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- a service that moves
+
+    private void move(Lead lead, boolean planned) {
+        watchOf(lead.service()).misses = 0;
+        Lead moving = new Lead(lead.service(), number(), lead.primary(), true);
+        core.lead(moving);
+        moves.put(lead.service(), new Move(moving, planned, false, now()));
+        System.err.println("move " + lead.service() + " from " + lead.primary() + (planned ? " planned" : " lost"));
+        core.poke();
+    }
+
+    private boolean mayAct() {
+        return settled() && core.lease.until() - now() > LEFT_MS;
+    }
+
+    /** A majority of control processes has the record. */
+    private boolean recorded(Move m) {
+        int have = 1;
+        for (Peer p : core.peers()) {
+            have += p.voter && p.record >= m.lead.number() ? 1 : 0;
+        }
+        return have >= core.majority();
+    }
+
+    /** No front takes the old one for sure any more: each has said so, or its time is over. */
+    private boolean cleared(Move m) {
+        long all = Math.max(m.since, heldFrom) + Core.SURE_MS + 100;
+        if (now() >= all) {
+            return true;
+        }
+        boolean told = heldFrom + Core.SURE_MS <= now() && core.askers.cleared(m.lead.service(), m.lead.number());
+        for (Peer p : core.peers()) {
+            told &= p.cleared.getOrDefault(m.lead.service(), -1L) >= m.lead.number();
+        }
+        return told;
+    }
+
+    private void go(Move m) {
+        if (!mayAct() || !recorded(m)) {
+            return;
+        }
+        String service = m.lead.service();
+        Member from = core.members.get(m.lead.primary());
+        Member leads = leader(service);
+        if (leads != null && !leads.id.equals(m.lead.primary()) && (from == null || !from.leads() || m.step == Step.WAIT)) {
+            done(m, leads.id);
+            return;
+        }
+        switch (m.step) {
+            case CLEAR:
+                if (m.planned) {
+                    boolean quiet = cleared(m) && seen(service, m.lead.primary()).open() == 0;
+                    m.step = quiet || now() > m.since + OPEN_MS ? Step.STOP : Step.CLEAR;
+                } else {
+                    m.step = Step.STOP;
+                }
+                break;
+            case STOP:
+                if (m.planned && !m.forced) {
+                    stepDown(m, from);
+                } else {
+                    pause(m, from);
+                }
+                break;
+            case CHOOSE:
+                if (cleared(m)) {
+                    choose(m, from);
+                }
+                break;
+            case NAME:
+                call(m);
+                break;
+            default:
+                wait(m);
+        }
+    }
+
+    /** A primary that drains stops of its own will; what it had last is what the next must have. */
+    private void stepDown(Move m, Member from) {
+        if (m.busy || now() < m.again) {
+            return;
+        }
+        if (from == null || from.left()) {
+            m.forced = true;
+            return;
+        }
+        if (!m.stepped) {
+            m.busy = true;
+            Question.ask(core, from, PROBE_MS, row -> "STEPDOWN " + row.next()).whenComplete((row, fault) -> {
+                m.busy = false;
+                m.again = now() + AGAIN_MS;
+                if (fault == null && !row.leads()) {
+                    m.stepped = true;
+                    m.steppedAt = now();
+                    m.last = row.position();
+                    m.again = 0;
+                } else if (now() > m.since + CATCH_UP_MS) {
+                    m.forced = true;
+                }
+            });
+            return;
+        }
+        if (now() > m.steppedAt + CATCH_UP_MS) {
+            m.forced = true;
+            m.rows.clear();
+            return;
+        }
+        for (Member r : core.members.of(m.lead.service())) {
+            if (r.id.equals(m.lead.primary()) || r.draining() || now() - r.heard > 2 * core.settings.beat()) {
+                continue;
+            }
+            ask(m, r, 60, null, row -> {
+                if (row.position().covers(m.last) && m.step == Step.STOP) {
+                    m.rows.clear();
+                    m.rows.put(r.id, row);
+                    m.step = Step.CHOOSE;
+                }
+            });
+        }
+    }
+
+    private void ask(Move m, Member to, long gap, java.util.function.Function<Question.Row, String> then,
+            java.util.function.Consumer<Question.Row> got) {
+        if (m.asking.contains(to.id) || now() < m.askAgain.getOrDefault(to.id, 0L)) {
+            return;
+        }
+        m.asking.add(to.id);
+        Question.ask(core, to, PROBE_MS, then).whenComplete((row, fault) -> {
+            m.asking.remove(to.id);
+            m.askAgain.put(to.id, now() + gap);
+            if (fault == null && moves.get(m.lead.service()) == m) {
+                got.accept(row);
+            }
+        });
+    }
+
+    /** Each replica's log is stopped, so that nothing can be acknowledged behind the choice; the old one may turn out to live. */
+    private void pause(Move m, Member from) {
+        if (from != null && !from.left()) {
+            ask(m, from, AGAIN_MS, null, row -> {
+                if (row.leads() && !m.stepped) {
+                    lives(m, from);
+                } else {
+                    m.rows.put(from.id, row);
+                }
+            });
+        }
+        boolean all = true;
+        int replicas = 0;
+        for (Member r : core.members.of(m.lead.service())) {
+            if (r.id.equals(m.lead.primary())) {
+                continue;
+            }
+            replicas++;
+            if (m.rows.containsKey(r.id)) {
+                continue;
+            }
+            long goneFor = (from == null ? now() : Math.max(from.heard, m.since)) - r.heard;
+            if (goneFor > LONG_SILENT_MS) {
+                continue;
+            }
+            all = false;
+            ask(m, r, AGAIN_MS, row -> "PAUSE " + row.next(), row -> {
+                if (row.leads()) {
+                    done(m, r.id);
+                } else {
+                    m.rows.put(r.id, row);
+                }
+            });
+        }
+        if (all && replicas > 0 && !m.rows.isEmpty()) {
+            m.step = Step.CHOOSE;
+        }
+    }
+
+    /** It was not lost: replicas receive again, and it goes on leading; a call of an earlier holder is fenced off before. */
+    private void lives(Move m, Member from) {
+        if (m.step != Step.STOP && m.step != Step.CHOOSE || m.busy) {
+            return;
+        }
+        if (m.inherited && !m.fenced) {
+            m.busy = true;
+            name(m.lead.service(), from.id).whenComplete((status, fault) -> {
+                m.busy = false;
+                m.fenced = fault == null && status == 200;
+                if (m.fenced && moves.get(m.lead.service()) == m && settled()) {
+                    lives(m, from);
+                }
+            });
+            return;
+        }
+        System.err.println("move " + m.lead.service() + ": " + from.id + " lives");
+        resume(m, from.id);
+        done(m, from.id);
+    }
+
+    private void resume(Move m, String but) {
+        for (Member r : core.members.of(m.lead.service())) {
+            if (!r.id.equals(but)) {
+                Question.ask(core, r, 2 * PROBE_MS, row -> row.held() != 0 ? "RESUME" : null);
+            }
+        }
+    }
+
+    private void choose(Move m, Member from) {
+        String best = null;
+        Position furthest = null;
+        boolean bestDrains = false;
+        for (Map.Entry<String, Question.Row> one : m.rows.entrySet()) {
+            Member r = core.members.get(one.getKey());
+            if (r == null || r.left() || m.refused.contains(r.id)) {
+                continue;
+            }
+            int further = furthest == null ? 1 : one.getValue().position().compareTo(furthest);
+            if (further > 0 || further == 0 && bestDrains && !r.draining()) {
+                best = r.id;
+                furthest = one.getValue().position();
+                bestDrains = r.draining();
+            }
+        }
+        for (String id : m.refused) {
+            // One that is not running, and may hold more than the others: it is waited for.
+            Question.Row row = m.rows.get(id);
+            if (best != null && row != null && row.position().compareTo(furthest) > 0) {
+                best = null;
+            }
+        }
+        if (best == null) {
+            m.refused.clear();
+            m.rows.clear();
+            m.step = Step.STOP;
+            m.forced = true;
+            m.again = now() + AGAIN_MS;
+            return;
+        }
+        m.target = best;
+        m.step = Step.NAME;
+        call(m);
+    }
+
+    private void call(Move m) {
+        if (m.busy || now() < m.again || !mayAct()) {
+            return;
+        }
+        m.busy = true;
+        m.namedAt = now();
+        System.err.println("name " + m.lead.service() + " " + m.target + " fence " + held);
+        name(m.lead.service(), m.target).whenComplete((status, fault) -> {
+            m.busy = false;
+            m.again = now() + AGAIN_MS;
+            if (fault == null && status == 200) {
+                m.step = Step.WAIT;
+                m.again = now() + LEAD_PROBE_MS;
+            } else if (fault == null && status == 409) {
+                m.refused.add(m.target);
+                m.step = Step.CHOOSE;
+            }
+        });
+    }
+
+    private void wait(Move m) {
+        Member target = core.members.get(m.target);
+        if (target == null || target.left() || now() > m.namedAt + NO_LEAD_MS) {
+            m.rows.clear();
+            m.forced = true;
+            m.step = Step.STOP;
+            return;
+        }
+        if (target.leads()) {
+            done(m, target.id);
+        } else if (now() >= m.again) {
+            ask(m, target, LEAD_PROBE_MS, null, row -> {
+                if (row.leads()) {
+                    done(m, target.id);
+                }
+            });
+        }
+    }
+
+    private void done(Move m, String primary) {
+        if (moves.get(m.lead.service()) != m || !settled()) {
+            return;
+        }
+        moves.remove(m.lead.service());
+        System.err.println("lead " + m.lead.service() + " " + primary + " after " + (now() - m.since) + " ms");
+        core.lead(new Lead(m.lead.service(), number(), primary, false));
+        core.poke();
+        if (!primary.equals(m.lead.primary())) {
+            resume(m, primary);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/core/Lead.java
@@ -0,0 +1,27 @@
+package dillfront.core;
+
+import dillfront.host.Pack;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Who leads a service, as the holder of the duty recorded it.
+ *
+ * @param number rises with each record; that of a later holder is above all of an earlier one
+ * @param moving nobody is to be asked as the primary until the next record
+ */
+record Lead(String service, long number, String primary, boolean moving) {
+
+    Map<String, Object> row() {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("s", service);
+        row.put("k", number);
+        row.put("p", primary);
+        row.put("m", moving);
+        return row;
+    }
+
+    static Lead of(Pack.Fields row) {
+        return new Lead(row.text("s"), row.number("k", 0), row.text("p"), row.bit("m"));
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/core/Member.java
@@ -0,0 +1,76 @@
+package dillfront.core;
+
+import dillfront.host.Pack;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** One database server, as its beats tell of it. */
+final class Member {
+
+    final String id;
+    final String service;
+    String address;
+    String zone;
+    /** "ready", "draining" or "left"; it only goes on in this order. */
+    String state = "ready";
+    String role = "";
+    /** Of its last call that counted. */
+    long sequence = -1;
+    /** When it was last heard by any control process, on this one's clock. */
+    long heard;
+    /** And by this one itself. */
+    long heardHere = Long.MIN_VALUE / 2;
+    /** The change of the table in which it was last changed. */
+    long changed;
+
+    Member(String id, String service) {
+        this.id = id;
+        this.service = service;
+    }
+
+    static int rank(String state) {
+        return state.equals("left") ? 2 : state.equals("draining") ? 1 : 0;
+    }
+
+    boolean left() {
+        return state.equals("left");
+    }
+
+    boolean draining() {
+        return state.equals("draining");
+    }
+
+    boolean leads() {
+        return role.equals("primary");
+    }
+
+    Map<String, Object> row() {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("i", id);
+        row.put("v", service);
+        row.put("a", address);
+        row.put("z", zone);
+        row.put("st", state);
+        row.put("ro", role);
+        row.put("q", sequence);
+        return row;
+    }
+
+    /** @return whether anything changed that others must know */
+    boolean merge(Pack.Fields row) {
+        boolean changes = false;
+        long from = row.number("q", -1);
+        if (from >= sequence || address == null) {
+            sequence = Math.max(sequence, from);
+            changes = !row.text("a").equals(address) || !row.text("ro").equals(role);
+            address = row.text("a");
+            zone = row.text("z");
+            role = row.text("ro");
+        }
+        if (rank(row.text("st")) > rank(state)) {
+            state = row.text("st");
+            changes = true;
+        }
+        return changes;
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/core/Store.java
@@ -0,0 +1,14 @@
+package dillfront.core;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** The disk of a control process: texts under names. */
+public interface Store {
+
+    /** What was there at the start. */
+    Map<String, String> all();
+
+    /** Completes on the loop once all of it is on the disk, in the order of the calls; fails where it is not. */
+    CompletableFuture<Void> put(Map<String, String> texts);
+}
--- /dev/null
+++ b/src/main/java/dillfront/front/Service.java
@@ -0,0 +1,100 @@
+package dillfront.front;
+
+import dillfront.host.Position;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** One service: its servers, who leads it, and what is known of its log. */
+final class Service {
+
+    final String name;
+    final Front front;
+    /** By id, so that every order is the same each time. */
+    final TreeMap<String, Server> servers = new TreeMap<>();
+    final Floors floors = new Floors();
+    /** Who leads by the record of the duty's holder; empty where there is none. */
+    String primary = "";
+    boolean moving;
+    long record = -1;
+    int connections = Integer.MAX_VALUE;
+    /** Reads that may go to the primary though a replica could serve them. */
+    double spill = SPILL_BURST;
+    /** Transactions that are open at the primary. */
+    int openAtPrimary;
+    private final List<Runnable> waiting = new ArrayList<>();
+
+    private static final double SPILL_BURST = 4;
+    private static final double SPILL = 0.25;
+    /** How much busier one that is near may be than one in another region. */
+    private static final double FAR = 2;
+    /** What a primary must be less busy by to take what a replica could. */
+    private static final double LEADS = 1;
+
+    Service(Front front, String name) {
+        this.front = front;
+        this.name = name;
+    }
+
+    /** The one to write to; null while none is known, or it moves. */
+    Server primary() {
+        Server is = moving ? null : servers.get(primary);
+        return is == null || is.gone || is.drained() ? null : is;
+    }
+
+    /** That it leads is sure until then, whatever else happens. */
+    boolean sure(Server s) {
+        return !moving && s.id.equals(primary) && front.host.now() < front.news.sureUntil();
+    }
+
+    /**
+     * Where a read goes that a replica may serve: the least busy of those that should have what it needs; a bounded
+     * share to the primary, while that is less busy still. Null where no replica will do.
+     *
+     * @param without those that were tried
+     */
+    Server replica(Position need, List<Server> without) {
+        Server lead = primary();
+        Server best = null;
+        double least = Double.MAX_VALUE;
+        long now = front.host.now();
+        spill = Math.min(SPILL_BURST, spill + SPILL);
+        for (Server s : servers.values()) {
+            if (!s.usable() || without.contains(s) || need == null && s != lead || s != lead && s.laggingUntil > now) {
+                continue;
+            }
+            double busy = (s.out + 0.5) * s.pace + (s.near ? 0 : FAR);
+            if (s == lead) {
+                if (need != null && (spill < 1 || s.pace > 1.5)) {
+                    continue;
+                }
+                busy += LEADS;
+            }
+            if (busy < least) {
+                least = busy;
+                best = s;
+            }
+        }
+        if (best == lead && best != null && need != null) {
+            spill -= 1;
+        }
+        return best;
+    }
+
+    /** Runs once something has changed that whoever waits should look at. */
+    void await(Runnable again) {
+        waiting.add(again);
+    }
+
+    void changed() {
+        if (!waiting.isEmpty()) {
+            List<Runnable> now = new ArrayList<>(waiting);
+            waiting.clear();
+            now.forEach(Runnable::run);
+        }
+    }
+
+    void forget(Runnable again) {
+        waiting.remove(again);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/host/Host.java
@@ -0,0 +1,65 @@
+package dillfront.host;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/**
+ * What a program of the system needs of the machine it runs on: a steady clock, timers, connections, chance. The programs'
+ * own parts know nothing else, so that they run the same on sockets and in simulated time. All calls and all answers on the
+ * program's one loop.
+ */
+public interface Host {
+
+    /** How messages are cut out of a connection's bytes. */
+    enum Form {
+        /** Lines that end in CR LF, of the wire. */
+        LINES,
+        /** Four bytes of length before each, between the system's own processes. */
+        FRAMES
+    }
+
+    /** One connection. */
+    interface Link {
+
+        /** One message, without what ends or precedes it. Nothing happens on a closed link. */
+        void send(byte[] message);
+
+        /** Whatever was sent goes out first. */
+        void close();
+
+        /** Bytes that wait to go out. */
+        long waiting();
+    }
+
+    /** Hears what happens on one connection. */
+    interface Ear {
+
+        void opened(Link link);
+
+        void message(byte[] message);
+
+        /** Once, whatever ended it; also where it was never opened. Not after one's own close(). */
+        void closed(String why);
+    }
+
+    /** A timer that was set. */
+    interface Timer {
+        void cancel();
+    }
+
+    /** What an HTTP server answered. */
+    record Answer(int status, byte[] body) { }
+
+    /** Milliseconds of a clock that never goes back, from a zero of its own. */
+    long now();
+
+    Timer after(long ms, Runnable run);
+
+    Link dial(String address, Form form, int timeoutMs, Ear ear);
+
+    /** A POST with a JSON body; the future fails where no whole answer came within the time. */
+    CompletableFuture<Answer> post(String address, String path, String json, java.util.Map<String, String> headers,
+            int timeoutMs);
+
+    RandomGenerator chance();
+}
--- /dev/null
+++ b/src/main/java/dillfront/host/Pack.java
@@ -0,0 +1,171 @@
+package dillfront.host;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Messages between the system's own processes: maps of short names, in MessagePack. */
+public final class Pack {
+
+    private static final int DEEPEST = 8;
+    private static final int MOST = 1 << 18;
+
+    /** A message that is none: what was wrong with it. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Bad(String fault) {
+            super(fault);
+        }
+    }
+
+    private Pack() {}
+
+    public static byte[] write(Map<String, ?> message) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            write(out, message);
+            return out.toByteArray();
+        } catch (IOException never) {
+            throw new IllegalStateException(never);
+        }
+    }
+
+    private static void write(MessagePacker out, Object value) throws IOException {
+        if (value == null) {
+            out.packNil();
+        } else if (value instanceof String text) {
+            out.packString(text);
+        } else if (value instanceof Boolean bit) {
+            out.packBoolean(bit);
+        } else if (value instanceof Number number) {
+            out.packLong(number.longValue());
+        } else if (value instanceof byte[] bytes) {
+            out.packBinaryHeader(bytes.length);
+            out.writePayload(bytes);
+        } else if (value instanceof List<?> list) {
+            out.packArrayHeader(list.size());
+            for (Object one : list) {
+                write(out, one);
+            }
+        } else if (value instanceof Map<?, ?> map) {
+            out.packMapHeader(map.size());
+            for (Map.Entry<?, ?> one : map.entrySet()) {
+                write(out, one.getKey());
+                write(out, one.getValue());
+            }
+        } else {
+            throw new IllegalArgumentException("no message holds a " + value.getClass());
+        }
+    }
+
+    /** @throws Bad where the bytes are no map of this form, or hold more than any message does */
+    public static Fields read(byte[] bytes) throws Bad {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            Object all = read(in, 0);
+            if (!(all instanceof Map<?, ?>) || in.hasNext()) {
+                throw new Bad("no map, or more than one value");
+            }
+            @SuppressWarnings("unchecked")
+            Map<String, Object> fields = (Map<String, Object>) all;
+            return new Fields(fields);
+        } catch (IOException | RuntimeException bad) {
+            throw new Bad("no MessagePack of ours: " + bad);
+        }
+    }
+
+    private static Object read(MessageUnpacker in, int depth) throws IOException, Bad {
+        if (depth > DEEPEST) {
+            throw new Bad("too deep");
+        }
+        switch (in.getNextFormat().getValueType()) {
+            case NIL:
+                in.unpackNil();
+                return null;
+            case BOOLEAN:
+                return in.unpackBoolean();
+            case INTEGER:
+                return in.unpackLong();
+            case STRING:
+                return in.unpackString();
+            case BINARY:
+                return in.readPayload(in.unpackBinaryHeader());
+            case ARRAY: {
+                int size = in.unpackArrayHeader();
+                if (size > MOST) {
+                    throw new Bad("a list of " + size);
+                }
+                List<Object> list = new ArrayList<>();
+                for (int i = 0; i < size; i++) {
+                    list.add(read(in, depth + 1));
+                }
+                return list;
+            }
+            case MAP: {
+                int size = in.unpackMapHeader();
+                if (size > MOST) {
+                    throw new Bad("a map of " + size);
+                }
+                Map<String, Object> map = new HashMap<>();
+                for (int i = 0; i < size; i++) {
+                    map.put(in.unpackString(), read(in, depth + 1));
+                }
+                return map;
+            }
+            default:
+                throw new Bad("a value of no kind that is used");
+        }
+    }
+
+    /** The fields of a message, each with what stands for one that is not there. */
+    public record Fields(Map<String, Object> all) {
+
+        public long number(String name, long otherwise) {
+            return all.get(name) instanceof Long is ? is : otherwise;
+        }
+
+        public String text(String name) {
+            return all.get(name) instanceof String is ? is : "";
+        }
+
+        public boolean bit(String name) {
+            return Boolean.TRUE.equals(all.get(name));
+        }
+
+        public byte[] bytes(String name) {
+            return all.get(name) instanceof byte[] is ? is : null;
+        }
+
+        public boolean has(String name) {
+            return all.get(name) != null;
+        }
+
+        /** The maps in a list; what is no map is passed over. */
+        public List<Fields> list(String name) {
+            List<Fields> rows = new ArrayList<>();
+            if (all.get(name) instanceof List<?> list) {
+                for (Object one : list) {
+                    if (one instanceof Map<?, ?> map) {
+                        @SuppressWarnings("unchecked")
+                        Map<String, Object> fields = (Map<String, Object>) map;
+                        rows.add(new Fields(fields));
+                    }
+                }
+            }
+            return rows;
+        }
+
+        public List<String> texts(String name) {
+            List<String> rows = new ArrayList<>();
+            if (all.get(name) instanceof List<?> list) {
+                list.forEach(one -> rows.add(String.valueOf(one)));
+            }
+            return rows;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/host/Settings.java
@@ -0,0 +1,151 @@
+package dillfront.host;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a process is told by its settings file; fields that are not known are passed over. Times in milliseconds.
+ *
+ * @param front where clients come in; null where this process serves none
+ * @param inner the first of the ports for what the system's processes say to one another
+ * @param seeds addresses of machines that serve control
+ * @param folder where the disk is; null where there is none
+ * @param losses how many machines that count may be lost at once
+ * @param platform null where there is none
+ */
+public record Settings(String name, String zone, String region, java.util.Map<String, String> regions, String ip,
+        String front, String ready, String control, int inner, List<String> seeds, boolean first, String folder,
+        int losses, long beat, long drain, long grace, String platform) {
+
+    /** The file cannot be used: which, where in it, and why. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1;
+
+        public Bad(String fault) {
+            super(fault);
+        }
+    }
+
+    public static final String VARIABLE = "DILLFRONT_SETTINGS";
+    private static final String USUAL = "/etc/dillfront/node.json";
+
+    /** @throws Bad with the file, the place and the fault */
+    public static Settings of(java.util.Map<String, String> variables) throws Bad {
+        return read(Path.of(variables.getOrDefault(VARIABLE, USUAL)));
+    }
+
+    /** @throws Bad with the file, the place and the fault */
+    public static Settings read(Path file) throws Bad {
+        JsonObject all;
+        try {
+            all = Json.parse(Files.readString(file, StandardCharsets.UTF_8)).asObject();
+        } catch (IOException | UnsupportedOperationException bad) {
+            throw new Bad(file + ": " + bad);
+        } catch (ParseException cut) {
+            throw new Bad(file + ", line " + cut.getLocation().line + ": " + cut.getMessage());
+        }
+        try {
+            JsonObject listen = object(all, "listen_addresses");
+            JsonObject bounds = object(all, "bounds");
+            java.util.Map<String, String> regions = new java.util.HashMap<>();
+            object(all, "zones").forEach(member -> regions.put(member.getName(), member.getValue().asString()));
+            JsonValue ports = all.get("internal_port_range");
+            if (ports == null || !ports.isArray() || ports.asArray().isEmpty() || !ports.asArray().get(0).isNumber()) {
+                throw new Bad("internal_port_range: no list of ports");
+            }
+            List<String> seeds = new ArrayList<>();
+            if (all.get("seed_addresses") != null) {
+                for (JsonValue one : all.get("seed_addresses").asArray()) {
+                    seeds.add(address(one.asString(), "seed_addresses"));
+                }
+            }
+            JsonValue platform = all.get("cloud_api");
+            return new Settings(text(all, "node_name"), text(all, "zone_name"), all.getString("region", ""), regions,
+                    text(all, "ip_address"), optional(listen, "front_address"), optional(listen, "readiness_address"),
+                    optional(listen, "control_address"), ports.asArray().get(0).asInt(), List.copyOf(seeds),
+                    all.getBoolean("first_start", false), optional(all, "data_directory"),
+                    all.get("tolerated_losses") == null ? 0
+                            : Math.max(0, object(all, "tolerated_losses").getInt("machines", 0)),
+                    number(all, "heartbeat_interval_ms", 1_200), number(bounds, "drain_ms", 7_000),
+                    Math.round(bounds.getDouble("grace_period_s", 6) * 1_000),
+                    platform == null || platform.isNull() ? null : optional(platform.asObject(), "address"));
+        } catch (Bad bad) {
+            throw new Bad(file + ": " + bad.getMessage());
+        } catch (UnsupportedOperationException | NumberFormatException bad) {
+            throw new Bad(file + ": a field of another kind: " + bad.getMessage());
+        }
+    }
+
+    private static JsonObject object(JsonObject in, String name) throws Bad {
+        JsonValue is = in.get(name);
+        if (is == null || !is.isObject()) {
+            throw new Bad(name + ": no object");
+        }
+        return is.asObject();
+    }
+
+    private static String text(JsonObject in, String name) throws Bad {
+        JsonValue is = in.get(name);
+        if (is == null || !is.isString() || is.asString().isEmpty()) {
+            throw new Bad(name + ": no text");
+        }
+        return is.asString();
+    }
+
+    private static String optional(JsonObject in, String name) throws Bad {
+        JsonValue is = in.get(name);
+        if (is == null || is.isNull()) {
+            return null;
+        }
+        String text = text(in, name);
+        return name.endsWith("address") ? address(text, name) : text;
+    }
+
+    private static String address(String text, String place) throws Bad {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = colon < 1 ? -1 : Integer.parseInt(text.substring(colon + 1));
+            if (port > 0 && port < 65_536) {
+                return text;
+            }
+        } catch (NumberFormatException none) {
+            // Said below.
+        }
+        throw new Bad(place + ": '" + text + "' is no IP:PORT");
+    }
+
+    private static long number(JsonObject in, String name, long otherwise) throws Bad {
+        JsonValue is = in.get(name);
+        if (is == null) {
+            return otherwise;
+        }
+        if (!is.isNumber() || !(is.asDouble() > 0 && is.asDouble() < 1e9)) {
+            throw new Bad(name + ": " + is + " is no number above 0");
+        }
+        return Math.round(is.asDouble());
+    }
+
+    /** Where the machine of this address hears the system's own processes. */
+    public String innerOf(String ip) {
+        return ip + ":" + inner;
+    }
+
+    /** The machines of the seeds. */
+    public List<String> seedIps() {
+        List<String> ips = new ArrayList<>();
+        seeds.forEach(seed -> ips.add(seed.substring(0, seed.lastIndexOf(':'))));
+        return ips;
+    }
+
+    public boolean near(String otherZone) {
+        return region.equals(regions.getOrDefault(otherZone, ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/programs/DataPlane.java
@@ -0,0 +1,46 @@
+package dillfront.programs;
+
+import dillfront.daemon.Signals;
+import dillfront.front.Front;
+import dillfront.host.Host;
+import dillfront.host.HttpDoor;
+import dillfront.host.NettyHost;
+import dillfront.host.Settings;
+import dillfront.log.Log;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+
+/** The program that carries the traffic: clients' sessions onto connections to database servers. */
+public final class DataPlane {
+
+    private DataPlane() {}
+
+    /** @throws Settings.Bad with the file, the place and the fault */
+    public static void run() throws Settings.Bad, IOException {
+        Log log = new Log(System.err);
+        Settings settings = Settings.of(System.getenv());
+        if (settings.front() == null || settings.ready() == null) {
+            throw new Settings.Bad("listen_addresses: no front_address or no readiness_address, which a data plane needs");
+        }
+        NettyHost host = new NettyHost(System.nanoTime() ^ settings.name().hashCode());
+        Front front = new Front(host, settings);
+        Signals.on("TERM", () -> host.loop().execute(() -> front.leave(() -> Runtime.getRuntime().halt(0))), log);
+        Signals.on("HUP", () -> host.loop().execute(() -> again(front, log)), log);
+        Signals.on("USR2", () -> host.loop().execute(() -> log.info("status", "line", front.status())), log);
+        host.serve(settings.ready(), (method, path, body) -> CompletableFuture.completedFuture(!path.equals("/readiness")
+                ? HttpDoor.said(404, "only /readiness is asked here")
+                : new Host.Answer(front.ready() ? 200 : 503, "{}".getBytes())));
+        host.listen(settings.front(), Host.Form.LINES, h -> front.accept());
+        host.loop().execute(front::start);
+        log.info("start", "program", "data-plane", "name", settings.name(), "zone", settings.zone(), "seeds", settings.seeds());
+    }
+
+    private static void again(Front front, Log log) {
+        try {
+            front.settings(Settings.of(System.getenv()));
+            log.info("settings", "seeds", front.settings.seeds());
+        } catch (Settings.Bad bad) {
+            log.warn("settings", "kept", "the former ones", "fault", bad.getMessage());
+        }
+    }
+}
