After a loss of all power the system serves as soon as its machines are back

Change: a holder's own promise ends with it, records and servers are kept on disk, a front without a record asks the one that says it leads; part of a connection limit by the fronts that were there before.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -35,6 +35,7 @@
     private static final long REDIAL_MS = 200;
     private static final long ANSWER_MS = 4_500;
     private static final long BEAT_ANSWER_MS = 850;
+    private static final long FEWER_MS = 15_000;
     private static final int MOST_PEERS = 32;
 
     final Host host;
@@ -49,12 +50,18 @@
     private final TreeMap<String, Peer> peers = new TreeMap<>();
     private TreeSet<String> voters = new TreeSet<>();
     private final TreeMap<String, Lead> leads = new TreeMap<>();
+    /** The newest record that is known here, and that is on the disk with all before it. */
     private long record = -1;
+    private long durableRecord = -1;
+    /** The change of the table of servers that the disk has. */
+    private long keptChange;
+    private boolean keeping;
     private boolean recovering;
     private boolean poked;
     private long sureFrom = Long.MIN_VALUE / 2;
     private long started;
     private int fronts = 1;
+    private long frontsAt;
 
     private record Waits(long change, CompletableFuture<Void> done) { }
 
@@ -87,6 +94,18 @@
             }
         }
         register.load(kept);
+        members.load(kept, started);
+        keptChange = members.changes();
+        kept.forEach((name, text) -> {
+            Lead lead = name.startsWith(LEAD) ? Lead.kept(name.substring(LEAD.length()), text) : null;
+            if (lead != null) {
+                leads.put(lead.service(), lead);
+                record = Math.max(record, lead.number());
+            }
+        });
+        durableRecord = record;
+        fronts = Integer.parseInt(kept.getOrDefault("fronts", "1"));
+        frontsAt = started;
         lease.load(kept);
         voters.forEach(this::peer);
         settings.seedIps().forEach(this::peer);
@@ -166,6 +185,11 @@
         record = Math.max(record, next.number());
         if (is == null || is.number() < next.number()) {
             leads.put(next.service(), next);
+            long upTo = record;
+            store(Map.of(LEAD + next.service(), next.kept())).thenRun(() -> {
+                durableRecord = Math.max(durableRecord, upTo);
+                poke();
+            });
             askers.news();
             poke();
         }
@@ -175,6 +199,24 @@
         return record;
     }
 
+    /** What is on this disk of the records. */
+    long durableRecord() {
+        return durableRecord;
+    }
+
+    /** The table goes to the disk behind what happens: a restart then begins with it, and servers tell again anyway. */
+    private void keep() {
+        if (keeping || members.changes() == keptChange) {
+            return;
+        }
+        keeping = true;
+        long upTo = members.changes();
+        store(members.kept(keptChange)).whenComplete((done, fault) -> {
+            keeping = false;
+            keptChange = fault == null ? upTo : keptChange;
+        });
+    }
+
     /** For how long from now it is sure that no other leads than the records say. */
     long sureFor() {
         if (duty.settled()) {
@@ -215,7 +257,16 @@
                 names.addAll(p.fronts.keySet());
             }
         }
-        fronts = Math.max(1, names.size());
+        // Fewer are believed only after a while: those that start again come back to their connections.
+        int many = Math.max(1, names.size());
+        if (many >= fronts) {
+            frontsAt = host.now();
+        }
+        if (many > fronts || many < fronts && host.now() - frontsAt > FEWER_MS) {
+            fronts = many;
+            frontsAt = host.now();
+            store(Map.of("fronts", Integer.toString(fronts)));
+        }
         peers.values().forEach(this::tell);
     }
 
@@ -225,6 +276,7 @@
         duty.look();
         register.look();
         acknowledge();
+        keep();
     }
 
     private void dial(Peer p) {
@@ -297,7 +349,7 @@
         if (recovering) {
             out.put("rec", true);
         }
-        out.put("k", record);
+        out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
         List<Object> cleared = new ArrayList<>();
         List<Object> sights = new ArrayList<>();
@@ -532,6 +584,7 @@
         };
     }
 
+    private static final String LEAD = "lead:";
     private static final String BEAT = "/Instances.Heartbeat/";
     private static final String LEAVE = "/Instances.Leave/";
 
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -286,7 +286,7 @@
 
     /** A majority of control processes has the record. */
     private boolean recorded(Move m) {
-        int have = 1;
+        int have = core.durableRecord() >= m.lead.number() ? 1 : 0;
         for (Peer p : core.peers()) {
             have += p.voter && p.record >= m.lead.number() ? 1 : 0;
         }
--- a/src/main/java/dillfront/core/Lead.java
+++ b/src/main/java/dillfront/core/Lead.java
@@ -24,4 +24,13 @@
     static Lead of(Pack.Fields row) {
         return new Lead(row.text("s"), row.number("k", 0), row.text("p"), row.bit("m"));
     }
+
+    String kept() {
+        return number + "\n" + primary + "\n" + moving;
+    }
+
+    static Lead kept(String service, String text) {
+        String[] part = text.split("\n", -1);
+        return part.length == 3 ? new Lead(service, Long.parseLong(part[0]), part[1], Boolean.parseBoolean(part[2])) : null;
+    }
 }
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -34,8 +34,8 @@
     void load(Map<String, String> kept) {
         promised = Long.parseLong(kept.getOrDefault("promised", "0"));
         promisedTo = kept.getOrDefault("promised-to", "");
-        // What ran when this process ended may still run.
-        promisedUntil = core.host.now() + (promised > 0 ? SPAN_MS : 0);
+        // What ran when this process ended may still run, but for its own: that ended with it.
+        promisedUntil = core.host.now() + (promised > 0 && !promisedTo.equals(core.ip()) ? SPAN_MS : 0);
         candidateAt = promisedUntil;
     }
 
--- a/src/main/java/dillfront/core/Member.java
+++ b/src/main/java/dillfront/core/Member.java
@@ -56,6 +56,25 @@
         return row;
     }
 
+    /** As it is kept on the disk. */
+    String kept() {
+        return String.join("\n", service, address, zone, state, role, Long.toString(sequence));
+    }
+
+    static Member kept(String id, String text) {
+        String[] part = text.split("\n", -1);
+        if (part.length != 6) {
+            return null;
+        }
+        Member m = new Member(id, part[0]);
+        m.address = part[1];
+        m.zone = part[2];
+        m.state = part[3];
+        m.role = part[4];
+        m.sequence = Long.parseLong(part[5]);
+        return m;
+    }
+
     /** @return whether anything changed that others must know */
     boolean merge(Pack.Fields row) {
         boolean changes = false;
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -3,6 +3,7 @@
 import dillfront.host.Pack;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /** The table of all database servers. Every change has a number, so that others ask only for what they lack. */
@@ -11,6 +12,8 @@
     /** Rows of those that left are kept so that a late word does not bring them back; so many at the most. */
     private static final int MOST = 20_000;
 
+    private static final String KEPT = "server:";
+
     private final TreeMap<String, Member> rows = new TreeMap<>();
     private long changes;
 
@@ -36,6 +39,29 @@
         return of;
     }
 
+    /** What the disk held, at the start. */
+    void load(Map<String, String> kept, long now) {
+        kept.forEach((name, text) -> {
+            Member m = name.startsWith(KEPT) ? Member.kept(name.substring(KEPT.length()), text) : null;
+            if (m != null) {
+                m.heard = now;
+                m.changed = ++changes;
+                rows.put(m.id, m);
+            }
+        });
+    }
+
+    /** What has changed since, as it goes to the disk; those that left go out. */
+    Map<String, String> kept(long since) {
+        Map<String, String> kept = new TreeMap<>();
+        for (Member m : rows.values()) {
+            if (m.changed > since) {
+                kept.put(KEPT + m.id, m.left() ? "" : m.kept());
+            }
+        }
+        return kept;
+    }
+
     /** Takes a row in, from a beat or from another control process; whether it changed anything. */
     boolean merge(Pack.Fields row, long heard) {
         String id = row.text("i");
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -32,7 +32,8 @@
     private String boot = "";
     private long has;
     private long sureUntil = -1;
-    private int fronts = 1;
+    /** Until it is told, it takes a part that is safe among many. */
+    private int fronts = 15;
 
     News(Front front) {
         this.front = front;
--- a/src/main/java/dillfront/front/Service.java
+++ b/src/main/java/dillfront/front/Service.java
@@ -38,10 +38,24 @@
 
     /** The one to write to; null while none is known, or it moves. */
     Server primary() {
-        Server is = moving ? null : servers.get(primary);
+        Server is = moving ? null : record < 0 ? claims() : servers.get(primary);
         return is == null || is.gone || is.drained() ? null : is;
     }
 
+    /** Before there is a record: the one that says so itself, which is no more than a guess. */
+    private Server claims() {
+        Server one = null;
+        for (Server s : servers.values()) {
+            if (s.leads) {
+                if (one != null) {
+                    return null;
+                }
+                one = s;
+            }
+        }
+        return one;
+    }
+
     /** That it leads is sure until then, whatever else happens. */
     boolean sure(Server s) {
         return !moving && s.id.equals(primary) && front.host.now() < front.news.sureUntil();
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -513,7 +513,7 @@
 
             @Override
             public void none(String why) {
-                if (server.id.equals(service.primary)) {
+                if (server == service.primary() || server.id.equals(service.primary)) {
                     await(service, of, () -> single(of));
                 } else {
                     of.tried.add(server);
--- a/src/main/java/dillfront/site/Sites.java
+++ b/src/main/java/dillfront/site/Sites.java
@@ -126,7 +126,9 @@
     public void beat(Duration now) {
         places.forEach((site, place) -> {
             State is = looks(site);
-            if (is != place.would) {
+            // A beat without evidence is none against a return: few ask where all was lost, and not at every beat.
+            boolean silent = is == State.UNKNOWN && place.state.compareTo(State.PARTLY) >= 0;
+            if (is != place.would && !silent) {
                 place.would = is;
                 place.since = now;
             }
--- a/src/test/java/dillfront/daemon/RouterTest.java
+++ b/src/test/java/dillfront/daemon/RouterTest.java
@@ -1,5 +1,6 @@
 package dillfront.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -32,6 +33,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -488,9 +490,7 @@
     void theEndComesOnceAllIsAnswered() throws Exception {
         say("startup", startup(), 1);
         send(client, ask("any", "hang", 1500));
-        while (seen.isEmpty()) {
-            Thread.sleep(5);
-        }
+        until("the node has a submission", () -> !seen.isEmpty());
         Thread stopping = new Thread(daemon::stop);
         stopping.start();
         Thread.sleep(100);
@@ -525,9 +525,7 @@
     private void switchTo(Path file, String text, String settings) throws Exception {
         Files.writeString(file, text);
         daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
-        while (!log.toString(StandardCharsets.UTF_8).endsWith(settings + " kept_as_at_start=[]\n")) {
-            Thread.sleep(5);
-        }
+        until("the settings are taken over", () -> log.toString(StandardCharsets.UTF_8).endsWith(settings + " kept_as_at_start=[]\n"));
         Thread.sleep(100);
     }
 
@@ -545,9 +543,7 @@
                     .replace("\"deadlineUs\":1000000,\"lateShare\"", "\"deadlineUs\":3000000,\"lateShare\"");
             say("startup and query", startup().writeBytes(ask("any", "k", 900)), 2);
             send(client, ask("move", "slow", 900));
-            while (seen.size() < 2) {
-                Thread.sleep(5);
-            }
+            until("seen has 2", () -> seen.size() >= 2);
             switchTo(file, other, "changed");
             trace.append("what was out             ").append(hear(1)).append('\n');
             say("a type that is new", ask("transfer", "new", 900), 1);
@@ -556,9 +552,7 @@
             Thread.sleep(200);
             say("gone, and open", ask("transfer", "gone", 900), 1);
             send(client, ask("transfer", "slow", 900));
-            while (seen.size() < 5) {
-                Thread.sleep(5);
-            }
+            until("seen has 5", () -> seen.size() >= 5);
             Files.writeString(file, other.replace("\"await\"", "\"wait\""));
             daemon.reload(() -> Config.read(Map.of("LB_CONFIG", file.toString())));
             switchTo(file, first, "changed");
@@ -584,25 +578,19 @@
         Signals.on("HUP", () -> daemon.reload(() -> Config.again(env)), new Log(new PrintStream(log, true)));
         say("startup", startup(), 1);
         send(client, ask("any", "slow", 900));
-        while (seen.isEmpty()) {
-            Thread.sleep(5);
-        }
+        until("the node has a submission", () -> !seen.isEmpty());
         try (ServerSocket later = new ServerSocket(0, 50, list.getInetAddress())) {
             serve(later, this::laterList);
             Files.writeString(file, first.replace("\"discovery\":\"127.0.0.1:" + list.getLocalPort(),
                     "\"discovery\":\"127.0.0.1:" + later.getLocalPort()).replace("\"sockets\":256", "\"sockets\":300"));
             hangUp();
             trace.append("what was out           ").append(hear(1)).append('\n');
-            while (asked.size() < 2) {
-                Thread.sleep(5);
-            }
+            until("asked has 2", () -> asked.size() >= 2);
             Files.writeString(file, first.substring(9));
             hangUp();
             say("after a bad file", ask("any", "k", 900), 1);
             counted("committed", "lists", "client_connections");
-            while (asked.size() < 3) {
-                Thread.sleep(5);
-            }
+            until("asked has 3", () -> asked.size() >= 3);
         }
         asked.forEach(line -> trace.append(line).append('\n'));
         log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" reload")).forEach(line -> trace.append(
@@ -699,18 +687,29 @@
     void aWatchThatFallsSilentIsBegunAnew() throws Exception {
         say("startup", startup(), 1);
         long since = System.nanoTime();
-        while (lists.get() < 4) {
-            Thread.sleep(5);
-        }
+        until("lists has 4", () -> lists.get() >= 4);
         long took = (System.nanoTime() - since) / 1_000_000;
         trace.append("asked twice more, after two silences, within 4 s: ").append(took < 4000 && took > 1000).append('\n');
         Scene.compare("router-list-silent", trace);
     }
 
-    private static void hangUp() throws Exception {
+    /** Where the signal is ignored, as nohup leaves it, `env --default-signal=HUP` in .ci/run restores it. */
+    private void hangUp() throws Exception {
+        long before = reloads();
         new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
-        // Heard on a thread of its own: time to read the file.
-        Thread.sleep(200);
+        until("the configuration is read anew after SIGHUP", () -> reloads() > before);
+    }
+
+    private long reloads() {
+        return log.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" reload")).count();
+    }
+
+    /** Bounded, and it fails with what it waited for. */
+    private static void until(String what, BooleanSupplier is) throws InterruptedException {
+        for (long end = System.nanoTime() + 20_000_000_000L; !is.getAsBoolean();) {
+            assertTrue(System.nanoTime() < end, "waited 20 s in vain until " + what);
+            Thread.sleep(5);
+        }
     }
 
     /** Guards against rows, connections and tables of nodes that are replaced all day. */
@@ -768,9 +767,8 @@
         for (int i = 1; i < 3; i++) {
             client = another();
             send(client, startup().writeBytes(ask("once", "hang", 900)));
-            while (seen.size() < i) {
-                Thread.sleep(5);
-            }
+            int many = i;
+            until("seen has " + many, () -> seen.size() >= many);
             client.close();
             Thread.sleep(50);
         }
@@ -855,9 +853,7 @@
     void anIdThatIsOpenIsRefused() throws Exception {
         say("startup", startup(), 1);
         send(client, ask("any", "slow", 900, "7f"));
-        while (seen.isEmpty()) {
-            Thread.sleep(5);
-        }
+        until("the node has a submission", () -> !seen.isEmpty());
         Socket first = client;
         client = another();
         say("the same id", startup().writeBytes(ask("any", "k", 900, "7f")), 2);
@@ -913,9 +909,7 @@
     void aClientThatLeavesLeavesNothingBehind() throws Exception {
         say("startup", startup(), 1);
         send(client, ask("any", "hang", 300));
-        while (seen.isEmpty()) {
-            Thread.sleep(5);
-        }
+        until("the node has a submission", () -> !seen.isEmpty());
         client.close();
         Thread.sleep(400);
         counted("taken", "left", "committed", "declined", "txns_held", "client_connections", "node_connections",
--- a/src/test/java/dillfront/site/SitesTest.java
+++ b/src/test/java/dillfront/site/SitesTest.java
@@ -52,6 +52,20 @@
         to(100);
     }
 
+    /** Guards against a site that is well again and stays lost, because a router with few txns asks there now and then only. */
+    @Test
+    void oneThatIsAskedNowAndThenComesBack() {
+        begin();
+        sees("c does not answer", "c", Health.LOST);
+        to(1000);
+        for (long until = now + 1500; now < until; to(now + 150)) {
+            sees("an answer of c", "c", Health.WELL);
+            to(now + 50);
+            sees("none lately", "c", Health.UNKNOWN);
+        }
+        assertTrue(sites.states().get("c") == Sites.State.WELL, trace.toString());
+    }
+
     @Test
     void whatIsLostIsToldApart() throws IOException {
         begin();
