--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # A command as the operators have it.
 deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
 
-.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power measure-site
+.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power measure-site measure-system measure-capacity
 
 # The text that a measurement compares with, built into a folder of its own.
 BEFORE ?= 6172edf
@@ -49,3 +49,11 @@
 # The plans for lost sites: how long they take, and what a greedy order loses against them.
 measure-site: build
 	java -cp target/dillfront.jar dillfront.lab.SiteMeasure
+
+# Some hundreds of random days of the whole system in simulated time; SEED=n tells one of them in full. Under 50 s.
+measure-system: build
+	java -Xmx1g -cp target/dillfront.jar dillfront.lab.SystemMeasure $(SEED)
+
+# What the control plane spends and says with 50, 200 and 800 hollow fronts; real control processes; under 50 s.
+measure-capacity: build
+	java -Xmx1g -cp target/dillfront.jar dillfront.lab.CapacityMeasure
--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -22,7 +22,7 @@
     private Main() {}
 
     public static void main(String[] args) {
-        if (args.length != 1 || !List.of("drill", "serve", "rehearse", "data-plane", "control-plane").contains(args[0])) {
+        if (args.length != 1 || !List.of("drill", "serve", "rehearse", "data-plane", "control-plane", "rehearse-system").contains(args[0])) {
             // Not for what the platform starts: the library's classes would cost each start.
             System.exit(Commands.run(args));
         }
@@ -40,9 +40,12 @@
                 Silence.over(log);
                 Rehearsal.run(log);
             } else if (args[0].equals("data-plane")) {
-                DataPlane.run();
+                DataPlane.run(() -> Settings.of(System.getenv()));
             } else if (args[0].equals("control-plane")) {
-                ControlPlane.run();
+                ControlPlane.run(Settings.of(System.getenv()));
+            } else if (args[0].equals("rehearse-system")) {
+                dillfront.programs.Rehearsal.run();
+                System.exit(0);
             } else {
                 new Drill(System.in, System.out).run();
             }
--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** The version of the configuration that is in force here; -1 for none. */
+    public long version() {
+        return configuration.version();
+    }
+
     Configuration configuration() {
         return configuration;
     }
--- /dev/null
+++ b/src/main/java/dillfront/lab/CapacityMeasure.java
@@ -0,0 +1,266 @@
+package dillfront.lab;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import dillfront.host.Configuration;
+import dillfront.host.Host;
+import dillfront.host.NettyHost;
+import dillfront.host.Pack;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+
+/**
+ * Three real control processes on loopback, and hollow fronts and database servers in this one: they ask for news and beat as
+ * the real ones do, and do nothing else. What a front hears and says, and what control spends, at three sizes.
+ */
+public final class CapacityMeasure {
+
+    private static final int INNER = 17_400;
+    private static final int CONTROL = 17_300;
+    private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
+    private static final long BEAT_MS = 1_200;
+    private static final int CALM_S = 6;
+    private static final int SETTLE_S = 4;
+    private static final int CHANGES = 5;
+
+    private final NettyHost host = new NettyHost(1);
+    private final List<Process> processes = new ArrayList<>();
+    private final Path folder = Files.createTempDirectory("capacity");
+    private final AtomicLong bytes = new AtomicLong();
+    private final AtomicLong messages = new AtomicLong();
+    private final int fronts;
+    private final int databases;
+    private final long[] versions;
+    private final AtomicInteger waiting = new AtomicInteger();
+    private CompletableFuture<Void> everywhere = new CompletableFuture<>();
+
+    private CapacityMeasure(int fronts) throws IOException {
+        this.fronts = fronts;
+        databases = fronts / 2;
+        versions = new long[fronts];
+    }
+
+    private record Row(int fronts, double bytes, double messages, double share, long configMs, double mb) { }
+
+    public static void main(String[] args) throws Exception {
+        List<Row> rows = new ArrayList<>();
+        for (int fronts : new int[] {50, 200, 800}) {
+            CapacityMeasure one = new CapacityMeasure(fronts);
+            try {
+                rows.add(one.run());
+            } finally {
+                one.end();
+            }
+        }
+        Row small = rows.get(0);
+        Row large = rows.get(rows.size() - 1);
+        double sizes = Math.log((double) large.fronts() / small.fronts());
+        double growth = Math.pow(10, Math.log(Math.max(1e-6, large.share()) / Math.max(1e-6, small.share())) / sizes);
+        for (Row r : rows) {
+            System.out.printf("capacity: routers=%d bytes_a_router=%.0f messages_a_router=%.2f control_core_share=%.4f config_ms_p99=%d "
+                    + "control_mb=%.0f growth_10x=%.1f%n", r.fronts(), r.bytes(), r.messages(), r.share(), r.configMs(), r.mb(), growth);
+        }
+        System.exit(0);
+    }
+
+    private void startControl() throws IOException {
+        JsonArray seeds = Json.array().asArray();
+        for (String ip : IPS) {
+            seeds.add(ip + ":" + CONTROL);
+        }
+        for (String ip : IPS) {
+            Path data = Files.createDirectories(folder.resolve(ip));
+            JsonObject settings = Json.object().add("node_name", "core-" + ip).add("ip_address", ip).add("zone_name", ip).add("region", ip)
+                    .add("zones", Json.object().add(ip, ip)).add("listen_addresses", Json.object().add("control_address", ip + ":" + CONTROL))
+                    .add("internal_port_range", Json.array(INNER, INNER + 9)).add("seed_addresses", seeds).add("first_start", true)
+                    .add("data_directory", data.toString()).add("tolerated_losses", Json.object().add("machines", 1))
+                    .add("heartbeat_interval_ms", BEAT_MS).add("bounds", Json.object()).add("cloud_api", Json.object().add("address", "127.0.0.1:1"));
+            Path file = folder.resolve(ip + ".json");
+            Files.writeString(file, settings.toString());
+            ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx192m",
+                    "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/dillfront.jar", "control-plane");
+            start.environment().put("DILLFRONT_SETTINGS", file.toString());
+            start.redirectErrorStream(true).redirectOutput(folder.resolve(ip + ".log").toFile());
+            processes.add(start.start());
+        }
+    }
+
+    private Row run() throws Exception {
+        startControl();
+        TimeUnit.MILLISECONDS.sleep(1_500);
+        configure(1).get(10, TimeUnit.SECONDS);
+        host.loop().submit(() -> {
+            for (int i = 0; i < fronts; i++) {
+                new Front(i).dial();
+            }
+            for (int d = 0; d < databases; d++) {
+                for (int s = 0; s < 3; s++) {
+                    beats("i-" + d + "-" + s, "db" + d, s == 0, host.chance().nextInt((int) BEAT_MS));
+                }
+            }
+        }).get();
+        TimeUnit.SECONDS.sleep(SETTLE_S);
+        long cpu = cpu();
+        long b = bytes.get();
+        long m = messages.get();
+        TimeUnit.SECONDS.sleep(CALM_S);
+        double share = (cpu() - cpu) / 1e9 / CALM_S / IPS.length;
+        double bytesEach = (double) (bytes.get() - b) / CALM_S / fronts;
+        double messagesEach = (double) (messages.get() - m) / CALM_S / fronts;
+        List<Long> took = new ArrayList<>();
+        for (int v = 2; v < 2 + CHANGES; v++) {
+            everywhere = new CompletableFuture<>();
+            waiting.set(fronts);
+            configure(v).get(10, TimeUnit.SECONDS);
+            long from = System.nanoTime();
+            everywhere.get(20, TimeUnit.SECONDS);
+            took.add((System.nanoTime() - from) / 1_000_000);
+        }
+        Collections.sort(took);
+        double mb = 0;
+        for (Process p : processes) {
+            mb = Math.max(mb, peak(p));
+        }
+        return new Row(fronts, bytesEach, messagesEach, share, took.get(took.size() - 1), mb);
+    }
+
+    private long cpu() {
+        long all = 0;
+        for (Process p : processes) {
+            all += p.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
+        }
+        return all;
+    }
+
+    private static double peak(Process p) throws IOException {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(p.pid()), "status"))) {
+            return lines.filter(l -> l.startsWith("VmHWM:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D", "")) / 1024).sum();
+        }
+    }
+
+    private CompletableFuture<Host.Answer> configure(long version) {
+        JsonArray routes = Json.array().asArray();
+        JsonArray services = Json.array().asArray();
+        for (int d = 0; d < databases; d++) {
+            services.add(Json.object().add("name", "db" + d).add("connection_limit", 100).add("synchronous_replicas", 1));
+            routes.add(Json.object().add("name", "r" + d).add("host_name", "h" + d).add("path_prefix", "/").add("route_kind", "primary")
+                    .add("timeout_ms", 1_000 + version).add("priority", 1).add("service", "db" + d));
+        }
+        JsonValue body = Json.object().add("revision_number", version).add("routes", routes).add("services", services);
+        return host.post(IPS[0] + ":" + CONTROL, "/Configuration.Replace", body.toString(), Map.of(), 8_000).thenApply(is -> {
+            if (is.status() != 200) {
+                throw new IllegalStateException("status " + is.status());
+            }
+            return is;
+        });
+    }
+
+    private void beats(String id, String service, boolean leads, long in) {
+        host.after(in, () -> {
+            String body = Json.object().add("service", service).add("address", "127.0.0.1:9").add("zone_name", "z").add("state", "ready")
+                    .add("database_role", leads ? "primary" : "replica").add("call_sequence", host.now()).toString();
+            host.post(IPS[host.chance().nextInt(IPS.length)] + ":" + CONTROL, "/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
+            beats(id, service, leads, BEAT_MS);
+        });
+    }
+
+    /** A front that asks for news, and keeps nothing but what it has. */
+    private final class Front implements Host.Ear {
+        private final int number;
+        private Host.Link link;
+        private String boot = "";
+        private long has;
+        private long question;
+        private final Map<String, Long> records = new LinkedHashMap<>();
+
+        Front(int number) {
+            this.number = number;
+        }
+
+        void dial() {
+            link = host.dial(IPS[number % IPS.length] + ":" + INNER, Host.Form.FRAMES, 1_000, this);
+        }
+
+        @Override
+        public void opened(Host.Link opened) {
+            link = opened;
+            ask();
+        }
+
+        private void ask() {
+            Map<String, Object> out = new LinkedHashMap<>();
+            out.put("t", "news");
+            out.put("n", "front-" + number);
+            out.put("q", ++question);
+            out.put("b", boot);
+            out.put("r", has);
+            out.put("c", versions[number]);
+            List<Object> sights = new ArrayList<>();
+            records.forEach((service, k) -> sights.add(Map.of("s", service, "k", k, "o", 0, "p", "i-0-0", "h", 1)));
+            out.put("s", sights);
+            byte[] message = Pack.write(out);
+            bytes.addAndGet(message.length + 4L);
+            messages.incrementAndGet();
+            link.send(message);
+        }
+
+        @Override
+        public void message(byte[] message) {
+            bytes.addAndGet(message.length + 4L);
+            messages.incrementAndGet();
+            try {
+                Pack.Fields in = Pack.read(message);
+                if (in.has("b")) {
+                    boot = in.text("b");
+                    has = in.number("r", 0);
+                }
+                in.list("p").forEach(row -> records.put(row.text("s"), row.number("k", 0)));
+                if (in.bytes("cb") != null) {
+                    versions[number] = Configuration.read(in.bytes("cb")).version();
+                    if (waiting.decrementAndGet() == 0) {
+                        everywhere.complete(null);
+                    }
+                }
+                if (in.number("q", -1) == question) {
+                    ask();
+                }
+            } catch (Pack.Bad | Configuration.Invalid bad) {
+                throw new IllegalStateException(bad);
+            }
+        }
+
+        @Override
+        public void closed(String why) {
+            host.after(200, this::dial);
+        }
+    }
+
+    private void end() throws IOException, InterruptedException {
+        for (Process p : processes) {
+            p.destroy();
+            p.waitFor(5, TimeUnit.SECONDS);
+            p.destroyForcibly();
+        }
+        host.loop().parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(one);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/lab/whole/Sim.java
@@ -0,0 +1,328 @@
+package dillfront.lab.whole;
+
+import dillfront.host.Host;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/**
+ * Simulated time, and a network of machines in it: everything from one seed, so that a day plays the same each time. A machine
+ * that is killed resets its connections; one without power, or behind a cut, says nothing more.
+ */
+final class Sim {
+
+    private record Event(long at, long order, Runnable run) { }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private long now;
+    private long order;
+    final SplittableRandom random;
+    private final Map<String, Machine> listeners = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    final List<Machine> machines = new ArrayList<>();
+
+    Sim(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** Microseconds. */
+    long micros() {
+        return now;
+    }
+
+    long millis() {
+        return now / 1_000;
+    }
+
+    void at(long micros, Runnable run) {
+        events.add(new Event(Math.max(now, micros), order++, run));
+    }
+
+    void after(double ms, Runnable run) {
+        at(now + Math.round(ms * 1_000), run);
+    }
+
+    void until(long ms) {
+        while (!events.isEmpty() && events.peek().at() <= ms * 1_000) {
+            Event e = events.poll();
+            now = e.at();
+            e.run().run();
+        }
+        now = ms * 1_000;
+    }
+
+    void cut(Machine a, Machine b, boolean is) {
+        String pair = a.name.compareTo(b.name) < 0 ? a.name + " " + b.name : b.name + " " + a.name;
+        if (is) {
+            cuts.add(pair);
+        } else {
+            cuts.remove(pair);
+        }
+    }
+
+    boolean cut(Machine a, Machine b) {
+        return !cuts.isEmpty() && cuts.contains(a.name.compareTo(b.name) < 0 ? a.name + " " + b.name : b.name + " " + a.name);
+    }
+
+    /** One way, in milliseconds. */
+    double way(Machine a, Machine b) {
+        double base = a == b ? 0.05 : a.zone.equals(b.zone) ? 0.2 : 8;
+        return base * (1 + random.nextDouble() * 0.2);
+    }
+
+    /** What a machine offers on one of its ports. */
+    interface Http {
+        CompletableFuture<Host.Answer> call(String method, String path, byte[] body, Map<String, String> headers);
+    }
+
+    /** A machine with one process. */
+    final class Machine implements Host {
+        final String name;
+        final String zone;
+        final String ip;
+        boolean up = true;
+        /** Without power it says nothing, and hears nothing. */
+        boolean dark;
+        int life;
+        private final Map<Integer, Function<Host, Ear>> doors = new HashMap<>();
+        private final Map<Integer, Http> calls = new HashMap<>();
+        private final List<Line> lines = new ArrayList<>();
+        private final RandomGenerator chance;
+
+        Machine(String name, String zone, String ip) {
+            this.name = name;
+            this.zone = zone;
+            this.ip = ip;
+            chance = random.split();
+            listeners.put(ip, this);
+            machines.add(this);
+        }
+
+        void listen(int port, Function<Host, Ear> each) {
+            doors.put(port, each);
+        }
+
+        void serve(int port, Http http) {
+            calls.put(port, http);
+        }
+
+        /** The process ends; with the power, nobody is told. */
+        void down(boolean power) {
+            up = false;
+            dark = power;
+            life++;
+            doors.clear();
+            calls.clear();
+            List<Line> open = new ArrayList<>(lines);
+            lines.clear();
+            for (Line line : open) {
+                line.over = true;
+                if (!power) {
+                    line.hangUp();
+                }
+            }
+        }
+
+        void up() {
+            up = true;
+            dark = false;
+        }
+
+        @Override
+        public long now() {
+            return millis();
+        }
+
+        @Override
+        public Timer after(long ms, Runnable run) {
+            int mine = life;
+            boolean[] off = new boolean[1];
+            Sim.this.after(ms, () -> {
+                if (!off[0] && life == mine && up) {
+                    run.run();
+                }
+            });
+            return () -> off[0] = true;
+        }
+
+        @Override
+        public RandomGenerator chance() {
+            return chance;
+        }
+
+        boolean reaches(Machine to) {
+            return up && !to.dark && !dark && !cut(this, to);
+        }
+
+        @Override
+        public Link dial(String address, Form form, int timeoutMs, Ear ear) {
+            Line near = new Line(this, form, ear);
+            int colon = address.lastIndexOf(':');
+            Machine to = listeners.get(address.substring(0, colon));
+            int port = Integer.parseInt(address.substring(colon + 1));
+            lines.add(near);
+            after(timeoutMs, () -> {
+                if (near.other == null && !near.over) {
+                    near.end("unreachable");
+                }
+            });
+            if (to == null) {
+                return near;
+            }
+            Sim.this.after(way(this, to), () -> {
+                if (!reaches(to) || near.over) {
+                    return;
+                }
+                Function<Host, Ear> door = to.up ? to.doors.get(port) : null;
+                if (door == null) {
+                    Sim.this.after(way(this, to), () -> near.end("refused"));
+                    return;
+                }
+                Line far = new Line(to, form, door.apply(to));
+                far.other = near;
+                to.lines.add(far);
+                far.ear.opened(far);
+                int mine = life;
+                Sim.this.after(way(this, to), () -> {
+                    if (life == mine && !near.over) {
+                        near.other = far;
+                        near.ear.opened(near);
+                    } else {
+                        far.end("broken");
+                    }
+                });
+            });
+            return near;
+        }
+
+        @Override
+        public CompletableFuture<Answer> post(String address, String path, String json, Map<String, String> headers, int timeoutMs) {
+            return call("POST", address, path, json.getBytes(StandardCharsets.UTF_8), headers, timeoutMs);
+        }
+
+        CompletableFuture<Answer> call(String method, String address, String path, byte[] body, Map<String, String> headers, int timeoutMs) {
+            CompletableFuture<Answer> answer = new CompletableFuture<>();
+            int colon = address.lastIndexOf(':');
+            Machine to = listeners.get(address.substring(0, colon));
+            int port = Integer.parseInt(address.substring(colon + 1));
+            int mine = life;
+            after(timeoutMs, () -> answer.completeExceptionally(new IllegalStateException("no answer in time")));
+            if (to != null) {
+                Sim.this.after(2 * way(this, to), () -> {
+                    Http http = to.up && reaches(to) ? to.calls.get(port) : null;
+                    if (http == null) {
+                        if (reaches(to)) {
+                            answer.completeExceptionally(new IllegalStateException("refused"));
+                        }
+                        return;
+                    }
+                    http.call(method, path, body, headers).whenComplete((is, fault) -> Sim.this.after(way(this, to), () -> {
+                        if (reaches(to) && life == mine) {
+                            answer.complete(fault == null ? is : new Answer(503, new byte[0]));
+                        }
+                    }));
+                });
+            }
+            return answer;
+        }
+    }
+
+    /** One end of a connection. Messages come in the order they were sent. */
+    final class Line implements Host.Link {
+        final Machine at;
+        final Host.Form form;
+        final Host.Ear ear;
+        Line other;
+        boolean over;
+        private long lastAt;
+
+        Line(Machine at, Host.Form form, Host.Ear ear) {
+            this.at = at;
+            this.form = form;
+            this.ear = ear;
+        }
+
+        void end(String why) {
+            if (!over) {
+                over = true;
+                at.lines.remove(this);
+                ear.closed(why);
+            }
+        }
+
+        private void pass(Runnable run) {
+            Line far = other;
+            if (far == null) {
+                return;
+            }
+            lastAt = Math.max(lastAt, now + Math.round(way(at, far.at) * 1_000));
+            Sim.this.at(lastAt, () -> {
+                if (!far.over && !far.at.dark && !cut(at, far.at)) {
+                    run.run();
+                }
+            });
+        }
+
+        @Override
+        public void send(byte[] message) {
+            if (over || other == null) {
+                return;
+            }
+            Line far = other;
+            if (form == Host.Form.FRAMES) {
+                pass(() -> far.ear.message(message));
+                return;
+            }
+            for (String line : new String(message, StandardCharsets.ISO_8859_1).split("\r\n", -1)) {
+                byte[] one = line.getBytes(StandardCharsets.ISO_8859_1);
+                pass(() -> {
+                    if (!far.over) {
+                        far.ear.message(one);
+                    }
+                });
+            }
+        }
+
+        private void hangUp() {
+            Line far = other;
+            pass(() -> far.end("broken"));
+        }
+
+        @Override
+        public void close() {
+            if (!over) {
+                over = true;
+                at.lines.remove(this);
+                hangUp();
+            }
+        }
+
+        @Override
+        public long waiting() {
+            return 0;
+        }
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    static String text(byte[] bytes) {
+        return new String(bytes, 0, bytes.length, StandardCharsets.ISO_8859_1);
+    }
+
+    static String[] words(String line, int most) {
+        return Arrays.copyOf(line.split(" ", most), most);
+    }
+}
--- a/src/main/java/dillfront/programs/ControlPlane.java
+++ b/src/main/java/dillfront/programs/ControlPlane.java
@@ -43,9 +43,8 @@
     }
 
     /** @throws Settings.Bad with the file, the place and the fault */
-    public static void run() throws Settings.Bad, IOException, Keep.Broken {
+    public static void run(Settings settings) throws Settings.Bad, IOException, Keep.Broken {
         Log log = new Log(System.err);
-        Settings settings = Settings.of(System.getenv());
         if (settings.control() == null || settings.folder() == null) {
             throw new Settings.Bad("no control_address or no data_directory, which a control plane needs");
         }
--- a/src/main/java/dillfront/programs/DataPlane.java
+++ b/src/main/java/dillfront/programs/DataPlane.java
@@ -15,17 +15,22 @@
 
     private DataPlane() {}
 
+    /** Reads the settings, and again on SIGHUP. */
+    public interface Reading {
+        Settings read() throws Settings.Bad;
+    }
+
     /** @throws Settings.Bad with the file, the place and the fault */
-    public static void run() throws Settings.Bad, IOException {
+    public static void run(Reading reading) throws Settings.Bad, IOException {
         Log log = new Log(System.err);
-        Settings settings = Settings.of(System.getenv());
+        Settings settings = reading.read();
         if (settings.front() == null || settings.ready() == null) {
             throw new Settings.Bad("listen_addresses: no front_address or no readiness_address, which a data plane needs");
         }
         NettyHost host = new NettyHost(System.nanoTime() ^ settings.name().hashCode());
         Front front = new Front(host, settings);
         Signals.on("TERM", () -> host.loop().execute(() -> front.leave(() -> Runtime.getRuntime().halt(0))), log);
-        Signals.on("HUP", () -> host.loop().execute(() -> again(front, log)), log);
+        Signals.on("HUP", () -> host.loop().execute(() -> again(front, reading, log)), log);
         Signals.on("USR2", () -> host.loop().execute(() -> log.info("status", "line", front.status())), log);
         host.serve(settings.ready(), (method, path, body) -> CompletableFuture.completedFuture(!path.equals("/readiness")
                 ? HttpDoor.said(404, "only /readiness is asked here")
@@ -35,9 +40,9 @@
         log.info("start", "program", "data-plane", "name", settings.name(), "zone", settings.zone(), "seeds", settings.seeds());
     }
 
-    private static void again(Front front, Log log) {
+    private static void again(Front front, Reading reading, Log log) {
         try {
-            front.settings(Settings.of(System.getenv()));
+            front.settings(reading.read());
             log.info("settings", "seeds", front.settings.seeds());
         } catch (Settings.Bad bad) {
             log.warn("settings", "kept", "the former ones", "fault", bad.getMessage());
--- /dev/null
+++ b/src/main/java/dillfront/programs/Rehearsal.java
@@ -0,0 +1,83 @@
+package dillfront.programs;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import dillfront.host.NettyHost;
+import dillfront.host.Settings;
+import dillfront.memory.Keep;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Both programs for a moment in one process, with a configuration, a server that is not there, and a client that is told so.
+ * The build runs this and keeps the classes that were loaded, so that a process that starts again serves sooner.
+ */
+public final class Rehearsal {
+
+    private static final int WITHIN_MS = 5_000;
+
+    private Rehearsal() {}
+
+    public static void run() throws IOException, Settings.Bad, Keep.Broken {
+        Path folder = Files.createTempDirectory("rehearsal");
+        int[] port = new int[4];
+        for (int i = 0; i < port.length; i++) {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port[i] = free.getLocalPort();
+            }
+        }
+        String control = "127.0.0.1:" + port[0];
+        JsonObject common = Json.object().add("ip_address", "127.0.0.1").add("zone_name", "a").add("region", "a")
+                .add("zones", Json.object().add("a", "a")).add("internal_port_range", Json.array(port[1], port[1]))
+                .add("seed_addresses", Json.array().add(control)).add("first_start", true).add("bounds", Json.object())
+                .add("cloud_api", Json.object().add("address", "127.0.0.1:1"));
+        Path core = folder.resolve("core.json");
+        Files.writeString(core, new JsonObject(common).add("node_name", "core").add("data_directory", folder.resolve("data").toString())
+                .add("listen_addresses", Json.object().add("control_address", control)).toString());
+        Path front = folder.resolve("front.json");
+        Files.writeString(front, new JsonObject(common).add("node_name", "front").add("listen_addresses", Json.object()
+                .add("front_address", "127.0.0.1:" + port[2]).add("readiness_address", "127.0.0.1:" + port[3])).toString());
+        ControlPlane.run(Settings.read(core));
+        DataPlane.run(() -> Settings.read(front));
+        NettyHost host = new NettyHost(1);
+        JsonObject configuration = Json.object().add("revision_number", 1)
+                .add("routes", Json.array().add(Json.object().add("name", "r").add("host_name", "h").add("path_prefix", "/")
+                        .add("route_kind", "primary").add("timeout_ms", 300).add("priority", 1).add("service", "s")))
+                .add("services", Json.array().add(Json.object().add("name", "s").add("connection_limit", 20)));
+        say(host, control, "/Configuration.Replace", configuration);
+        JsonObject beat = Json.object().add("service", "s").add("address", "127.0.0.1:1").add("zone_name", "a").add("state", "ready")
+                .add("database_role", "primary").add("call_sequence", 1);
+        say(host, control, "/Instances.Heartbeat/i-1", beat);
+        say(host, "127.0.0.1:" + port[3], "/readiness", Json.object());
+        for (int tries = 0; tries < 50; tries++) {
+            String heard = client(port[2]);
+            if (heard.contains("ERROR BUSY")) {
+                break;
+            }
+        }
+    }
+
+    private static void say(NettyHost host, String to, String path, JsonObject body) {
+        try {
+            host.post(to, path, body.toString(), Map.of(), WITHIN_MS).join();
+        } catch (CompletionException none) {
+            System.err.println("rehearsal: " + path + ": " + none.getCause());
+        }
+    }
+
+    private static String client(int port) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(WITHIN_MS);
+            socket.getOutputStream().write(("CONNECT h w\r\nQUERY 1 SET a b\r\nQUERY 2 PREPARE p READ q\r\nQUERY 3 EXECUTE p k\r\n"
+                    + "QUERY 4 BEGIN READ\r\nQUERY 5 ROLLBACK\r\nQUERY 6 WRITE k v\r\nGOODBYE\r\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+}
