Requests without hope are refused at once; a server succeeds the one at its address

Change: a server's own call says that it succeeds the one at its address; without a primary for two beats, requests are refused at once; a suspect primary is probed for 300 ms; reads beside their primary may spill more; news is asked in the own region; beats are told once.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -127,7 +127,7 @@
             out.put("alone", true);
         }
         if (whole) {
-            out.put("cp", core.ips());
+            out.put("cp", core.places());
         }
         a.link.send(Pack.write(out));
     }
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -135,10 +135,12 @@
         return peers.values();
     }
 
-    List<String> ips() {
-        List<String> ips = new ArrayList<>(peers.keySet());
-        ips.add(ip());
-        return ips;
+    /** Where control processes are, each with its zone. */
+    List<Object> places() {
+        List<Object> places = new ArrayList<>();
+        peers.values().forEach(p -> places.add(Map.of("i", p.ip, "z", p.zone)));
+        places.add(Map.of("i", ip(), "z", settings.zone()));
+        return places;
     }
 
     int majority() {
@@ -286,6 +288,7 @@
             public void opened(Host.Link link) {
                 p.link = link;
                 p.up = true;
+                p.toldAt = host.now() - 2 * settings.beat();
                 tell(p);
             }
 
@@ -316,6 +319,7 @@
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("t", "word");
         out.put("i", ip());
+        out.put("z", settings.zone());
         out.put("b", boot);
         out.put("n", now);
         out.put("e", p.itsNow);
@@ -328,7 +332,7 @@
         }
         List<Object> alive = new ArrayList<>();
         for (Member m : members.all()) {
-            if (!m.left() && now - m.heardHere < settings.beat() * 3 / 2) {
+            if (!m.left() && m.heardHere >= p.toldAt) {
                 alive.add(m.id);
                 alive.add(now - m.heardHere);
                 alive.add(m.sequence);
@@ -337,6 +341,7 @@
         if (!alive.isEmpty()) {
             out.put("al", alive);
         }
+        p.toldAt = now + 1;
         out.put("v", register.durable());
         out.put("d", Register.digest(register.held()));
         out.put("c", register.committed().version());
@@ -402,6 +407,7 @@
             p.cleared.clear();
         }
         p.heard = now;
+        p.zone = in.text("z");
         p.itsNow = in.number("n", 0);
         boolean ours = in.text("eb").equals(boot);
         if (ours) {
@@ -635,8 +641,15 @@
         } catch (ParseException | UnsupportedOperationException | NumberFormatException bad) {
             return said(400, String.valueOf(bad.getMessage()));
         }
+        boolean fresh = members.get(id) == null;
         boolean changed = members.merge(new Pack.Fields(row), host.now());
         Member m = members.get(id);
+        if (m == null) {
+            return said(400, "no id in the path");
+        }
+        if (fresh) {
+            members.succeeds(m);
+        }
         m.heard = host.now();
         m.heardHere = host.now();
         if (changed) {
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -17,6 +17,8 @@
 final class Duty {
 
     private static final long PROBE_MS = 500;
+    /** Suspicion is cheap to be wrong about: a primary that answers while its service moves leads on. */
+    private static final long SUSPECT_MS = 300;
     private static final long PROBE_GAP_MS = 250;
     private static final long PLATFORM_MS = 1_500;
     private static final long AGAIN_MS = 200;
@@ -236,7 +238,7 @@
         }
         w.probing = true;
         w.probedAt = now();
-        Question.ask(core, m, PROBE_MS, null).whenComplete((row, fault) -> {
+        Question.ask(core, m, SUSPECT_MS, null).whenComplete((row, fault) -> {
             w.probing = false;
             w.probedAt = now();
             boolean alive = fault == null || fault instanceof Question.Unanswered u && u.alive;
@@ -405,6 +407,7 @@
             m.askAgain.put(to.id, now() + gap);
             if (fault == null && moves.get(m.lead.service()) == m) {
                 got.accept(row);
+                look();
             }
         });
     }
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -85,6 +85,19 @@
         return false;
     }
 
+    /**
+     * A new server has this one's address, and with it the log of whichever of the same service had it before: that one is
+     * gone. Only a server's own call says so, never hearsay, which may be late.
+     */
+    boolean succeeds(Member fresh) {
+        boolean any = false;
+        for (Member m : new ArrayList<>(rows.values())) {
+            boolean same = m != fresh && !m.left() && m.service.equals(fresh.service) && m.address.equals(fresh.address);
+            any |= same && left(m.id);
+        }
+        return any;
+    }
+
     boolean left(String id) {
         Member is = rows.get(id);
         if (is == null || is.left()) {
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -8,9 +8,12 @@
 final class Peer {
 
     final String ip;
+    String zone = "";
     Host.Link link;
     boolean up;
     long dialAt;
+    /** Beats that were heard here before this were told to it. */
+    long toldAt;
     /** Its life, and its clock when it last spoke; that goes back to it with the next word. */
     String boot = "";
     long itsNow;
--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -61,6 +61,7 @@
                 s.tryAgain();
             }
             service.changed();
+            service.hopeful();
             if (service.seesOtherwise()) {
                 news.tell();
             }
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -18,12 +18,16 @@
     private static final int DIAL_MS = 700;
     private static final long SILENT_MS = 1_400;
     private static final long PAUSE_MS = 100;
+    /** After a source was left, the next is kept for so long though another is nearer. */
+    private static final long STAY_MS = 3_000;
     private static final int MOST_SOURCES = 16;
 
     private final Front front;
     /** Where control was heard of, the nearest first. */
     private final List<String> sources = new ArrayList<>();
     private int at;
+    /** When it last left a source. */
+    private long movedAt = -STAY_MS;
     private Host.Link link;
     private boolean up;
     private long asked;
@@ -101,6 +105,7 @@
             link.close();
         }
         at++;
+        movedAt = front.host.now();
         front.host.after(at % Math.max(1, sources.size()) == 0 ? PAUSE_MS : 1, this::dial);
     }
 
@@ -196,7 +201,11 @@
                 s.changed();
             }
         }
-        in.texts("cp").forEach(this::source);
+        String near = null;
+        for (Pack.Fields place : in.list("cp")) {
+            source(place.text("i"));
+            near = front.settings.near(place.text("z")) ? place.text("i") : near;
+        }
         fronts = (int) Math.max(1, in.number("f", fronts));
         long sure = in.number("su", 0);
         long q = in.number("q", -1);
@@ -209,6 +218,12 @@
                 next("alone");
                 return;
             }
+            if (near != null && sources.contains(near) && !near.equals(source()) && now - movedAt > STAY_MS) {
+                // What crosses regions costs, and is heard later.
+                at = sources.size() + sources.indexOf(near) - 1;
+                next("farther than another");
+                return;
+            }
             ask();
         }
     }
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -12,7 +12,7 @@
     /** A dial that waits longer is given up; the server is taken for out of reach. */
     static final int DIAL_MS = 900;
     /** Nothing was heard for so long while something was out: it may be dark. */
-    static final long SILENT_MS = 600;
+    static final long SILENT_MS = 450;
     private static final long RETRY_MS = 120;
     private static final long RETRY_MOST_MS = 1_000;
 
@@ -251,12 +251,12 @@
         return draining && front.host.now() > drainedAt + front.settings.drain() * 2 / 3;
     }
 
-    /** How this front sees it: 1 well lately, -1 out of reach, 0 not known. */
+    /** How this front sees it: 1 heard just now, -1 out of reach, 0 not known. */
     int sight() {
         if (downSince >= 0 || silent()) {
             return -1;
         }
-        return front.host.now() - heardAt < 1_000 && !all.isEmpty() ? 1 : 0;
+        return front.host.now() - heardAt < SILENT_MS && !all.isEmpty() ? 1 : 0;
     }
 
     Host host() {
--- a/src/main/java/dillfront/front/Service.java
+++ b/src/main/java/dillfront/front/Service.java
@@ -26,6 +26,8 @@
 
     private static final double SPILL_BURST = 4;
     private static final double SPILL = 0.25;
+    /** Where no replica is as near as the primary. */
+    private static final double SPILL_NEAR = 0.6;
     /** How much busier one that is near may be than one in another region. */
     private static final double FAR = 2;
     /** What a primary must be less busy by to take what a replica could. */
@@ -72,7 +74,8 @@
         Server best = null;
         double least = Double.MAX_VALUE;
         long now = front.host.now();
-        spill = Math.min(SPILL_BURST, spill + SPILL);
+        boolean near = lead != null && lead.near && servers.values().stream().noneMatch(s -> s != lead && s.near && s.usable());
+        spill = Math.min(SPILL_BURST, spill + (near ? SPILL_NEAR : SPILL));
         for (Server s : servers.values()) {
             if (!s.usable() || without.contains(s) || need == null && s != lead || s != lead && s.laggingUntil > now) {
                 continue;
@@ -95,6 +98,23 @@
         return best;
     }
 
+    /** Since when there is no primary to ask; -1 while there is. */
+    private long leaderlessFrom = -1;
+
+    /** Whether a primary may be there soon: a move takes no longer than a few beats of the servers, else nobody knows. */
+    boolean hopeful() {
+        Server lead = primary();
+        if (lead != null && lead.reachable()) {
+            leaderlessFrom = -1;
+            return true;
+        }
+        long now = front.host.now();
+        leaderlessFrom = leaderlessFrom < 0 ? now : leaderlessFrom;
+        return now - leaderlessFrom < HOPE_BEATS * front.settings.beat();
+    }
+
+    private static final double HOPE_BEATS = 2;
+
     /** What was last told of the primary. */
     private int told;
 
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -540,7 +540,7 @@
 
     /** Until something changes, as long as there is patience; then it is refused at once. */
     private void await(Service service, Job of, Runnable again) {
-        if (front.host.now() >= of.patience()) {
+        if (front.host.now() >= of.patience() || !service.hopeful()) {
             busy(of);
             return;
         }
@@ -755,7 +755,7 @@
     /** Waits for a change; given up with the statement that waits, or after a while where none does. */
     private void openLater(Txn of, Service service) {
         long until = of.first != null ? of.first.patience() : of.since + (long) (of.route.timeout() * PATIENCE);
-        if (front.host.now() >= until) {
+        if (front.host.now() >= until || of.first != null && !service.hopeful()) {
             of.opening = false;
             if (of.first != null) {
                 busy(of.first);
