dillfront system: settings, configurations and processes are checked and asked

Change: subcommands settings, configuration, status; addresses are read by the one reader there is, so a beat with an address that is none harms nothing.

--- a/src/main/java/dillfront/cli/Commands.java
+++ b/src/main/java/dillfront/cli/Commands.java
@@ -31,8 +31,10 @@
         footer = {"", "Run by the platform, without options:",
             "  drill     decide on the simulator's wire, from standard input to standard output",
             "  serve     be one router, as LB_CONFIG, the other LB_ variables and LB_OPERATOR say",
-            "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads"},
-        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Status.class, Commands.Keygen.class, Keys.class, Site.class})
+            "  rehearse  run one router against itself for a moment, for the build to keep the classes it loads",
+            "  data-plane, control-plane  the two programs of the whole system, as DILLFRONT_SETTINGS says",
+            "  rehearse-system  both of them for a moment, for the build"},
+        subcommands = {Commands.Check.class, Commands.Peers.class, Commands.Status.class, Commands.Keygen.class, Keys.class, Site.class, WholeSystem.class})
 final class Commands implements Runnable {
 
     private static final int PATIENCE_MS = 3000;
--- /dev/null
+++ b/src/main/java/dillfront/cli/WholeSystem.java
@@ -0,0 +1,113 @@
+package dillfront.cli;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.ParseException;
+import dillfront.config.Address;
+import dillfront.host.Configuration;
+import dillfront.host.Settings;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** What operators of the whole system call: it reads and asks, and changes nothing. */
+@Command(name = "system", mixinStandardHelpOptions = true, description = "Checks and asks the two programs of the whole system.",
+        subcommands = {WholeSystem.CheckSettings.class, WholeSystem.CheckConfiguration.class, WholeSystem.Asks.class})
+final class WholeSystem implements Runnable {
+
+    private static final int PATIENCE_MS = 3_000;
+
+    @picocli.CommandLine.Spec
+    private picocli.CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "expected settings, configuration or status");
+    }
+
+    /** As a start would. */
+    @Command(name = "settings", description = "Checks a settings file as a start of data-plane or control-plane would.",
+            footer = "Example: dillfront system settings /etc/dillfront/node.json")
+    static final class CheckSettings implements Callable<Integer> {
+        @Parameters(description = "the settings file")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            try {
+                Settings is = Settings.read(file);
+                System.out.println(file + ": " + is.name() + " in " + is.zone() + ", " + (is.front() != null ? "front " + is.front()
+                        : is.control() != null ? "control " + is.control() : "serves nothing") + ", seeds " + is.seeds());
+                return 0;
+            } catch (Settings.Bad bad) {
+                return Commands.fault(bad.getMessage());
+            }
+        }
+    }
+
+    /** As the control plane would. */
+    @Command(name = "configuration", description = "Checks a configuration as the control plane would, before it is sent.",
+            footer = "Example: dillfront system configuration next.json")
+    static final class CheckConfiguration implements Callable<Integer> {
+        @Parameters(description = "the JSON body of POST /Configuration.Replace")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            try {
+                Configuration is = Configuration.read(Files.readAllBytes(file));
+                System.out.println(file + ": version " + is.version() + ", " + is.size() + " routes, " + is.services().size() + " services");
+                return 0;
+            } catch (Configuration.Invalid bad) {
+                return Commands.fault(file + ": " + bad.getMessage());
+            } catch (IOException bad) {
+                return Commands.fault(file + ": cannot be read: " + bad.getMessage());
+            }
+        }
+    }
+
+    /** What a process holds. */
+    @Command(name = "status", description = "Asks a data plane or a control plane what it holds.",
+            footer = "Example: dillfront system status 10.1.0.8:8785")
+    static final class Asks implements Callable<Integer> {
+        @Parameters(description = "its readiness_address or control_address, as IP:PORT")
+        private String address;
+        @Option(names = "--json", description = "as it was answered")
+        private boolean json;
+
+        @Override
+        public Integer call() {
+            HttpURLConnection asked = null;
+            try {
+                InetSocketAddress to = Address.parse(address);
+                if (to == null) {
+                    return Commands.fault(address + ": no IP:PORT");
+                }
+                asked = (HttpURLConnection) URI.create("http://" + to.getHostString() + ":" + to.getPort() + "/status").toURL().openConnection();
+                asked.setConnectTimeout(PATIENCE_MS);
+                asked.setReadTimeout(PATIENCE_MS);
+                try (InputStream in = asked.getInputStream()) {
+                    String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+                    System.out.println(json ? text : Json.parse(text).asObject().getString("status", "").replace(" | ", "\n"));
+                }
+                return 0;
+            } catch (IllegalArgumentException | ParseException | UnsupportedOperationException bad) {
+                return Commands.fault(address + ": " + bad.getMessage());
+            } catch (IOException none) {
+                return Commands.fault("no answer from " + address + ": " + none.getMessage());
+            } finally {
+                if (asked != null) {
+                    asked.disconnect();
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/dillfront/host/NettyHost.java
+++ b/src/main/java/dillfront/host/NettyHost.java
@@ -1,5 +1,6 @@
 package dillfront.host;
 
+import dillfront.config.Address;
 import dillfront.sockets.Ears;
 import dillfront.sockets.Sockets;
 import io.netty.buffer.ByteBuf;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -41,6 +43,7 @@
     /** The longest message of the wire, and of the system's own processes. */
     private static final int LONGEST_LINE = 1 << 20;
     private static final int LONGEST_FRAME = 1 << 23;
+    private static final InetSocketAddress NOWHERE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
     private static final int BACKLOG = 512;
     private static final WriteBufferWaterMark MARK = new WriteBufferWaterMark(1 << 17, 1 << 20);
 
@@ -91,8 +94,9 @@
     }
 
     static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress is = Address.parse(text);
+        // Refused like a dead one: whoever told of it told wrong.
+        return is == null ? NOWHERE : is;
     }
 
     /** One connection's end of the program's side. */
--- a/src/main/java/dillfront/host/Settings.java
+++ b/src/main/java/dillfront/host/Settings.java
@@ -4,6 +4,7 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
+import dillfront.config.Address;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -110,16 +111,10 @@
     }
 
     private static String address(String text, String place) throws Bad {
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = colon < 1 ? -1 : Integer.parseInt(text.substring(colon + 1));
-            if (port > 0 && port < 65_536) {
-                return text;
-            }
-        } catch (NumberFormatException none) {
-            // Said below.
+        if (Address.parse(text) == null) {
+            throw new Bad(place + ": '" + text + "' is no IP:PORT");
         }
-        throw new Bad(place + ": '" + text + "' is no IP:PORT");
+        return text;
     }
 
     private static long number(JsonObject in, String name, long otherwise) throws Bad {
