--- a/src/main/java/dillfront/cli/Main.java
+++ b/src/main/java/dillfront/cli/Main.java
@@ -42,7 +42,7 @@
             } else if (args[0].equals("data-plane")) {
                 DataPlane.run(() -> Settings.of(System.getenv()));
             } else if (args[0].equals("control-plane")) {
-                ControlPlane.run(Settings.of(System.getenv()));
+                ControlPlane.run(() -> Settings.of(System.getenv()));
             } else if (args[0].equals("rehearse-system")) {
                 dillfront.programs.Rehearsal.run();
                 System.exit(0);
--- /dev/null
+++ b/src/main/java/dillfront/core/Ballot.java
@@ -0,0 +1,36 @@
+package dillfront.core;
+
+/** The number of a proposal: rounds go first, and no two proposers share one. NONE is below all. */
+public record Ballot(long round, String proposer) implements Comparable<Ballot> {
+
+    public static final Ballot NONE = new Ballot(0, "");
+
+    @Override
+    public int compareTo(Ballot other) {
+        int rounds = Long.compare(round, other.round);
+        return rounds != 0 ? rounds : proposer.compareTo(other.proposer);
+    }
+
+    boolean above(Ballot other) {
+        return compareTo(other) > 0;
+    }
+
+    static Ballot highest(Ballot a, Ballot b) {
+        return a.above(b) ? a : b;
+    }
+
+    String kept() {
+        return round + " " + proposer;
+    }
+
+    /** As it stands on the disk or in a message; NONE for an empty text. */
+    static Ballot of(String text) {
+        int blank = text.indexOf(' ');
+        return blank < 0 ? NONE : new Ballot(Long.parseLong(text.substring(0, blank)), text.substring(blank + 1));
+    }
+
+    @Override
+    public String toString() {
+        return kept();
+    }
+}
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -19,12 +19,14 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * One control process. It and its like tell each other what they have, often and at once where something changed; there is
  * no log and no leader. One loop calls all of it.
  */
-public final class Core {
+public final class Core implements Register.Ground {
 
     private static final long TICK_MS = 400;
     private static final long LOOK_MS = 50;
@@ -35,7 +37,12 @@
     static final long SURE_MS = 3_000;
     private static final int DIAL_MS = 700;
     private static final long REDIAL_MS = 200;
-    private static final long ANSWER_MS = 4_500;
+    /** Who calls waits a second for an answer. */
+    private static final long ANSWER_MS = 900;
+    /** Where it ends in order, others get so long to have what only it holds. */
+    private static final long HAND_OVER_MS = 2_000;
+    private static final long LAST_WORD_MS = 50;
+    private static final long FORGOTTEN_MS = 60_000;
     private static final long BEAT_ANSWER_MS = 850;
     private static final long FEWER_MS = 15_000;
     private static final long TOGETHER_MS = 20;
@@ -52,7 +59,6 @@
     private final Store store;
     private final String boot;
     private final TreeMap<String, Peer> peers = new TreeMap<>();
-    private TreeSet<String> voters = new TreeSet<>();
     private final TreeMap<String, Lead> leads = new TreeMap<>();
     /** The newest record that is known here, and that is on the disk with all before it. */
     private long record = -1;
@@ -62,12 +68,21 @@
     /** Those that beat here, the last one first; one that beat again stands there twice for a while. */
     private final ArrayDeque<Member> beats = new ArrayDeque<>();
     private boolean keeping;
-    private boolean recovering;
+    private String id = "";
+    /** Its id is on the disk, so it may be told. */
+    private boolean named;
+    private boolean leaving;
+    private long released;
+    /** While two sets count: the ballot that made it so, and this one's table when a majority of each had that. */
+    private Ballot jointAt = Ballot.NONE;
+    private long jointMark = -1;
+    private TreeSet<String> changesTo = new TreeSet<>();
     private boolean poked;
     private long pokedAt = -TOGETHER_MS;
     private boolean telling;
     private long toldAt = -TOGETHER_MS;
     private long lookedAt;
+    private long awayAt = Long.MIN_VALUE / 2;
     private boolean wasAlone;
     private TreeSet<String> suspects = new TreeSet<>();
     private long suspectsAt;
@@ -78,7 +93,7 @@
 
     private record Waits(long change, CompletableFuture<Void> done) { }
 
-    /** Who waits until a majority has the table as far as this. */
+    /** Who waits until the disks of a majority have the table as far as this. */
     private final List<Waits> waits = new ArrayList<>();
 
     public Core(Host host, Settings settings, Store store) {
@@ -96,15 +111,16 @@
     public void start() throws Configuration.Invalid {
         started = host.now();
         Map<String, String> kept = store.all();
-        if (kept.containsKey("voters")) {
-            voters.addAll(List.of(kept.get("voters").split(",")));
+        id = kept.getOrDefault("id", "");
+        if (id.isEmpty()) {
+            // An empty disk, or a damaged one: whoever was here before, this is another.
+            id = ip() + "/" + Long.toHexString(host.chance().nextLong());
+            store(Map.of("id", id)).thenRun(() -> {
+                named = true;
+                poke();
+            });
         } else {
-            voters.addAll(settings.seedIps());
-            // An empty disk in a system that has been running: what this process had promised is not known here.
-            recovering = !settings.first();
-            if (settings.first()) {
-                store(Map.of("voters", String.join(",", voters)));
-            }
+            named = true;
         }
         register.load(kept);
         members.load(kept, started);
@@ -120,17 +136,26 @@
         fronts = Integer.parseInt(kept.getOrDefault("fronts", "1"));
         frontsAt = started;
         lease.load(kept);
-        voters.forEach(this::peer);
-        settings.seedIps().forEach(this::peer);
+        seeds(settings.seedIps());
+        found();
         tick();
         look();
     }
 
+    /** Where others may be found, by the settings. */
+    public void seeds(List<String> ips) {
+        ips.forEach(this::peer);
+    }
+
     private void peer(String ip) {
-        if (!ip.equals(ip()) && !peers.containsKey(ip) && peers.size() < MOST_PEERS) {
-            Peer p = new Peer(ip);
-            p.voter = voters.contains(ip);
-            peers.put(ip, p);
+        if (ip.equals(ip()) || peers.containsKey(ip)) {
+            return;
+        }
+        if (peers.size() >= MOST_PEERS) {
+            peers.values().removeIf(p -> !member(p.id) && host.now() - Math.max(p.heard, started) > FORGOTTEN_MS);
+        }
+        if (peers.size() < MOST_PEERS) {
+            peers.put(ip, new Peer(ip));
         }
     }
 
@@ -156,33 +181,94 @@
         return places;
     }
 
-    int majority() {
-        return voters.size() / 2 + 1;
+    @Override
+    public String self() {
+        return id;
+    }
+
+    String id() {
+        return id;
+    }
+
+    @Override
+    public long now() {
+        return host.now();
+    }
+
+    @Override
+    public long chance(long below) {
+        return host.chance().nextLong(below);
+    }
+
+    @Override
+    public void tell() {
+        poke();
     }
 
-    /** Whether its own word counts: a voter that has not lost its disk, or has caught up since. */
+    @Override
+    public boolean holds() {
+        return duty.settled();
+    }
+
+    /** A newer value is decided: members and configuration. */
+    @Override
+    public void decided(Value value) {
+        value.members().forEach(member -> peer(Value.ip(member)));
+        news();
+    }
+
+    /** The number of the set of members that this process goes by; 0 before there is one. */
+    long epoch() {
+        return register.held() == null ? 0 : register.held().epoch();
+    }
+
+    boolean member(String of) {
+        Value is = register.held();
+        return is != null && (is.members().contains(of) || is.outgoing().contains(of));
+    }
+
+    /** Whether its own word counts. */
     boolean votes() {
-        return !recovering && voters.contains(ip());
+        return member(id);
     }
 
     int rank() {
-        return voters.headSet(ip()).size();
+        return register.held() == null ? 0 : register.held().members().headSet(id).size();
+    }
+
+    private Peer peerOf(String of) {
+        Peer p = peers.get(Value.ip(of));
+        return p != null && p.id.equals(of) ? p : null;
+    }
+
+    /** Whether a majority of each set in force has this, itself where it says so. */
+    boolean quorum(boolean itself, Predicate<Peer> other) {
+        Value is = register.held();
+        return is != null && is.quorum(of -> of.equals(id) ? itself : peerOf(of) != null && other.test(peerOf(of)));
+    }
+
+    /** The latest moment that a majority of each set in force has reached, by this one's clock. */
+    long reached(long itself, ToLongFunction<Peer> moment) {
+        Value is = register.held();
+        return is == null ? Long.MIN_VALUE / 2 : is.reached(of -> of.equals(id) ? itself
+                : peerOf(of) == null ? Long.MIN_VALUE / 2 : moment.applyAsLong(peerOf(of)));
+    }
+
+    long stalledFor() {
+        return store.stalledFor();
     }
 
     boolean touch(Peer p) {
         return host.now() - p.heard < TOUCH_MS;
     }
 
-    /** It does not hear a majority. */
+    /** No majority has answered it of late: it may know less than others do. */
     boolean alone() {
-        int have = voters.contains(ip()) ? 1 : 0;
-        for (Peer p : peers.values()) {
-            have += p.voter && touch(p) ? 1 : 0;
-        }
-        return have < majority();
+        return reached(host.now(), p -> p.echo) < host.now() - TOUCH_MS;
     }
 
-    CompletableFuture<Void> store(Map<String, String> texts) {
+    @Override
+    public CompletableFuture<Void> store(Map<String, String> texts) {
         return store.put(texts);
     }
 
@@ -241,14 +327,25 @@
 
     /** The table goes to the disk behind what happens: a restart then begins with it, and servers tell again anyway. */
     private void keep() {
-        if (keeping || members.changes() == keptChange) {
+        if (keeping) {
+            return;
+        }
+        if (members.changes() == keptChange) {
+            peers.values().forEach(p -> p.stored = p.known);
             return;
         }
         keeping = true;
         long upTo = members.changes();
+        Map<String, Long> heard = new HashMap<>();
+        peers.values().forEach(p -> heard.put(p.ip + " " + p.boot, p.known));
         store(members.kept(keptChange)).whenComplete((done, fault) -> {
             keeping = false;
-            keptChange = fault == null ? upTo : keptChange;
+            if (fault == null) {
+                keptChange = upTo;
+                peers.values().forEach(p -> p.stored = Math.max(p.stored, heard.getOrDefault(p.ip + " " + p.boot, 0L)));
+                acknowledge();
+                poke();
+            }
         });
     }
 
@@ -312,6 +409,7 @@
             store(Map.of("fronts", Integer.toString(fronts)));
         }
         peers.values().forEach(this::tell);
+        register.retain(of -> peerOf(of) != null);
     }
 
     private void look() {
@@ -319,6 +417,7 @@
         if (host.now() - lookedAt > LATE_MS) {
             // Whoever was away himself has no ground to call others silent.
             duty.away();
+            awayAt = host.now();
         }
         lookedAt = host.now();
         boolean is = alone();
@@ -329,10 +428,84 @@
         lease.look();
         duty.look();
         register.look();
+        found();
+        change();
         acknowledge();
         keep();
     }
 
+    /**
+     * The first set of members, by one process alone: the lowest of the seeds, once each of them has said that it is at its
+     * first start and belongs to nothing.
+     */
+    private void found() {
+        List<String> ips = new ArrayList<>(new TreeSet<>(settings.seedIps()));
+        if (!settings.first() || !named || !register.blank() || ips.isEmpty() || !ips.get(0).equals(ip())) {
+            return;
+        }
+        TreeSet<String> ids = new TreeSet<>();
+        ids.add(id);
+        for (String ip : ips) {
+            Peer p = peers.get(ip);
+            if (p != null && p.fresh && p.echo >= started) {
+                ids.add(p.id);
+            }
+        }
+        if (ids.size() == ips.size()) {
+            host.note("founded by " + ids);
+            register.found(ids);
+        }
+    }
+
+    /** Who counts, as the holder of the lease sees it. */
+    private void change() {
+        Value is = register.decided();
+        if (is == null || !duty.settled() || !register.highest().equals(register.decidedBallot())) {
+            return;
+        }
+        if (!is.joint()) {
+            jointMark = -1;
+            List<Membership.Process> seen = new ArrayList<>();
+            seen.add(new Membership.Process(id, settings.zone(), 0, true, leaving));
+            for (Peer p : peers.values()) {
+                if (!p.id.isEmpty()) {
+                    long silent = host.now() - Math.max(Math.max(p.heard, started), awayAt);
+                    boolean near = p.echo > host.now() - TOUCH_MS && p.epoch == is.epoch() && p.record >= record
+                            && register.acceptedBy(p.id).equals(register.decidedBallot());
+                    seen.add(new Membership.Process(p.id, p.zone, silent, near, p.leaving));
+                }
+            }
+            for (String member : is.members()) {
+                if (peerOf(member) == null && !member.equals(id)) {
+                    long silent = host.now() - Math.max(started, awayAt);
+                    boolean another = peers.containsKey(Value.ip(member)) && !peers.get(Value.ip(member)).id.isEmpty();
+                    seen.add(new Membership.Process(member, "", another ? Long.MAX_VALUE : silent, false, false));
+                }
+            }
+            TreeSet<String> next = Membership.next(is.members(), seen, settings.losses());
+            if (next.equals(is.members())) {
+                changesTo = next;
+            } else {
+                if (!next.equals(changesTo)) {
+                    host.wrong("members " + is.members() + " to " + next);
+                    changesTo = next;
+                }
+                register.members(is.epoch(), next);
+            }
+            return;
+        }
+        // All that the old set had when it agreed to the joint one is known here; then the new one has it on its disks.
+        Ballot joint = register.decidedBallot();
+        if (!joint.equals(jointAt) || jointMark < 0) {
+            jointAt = joint;
+            jointMark = is.quorum(of -> register.acceptedBy(of).equals(joint)) ? members.changes() : -1;
+        }
+        if (jointMark >= 0 && is.settled().quorum(of -> of.equals(id) ? keptChange >= jointMark && durableRecord >= record
+                : peerOf(of) != null && peerOf(of).kept >= jointMark && peerOf(of).record >= record)) {
+            register.settle(is.epoch());
+        }
+    }
+
     private void dial(Peer p) {
         p.dialAt = host.now() + DIAL_MS + REDIAL_MS;
         p.link = host.dial(settings.innerOf(p.ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
@@ -341,6 +514,8 @@
                 p.link = link;
                 p.up = true;
                 p.toldAt = host.now() - 2 * settings.beat();
+                p.placesTold = "";
+                register.again(p.id);
                 tell(p);
             }
 
@@ -358,7 +533,7 @@
     }
 
     private void tell(Peer p) {
-        if (!p.up) {
+        if (!p.up || !named) {
             return;
         }
         if (p.link.waiting() > 1 << 20) {
@@ -376,8 +551,31 @@
         out.put("n", now);
         out.put("e", p.itsNow);
         out.put("eb", p.boot);
+        out.put("id", id);
+        out.put("ep", epoch());
+        if (!p.id.isEmpty()) {
+            out.put("rg", register.say(p.id));
+        }
+        if (register.blank() && settings.first()) {
+            out.put("fs", true);
+        }
+        if (leaving) {
+            out.put("lv", true);
+            out.put("rl", released);
+        }
+        List<String> places = new ArrayList<>();
+        peers.values().forEach(o -> {
+            if (touch(o)) {
+                places.add(o.ip);
+            }
+        });
+        if (!places.toString().equals(p.placesTold)) {
+            p.placesTold = places.toString();
+            out.put("pl", places);
+        }
         out.put("r", members.changes());
         out.put("a", p.known);
+        out.put("ak", p.stored);
         List<Object> rows = members.since(p.knows);
         if (!rows.isEmpty()) {
             out.put("m", rows);
@@ -395,18 +593,9 @@
             out.put("al", alive);
         }
         p.toldAt = now + 1;
-        out.put("v", register.durable());
-        out.put("d", Register.digest(register.held()));
-        out.put("c", register.committed().version());
-        if (p.version >= -1 && p.heard > 0 && p.version < register.durable()) {
-            out.put("cb", register.held().body());
-        }
         out.put("p", lease.promised());
         out.put("pt", lease.promisedTo());
         out.put("w", lease.wanted());
-        if (recovering) {
-            out.put("rec", true);
-        }
         out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
         List<Object> cleared = new ArrayList<>();
@@ -452,10 +641,22 @@
             return;
         }
         long now = host.now();
-        if (!in.text("b").equals(p.boot)) {
+        if (in.text("id").isEmpty()) {
+            return;
+        }
+        if (in.text("b").equals(p.boot) && in.number("n", 0) < p.itsNow) {
+            // Older than what it said last.
+            return;
+        }
+        if (!in.text("b").equals(p.boot) || !in.text("id").equals(p.id)) {
             p.boot = in.text("b");
+            p.id = in.text("id");
             p.known = 0;
+            p.stored = 0;
             p.knows = 0;
+            p.kept = 0;
+            p.promised = 0;
+            p.promisedTo = "";
             p.echo = Long.MIN_VALUE / 2;
             p.record = -1;
             p.cleared.clear();
@@ -467,8 +668,10 @@
         if (ours) {
             p.echo = Math.max(p.echo, in.number("e", Long.MIN_VALUE / 2));
             p.knows = in.number("a", 0);
+            p.kept = in.number("ak", 0);
         } else {
             p.knows = 0;
+            p.kept = 0;
         }
         boolean changed = false;
         for (Pack.Fields row : in.list("m")) {
@@ -483,14 +686,15 @@
                 m.sequence = Math.max(m.sequence, Long.parseLong(alive.get(i + 2)));
             }
         }
-        p.version = in.number("v", -1);
-        p.digest = in.number("d", 0);
-        p.committed = in.number("c", -1);
-        p.recovering = in.bit("rec");
-        byte[] body = in.bytes("cb");
-        if (body != null) {
+        p.epoch = in.number("ep", 0);
+        p.fresh = in.bit("fs");
+        p.leaving = in.bit("lv");
+        in.texts("pl").forEach(this::peer);
+        if (in.all().get("rg") instanceof Map<?, ?> map) {
+            @SuppressWarnings("unchecked")
+            Map<String, Object> fields = (Map<String, Object>) map;
             try {
-                register.hold(Configuration.read(body));
+                register.hear(p.id, new Pack.Fields(fields));
             } catch (Configuration.Invalid never) {
                 host.wrong("a configuration of " + ip + " is not understood: " + never.getMessage());
             }
@@ -521,38 +725,48 @@
             suspects(new TreeSet<>(in.texts("sq")));
         }
         lease.wants(p, in.number("w", 0));
+        lease.released(p, in.number("rl", 0));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
             sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
         }
-        if (recovering) {
-            recover();
-        }
         if (changed) {
             news();
             poke();
+            keep();
         }
         register.look();
         duty.look();
         acknowledge();
     }
 
-    /** Once a majority of voters that kept their disks has answered this life, all that was ever agreed is known here. */
-    private void recover() {
-        int have = 0;
-        long promised = 0;
-        long version = -1;
-        for (Peer p : peers.values()) {
-            if (p.voter && !p.recovering && p.echo >= started) {
-                have++;
-                promised = Math.max(promised, p.promised);
-                version = Math.max(version, p.version);
-            }
+    /**
+     * Ends in order: what only this process holds is on the disks of others first, a set that has enough without it goes on without
+     * it, and the lease goes back before its time.
+     */
+    public void leave(Runnable end) {
+        if (leaving) {
+            return;
         }
-        if (have >= majority() && register.durable() >= version) {
-            lease.recover(promised);
-            recovering = false;
-            store(Map.of("voters", String.join(",", voters), "promised", Long.toString(lease.promised()), "promised-to", "-"));
+        leaving = true;
+        host.note("leaves");
+        peers.values().forEach(this::tell);
+        leave(end, host.now() + Math.min(HAND_OVER_MS, settings.grace() / 2));
+    }
+
+    private void leave(Runnable end, long until) {
+        Value is = register.held();
+        boolean others = is == null || !votes() || is.quorum(of -> of.equals(id) || peerOf(of) != null
+                && peerOf(of).kept >= members.changes() && peerOf(of).record >= durableRecord
+                && register.acceptedBy(of).compareTo(register.accepted()) >= 0);
+        boolean stays = is != null && votes() && is.members().size() > 2 * settings.losses() + 1;
+        if (host.now() < until && (!others || stays)) {
+            change();
+            host.after(TOGETHER_MS, () -> leave(end, until));
+            return;
         }
+        released = lease.leave();
+        peers.values().forEach(this::tell);
+        host.after(LAST_WORD_MS, end);
     }
 
     // ---- what a majority has heard
@@ -560,6 +774,7 @@
     private CompletableFuture<Void> majorityHas(long change) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         waits.add(new Waits(change, done));
+        keep();
         poke();
         acknowledge();
         return done;
@@ -569,46 +784,29 @@
         if (waits.isEmpty()) {
             return;
         }
-        List<Long> have = new ArrayList<>();
-        if (voters.contains(ip())) {
-            have.add(Long.MAX_VALUE);
-        }
-        for (Peer p : peers.values()) {
-            if (p.voter) {
-                have.add(p.knows);
-            }
-        }
-        have.sort(java.util.Collections.reverseOrder());
-        long agreed = have.size() < majority() ? -1 : have.get(majority() - 1);
+        long agreed = reached(keptChange, p -> p.kept);
         List<Waits> over = new ArrayList<>();
         waits.removeIf(w -> w.done().isDone() || w.change() <= agreed && over.add(w));
         over.forEach(w -> w.done().complete(null));
     }
 
-    /** Completes once a majority has answered a word that was sent from now on. */
-    private CompletableFuture<Long> freshMajority() {
-        long from = host.now();
-        CompletableFuture<Long> done = new CompletableFuture<>();
+    /** Completes with what was decided at some moment from now on, as a majority that answers from now on says. */
+    private CompletableFuture<Configuration> read() {
+        CompletableFuture<Configuration> done = new CompletableFuture<>();
         peers.values().forEach(this::tell);
-        fresh(from, from + ANSWER_MS, done);
+        read(host.now(), null, done);
         return done;
     }
 
-    private void fresh(long from, long until, CompletableFuture<Long> done) {
-        int have = votes() ? 1 : 0;
-        long version = register.durable();
-        for (Peer p : peers.values()) {
-            if (p.voter && !p.recovering && p.echo >= from) {
-                have++;
-                version = Math.max(version, p.version);
-            }
+    private void read(long from, Ballot upTo, CompletableFuture<Configuration> done) {
+        Ballot least = upTo == null && reached(host.now(), p -> p.echo) >= from ? register.highest() : upTo;
+        if (done.isDone()) {
+            return;
         }
-        if (have >= majority()) {
-            done.complete(version);
-        } else if (host.now() >= until) {
-            done.completeExceptionally(new IllegalStateException("no majority answers"));
+        if (least != null && register.decidedBallot().compareTo(least) >= 0 && register.decided() != null) {
+            done.complete(register.committed());
         } else {
-            host.after(20, () -> fresh(from, until, done));
+            host.after(TOGETHER_MS, () -> read(from, least, done));
         }
     }
 
@@ -660,7 +858,7 @@
         } else if (path.equals("/Configuration.Replace")) {
             return post ? replace(body) : said(405, "POST only");
         } else if (path.equals("/Configuration.Read")) {
-            return method.equals("GET") ? read() : said(405, "GET only");
+            return method.equals("GET") ? answerRead() : said(405, "GET only");
         }
         if (path.equals("/status")) {
             return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status()).toString()
@@ -673,6 +871,7 @@
         return CompletableFuture.completedFuture(HttpDoor.said(status, fault));
     }
 
+    private static final String NOBODY = "no majority of control processes is heard; ask another";
     private static final Host.Answer FINE = new Host.Answer(200, "{}".getBytes(StandardCharsets.UTF_8));
 
     /** An answer once this is done, or 503 where it is not done in time. */
@@ -752,23 +951,32 @@
         } catch (Configuration.Invalid bad) {
             return said(400, bad.getMessage());
         }
-        return once(register.put(next), ANSWER_MS, () -> FINE);
+        if (alone() || leaving) {
+            return said(503, NOBODY);
+        }
+        CompletableFuture<Value.Outcome> done = register.order(next);
+        return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
+                ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
     }
 
-    /** The newest: a majority is asked, and what it has is on a majority before it is answered. */
-    private CompletableFuture<Host.Answer> read() {
-        CompletableFuture<Void> done = freshMajority().thenCompose(version -> version < 0
-                ? CompletableFuture.failedFuture(new IllegalStateException("no configuration yet"))
-                : register.reached(version));
-        return once(done, ANSWER_MS, () -> new Host.Answer(200, register.committed().body()));
+    private CompletableFuture<Host.Answer> answerRead() {
+        if (alone() || leaving) {
+            return said(503, NOBODY);
+        }
+        CompletableFuture<Configuration> done = read();
+        return once(done, ANSWER_MS, () -> done.join() == Configuration.NONE ? HttpDoor.said(503, "no configuration yet")
+                : new Host.Answer(200, done.join().body()));
     }
 
     /** One line for operators and logs. */
     public String status() {
         StringBuilder line = new StringBuilder("version=").append(register.committed().version()).append(" held=")
-                .append(register.held().version()).append(" voters=").append(voters).append(alone() ? " alone" : "")
-                .append(recovering ? " recovering" : "").append(" lease=").append(lease.number()).append(lease.holds() ? " held" : "")
-                .append(" promised=").append(lease.promised()).append(" to=").append(lease.promisedTo()).append(" fronts=").append(fronts);
+                .append(register.held() == null ? -1 : register.held().configuration().version()).append(" epoch=").append(epoch())
+                .append(" members=").append(register.held() == null ? "none" : register.held().members())
+                .append(register.held() != null && register.held().joint() ? " outgoing=" + register.held().outgoing() : "")
+                .append(votes() ? "" : " learner").append(alone() ? " alone" : "").append(leaving ? " leaving" : "")
+                .append(" lease=").append(lease.number()).append(lease.holds() ? " held" : "").append(" promised=")
+                .append(lease.promised()).append(" to=").append(lease.promisedTo()).append(" fronts=").append(fronts);
         leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : ""));
         return line.toString();
     }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -141,11 +141,7 @@
 
     /** Once a majority has answered since the lease began, what earlier holders recorded is known, and is recorded anew. */
     private void take() {
-        int have = 1;
-        for (Peer p : core.peers()) {
-            have += p.voter && !p.recovering && p.echo >= heldFrom && p.record <= core.record() ? 1 : 0;
-        }
-        if (have < core.majority()) {
+        if (!core.quorum(true, p -> p.echo >= heldFrom && p.record <= core.record())) {
             return;
         }
         taken = true;
@@ -162,7 +158,7 @@
     }
 
     private long number() {
-        return (held << 24) + ++next;
+        return (held << Lease.WITHIN) + ++next;
     }
 
     private Watch watchOf(String service) {
@@ -189,7 +185,7 @@
         if (leads == null || w.calling || now() < w.refusedUntil) {
             return;
         }
-        if (core.settings.first() && held == 1) {
+        if (core.settings.first() && held == (1L << Lease.WITHIN) + 1) {
             core.lead(new Lead(service, number(), leads.id, false));
             return;
         }
@@ -313,11 +309,7 @@
 
     /** A majority of control processes has the record. */
     private boolean recorded(Move m) {
-        int have = core.durableRecord() >= m.lead.number() ? 1 : 0;
-        for (Peer p : core.peers()) {
-            have += p.voter && p.record >= m.lead.number() ? 1 : 0;
-        }
-        return have >= core.majority();
+        return core.quorum(core.durableRecord() >= m.lead.number(), p -> p.record >= m.lead.number());
     }
 
     /** No front takes the old one for sure any more: each has said so, or its time is over. */
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -1,20 +1,22 @@
 package dillfront.core;
 
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Map;
 
 /**
  * Who does the duty. A number is promised to one process by each voter, on its disk before it says so, so a majority's
- * promise makes it that one's alone for ever; it is also the fence. The holder counts its time from before it asked, each
- * voter from when it promised: the holder's ends first.
+ * promise makes it that one's alone for ever; it is also the fencing token. Its upper part is the epoch of the set of members under
+ * which it was asked for, so that no two sets give out the same. The holder counts its time from before it asked, each voter from
+ * when it promised: the holder's ends first.
  */
 final class Lease {
 
     static final long SPAN_MS = 2_500;
+    /** Bits for the numbers within an epoch. */
+    static final int WITHIN = 20;
     private static final long EARLY_MS = 250;
     private static final long STAGGER_MS = 250;
+    /** A holder whose disk has done nothing for so long leaves the duty to others. */
+    private static final long DISK_MS = 1_000;
 
     private final Core core;
     /** What this process promised, as it is on its disk. */
@@ -26,6 +28,7 @@
     private long heldSince = -1;
     private boolean writing;
     private long candidateAt;
+    private boolean leaving;
 
     Lease(Core core) {
         this.core = core;
@@ -35,20 +38,15 @@
         promised = Long.parseLong(kept.getOrDefault("promised", "0"));
         promisedTo = kept.getOrDefault("promised-to", "");
         // What ran when this process ended may still run, but for its own: that ended with it.
-        promisedUntil = core.host.now() + (promised > 0 && !promisedTo.equals(core.ip()) ? SPAN_MS : 0);
+        promisedUntil = core.host.now() + (promised > 0 && !promisedTo.equals(core.id()) ? SPAN_MS : 0);
         candidateAt = promisedUntil;
     }
 
-    /** After a loss of the disk: no lower number than others know of, and what they granted may run. */
-    void recover(long others) {
-        promised = Math.max(promised, others);
-        promisedUntil = core.host.now() + SPAN_MS;
-    }
-
     long promised() {
         return promised;
     }
 
+    /** The id of the process that has this voter's promise. */
     String promisedTo() {
         return promisedTo;
     }
@@ -57,21 +55,28 @@
         return mine;
     }
 
-    /** The number of the lease, which is the fence. */
+    /** The number of the lease, which is the fencing token's upper part. */
     long number() {
         return mine;
     }
 
-    /** Another wants this number, or goes on with it. */
+    /** Another wants this number, or goes on with it. What comes under an older epoch counts for nothing. */
     void wants(Peer p, long number) {
-        if (!core.votes() || number <= 0) {
+        if (!core.votes() || number <= 0 || p.epoch < core.epoch() || !core.member(p.id)) {
             return;
         }
         long now = core.host.now();
-        if (number == promised && p.ip.equals(promisedTo)) {
+        if (number == promised && p.id.equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
-        } else if (number > promised && (now >= promisedUntil || p.ip.equals(promisedTo))) {
-            promise(number, p.ip);
+        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo))) {
+            promise(number, p.id);
+        }
+    }
+
+    /** The one that has the promise gives the duty back before its time. */
+    void released(Peer p, long number) {
+        if (number > 0 && number == promised && p.id.equals(promisedTo)) {
+            promisedUntil = Math.min(promisedUntil, core.host.now());
         }
     }
 
@@ -94,18 +99,11 @@
 
     /** Until when this process holds it, on its own clock; in the past where it does not. */
     long until() {
-        if (mine == 0 || promised != mine || !promisedTo.equals(core.ip())) {
+        if (mine == 0 || promised != mine || !promisedTo.equals(core.id()) || !core.votes()) {
             return -1;
         }
-        List<Long> asked = new ArrayList<>();
-        asked.add(core.host.now());
-        for (Peer p : core.peers()) {
-            if (p.voter && !p.recovering && p.promised == mine && p.promisedTo.equals(core.ip())) {
-                asked.add(p.echo);
-            }
-        }
-        asked.sort(Collections.reverseOrder());
-        return asked.size() < core.majority() ? -1 : asked.get(core.majority() - 1) + SPAN_MS - EARLY_MS;
+        return core.reached(core.host.now(), p -> p.promised == mine && p.promisedTo.equals(core.id()) && p.epoch >= core.epoch()
+                ? p.echo : Long.MIN_VALUE / 2) + SPAN_MS - EARLY_MS;
     }
 
     boolean holds() {
@@ -117,9 +115,19 @@
         return heldSince;
     }
 
+    /** From now on it is not wanted here any more; returns the number to give back, 0 for none. */
+    long leave() {
+        leaving = true;
+        long back = mine;
+        mine = 0;
+        heldSince = -1;
+        return back;
+    }
+
     void look() {
         long now = core.host.now();
-        if (holds()) {
+        boolean unfit = leaving || core.stalledFor() > DISK_MS;
+        if (holds() && !unfit) {
             heldSince = heldSince < 0 ? now : heldSince;
             promisedUntil = now + SPAN_MS;
             return;
@@ -130,23 +138,23 @@
             mine = 0;
             candidateAt = now + SPAN_MS;
         }
-        if (!core.votes() || core.alone() || writing) {
+        if (!core.votes() || core.alone() || writing || unfit) {
             candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
             return;
         }
-        if (now < promisedUntil && !promisedTo.equals(core.ip())) {
+        if (now < promisedUntil && !promisedTo.equals(core.id())) {
             candidateAt = promisedUntil + core.rank() * STAGGER_MS;
             return;
         }
         if (now < candidateAt) {
             return;
         }
-        long highest = promised;
+        long highest = Math.max(promised, core.epoch() << WITHIN);
         for (Peer p : core.peers()) {
             highest = Math.max(highest, p.promised);
         }
-        mine = highest + 1;
         candidateAt = now + 4 * STAGGER_MS + core.host.chance().nextInt((int) STAGGER_MS * 2);
-        promise(mine, core.ip());
+        mine = highest + 1;
+        promise(mine, core.id());
     }
 }
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** The table of all database servers. Every change has a number, so that others ask only for what they lack. */
 final class Members {
@@ -19,6 +20,7 @@
     private final TreeMap<String, TreeMap<String, Member>> services = new TreeMap<>();
     /** By the change that made them what they are, so that whoever lacks a few is told of a few. */
     private final TreeMap<Long, Member> byChange = new TreeMap<>();
+    private final TreeSet<String> forgotten = new TreeSet<>();
     private long changes;
 
     Member get(String id) {
@@ -70,12 +72,14 @@
         });
     }
 
-    /** What has changed since, as it goes to the disk; those that left go out. */
+    /** What has changed since, as it goes to the disk; of those that left too, so that no late message brings one back. */
     Map<String, String> kept(long since) {
         Map<String, String> kept = new TreeMap<>();
         for (Member m : byChange.tailMap(since, false).values()) {
-            kept.put(KEPT + m.id, m.left() ? "" : m.kept());
+            kept.put(KEPT + m.id, m.kept());
         }
+        forgotten.forEach(id -> kept.putIfAbsent(KEPT + id, ""));
+        forgotten.clear();
         return kept;
     }
 
@@ -134,6 +138,7 @@
         }
         if (oldest != null) {
             rows.remove(oldest.id);
+            forgotten.add(oldest.id);
             byChange.remove(oldest.changed);
             services.get(oldest.service).remove(oldest.id);
             if (services.get(oldest.service).isEmpty()) {
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -20,15 +20,20 @@
     /** This one's clock when that word was sent which its last word answers. */
     long echo = Long.MIN_VALUE / 2;
     long heard = Long.MIN_VALUE / 2;
-    /** How far it has this one's table of servers. */
+    /** How far it has this one's table of servers: in memory, and on its disk. */
     long knows;
-    /** How far this one has its table. */
+    long kept;
+    /** How far this one has its table: in memory, and on the disk. */
     long known;
-    long version = -1;
-    long digest;
-    long committed = -1;
-    boolean recovering;
-    boolean voter;
+    long stored;
+    /** The id of the process that was heard there last; empty before. */
+    String id = "";
+    /** Of the set of members that it goes by. */
+    long epoch;
+    /** It belongs to no set and has nothing on its disk, and neither was there ever a system before. */
+    boolean fresh;
+    boolean leaving;
+    String placesTold = "";
     long promised;
     String promisedTo = "";
     long record = -1;
--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -1,88 +1,476 @@
 package dillfront.core;
 
 import dillfront.host.Configuration;
+import dillfront.host.Pack;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
-import java.util.zip.CRC32C;
+import java.util.function.Predicate;
 
 /**
- * The configuration: the highest version holds. It is acknowledged, and told to fronts, once the disks of a majority hold it
- * or a higher one; so any majority that is asked later knows of it, and nothing that was in force is ever taken back.
+ * One value, agreed on by ballots: the members and the configuration (CASPaxos). This is one process's part in it, as acceptor,
+ * proposer and learner. It says what it holds in each message, so a message that is lost, repeated or old does no harm; what it
+ * promised or accepted is on its disk before it says so.
  */
-final class Register {
+public final class Register {
+
+    /** What it needs of the process that it is part of. */
+    public interface Ground {
+
+        /** The id of this process. */
+        String self();
+
+        /** Milliseconds of a steady clock. */
+        long now();
+
+        /** Completes once it is on the disk, in the order of the calls. */
+        CompletableFuture<Void> store(Map<String, String> texts);
+
+        /** There is something to say to the others. */
+        void tell();
+
+        /** A newer value is known to be decided. */
+        void decided(Value value);
+
+        /** A number from 0 to below this. */
+        long chance(long below);
+
+        /** Whether this process holds the lease, without which no set is changed. */
+        boolean holds();
+    }
 
     private static final int PIECE = 16_000;
+    /** While another's ballot is under way, one's own waits so long. */
+    private static final long HOLD_OFF_MS = 150;
+    private static final long BACKOFF_MS = 20;
+    private static final int MOST_DOUBLINGS = 4;
+    /** What was accepted and is not decided is proposed again after so long. */
+    private static final long STUCK_MS = 250;
+    /** Who lacks a decided value is sent it by others than its proposer after so long; and again after this. */
+    private static final long LACKS_MS = 300;
+    private static final long AGAIN_MS = 1_000;
+    private static final int MOST_ORDERS = 256;
 
-    private final Core core;
-    private Configuration held = Configuration.NONE;
-    private long durable = -1;
-    private Configuration committed = Configuration.NONE;
-    private int pieces;
+    /** What another process said last; each field only ever rises. */
+    private static final class View {
+        Ballot promised = Ballot.NONE;
+        Ballot accepted = Ballot.NONE;
+        Ballot decided = Ballot.NONE;
+        Ballot wants = Ballot.NONE;
+        boolean accepting;
+        /** The value that came last, and its ballot. */
+        Ballot valueBallot = Ballot.NONE;
+        Value value;
+        /** Up to which of this process's values it has. */
+        Ballot has = Ballot.NONE;
+        Ballot sent = Ballot.NONE;
+        long sentAt;
+    }
+
+    private enum Phase { NONE, OPENING, PREPARE, ACCEPT }
 
-    private record Waits(long version, CompletableFuture<Void> done) { }
+    private record Step(long epoch, SortedSet<String> members) { }
 
-    private final List<Waits> waits = new ArrayList<>();
+    private record Order(Configuration content, CompletableFuture<Value.Outcome> done) { }
+
+    private final Ground ground;
+    private final TreeMap<String, View> views = new TreeMap<>();
+    /** On the disk. */
+    private Ballot promised = Ballot.NONE;
+    private Ballot accepted = Ballot.NONE;
+    private Value value;
+    private boolean writing;
+    private long acceptedAt;
+    private Ballot decided = Ballot.NONE;
+    private Value decidedValue;
+    private int pieces;
+    private Ballot mine = Ballot.NONE;
+    private Phase phase = Phase.NONE;
+    private Value base;
+    private Value proposed;
+    private int lost;
+    private long proposeAt;
+    private final List<Order> orders = new ArrayList<>();
+    /** What the sets are to become: the epoch that this is meant for, and the next members; null for the second step. */
+    private Step step;
+    private long stuckAt = -1;
 
-    Register(Core core) {
-        this.core = core;
+    public Register(Ground ground) {
+        this.ground = ground;
     }
 
     /** From the disk, at the start. */
-    void load(Map<String, String> kept) throws Configuration.Invalid {
+    public void load(Map<String, String> kept) throws Configuration.Invalid {
+        promised = Ballot.of(kept.getOrDefault("promised-ballot", ""));
+        accepted = Ballot.of(kept.getOrDefault("accepted-ballot", ""));
         pieces = Integer.parseInt(kept.getOrDefault("pieces", "0"));
-        if (pieces > 0) {
-            StringBuilder text = new StringBuilder();
-            for (int i = 0; i < pieces; i++) {
-                text.append(kept.getOrDefault("piece" + i, ""));
+        if (accepted == Ballot.NONE) {
+            return;
+        }
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < pieces; i++) {
+            text.append(kept.getOrDefault("piece" + i, ""));
+        }
+        Configuration configuration = text.length() == 0 ? Configuration.NONE
+                : Configuration.read(text.toString().getBytes(StandardCharsets.UTF_8));
+        TreeMap<Long, Long> past = new TreeMap<>();
+        for (String one : kept.getOrDefault("past", "").split(",")) {
+            int colon = one.indexOf(':');
+            if (colon > 0) {
+                past.put(Long.parseLong(one.substring(0, colon)), Long.parseLong(one.substring(colon + 1)));
             }
-            held = Configuration.read(text.toString().getBytes(StandardCharsets.UTF_8));
-            durable = held.version();
         }
+        value = new Value(Long.parseLong(kept.getOrDefault("epoch", "0")), Value.ids(kept.getOrDefault("members", "")),
+                Value.ids(kept.getOrDefault("outgoing", "")), Value.ids(kept.getOrDefault("dropped", "")), configuration, past);
     }
 
-    Configuration held() {
-        return held;
+    // ---- what its process asks
+
+    /** What is accepted here, decided or not; null before there is a system. */
+    public Value held() {
+        return value;
     }
 
-    Configuration committed() {
-        return committed;
+    /** The newest that is known to be decided; null where nothing is. */
+    public Value decided() {
+        return decidedValue;
     }
 
-    long durable() {
-        return durable;
+    public Ballot decidedBallot() {
+        return decided;
     }
 
-    static long digest(Configuration of) {
-        CRC32C crc = new CRC32C();
-        crc.update(of.body());
-        return crc.getValue();
+    Ballot accepted() {
+        return accepted;
     }
 
-    /** Takes a version in where it is above what is held; completes once a majority has it or a higher one. */
-    CompletableFuture<Void> put(Configuration next) {
-        hold(next);
-        return reached(next.version());
+    /** The newest configuration that is known to be decided. */
+    public Configuration committed() {
+        return decidedValue == null ? Configuration.NONE : decidedValue.configuration();
     }
 
-    /** Completes once a majority has this version or a higher one. */
-    CompletableFuture<Void> reached(long version) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        waits.add(new Waits(version, done));
+    /** Nothing is accepted or promised here: a disk that was empty, and nobody has said anything yet. */
+    boolean blank() {
+        return value == null && promised == Ballot.NONE && !writing;
+    }
+
+    /** The highest ballot that anybody was heard to have accepted. */
+    public Ballot highest() {
+        Ballot highest = accepted;
+        for (View v : views.values()) {
+            highest = Ballot.highest(highest, Ballot.highest(v.accepted, v.decided));
+        }
+        return highest;
+    }
+
+    /** What that process has accepted, as far as was heard. */
+    Ballot acceptedBy(String id) {
+        return id.equals(ground.self()) ? accepted : views.containsKey(id) ? views.get(id).accepted : Ballot.NONE;
+    }
+
+    /** The first value of all; only the founder calls this, once. */
+    CompletableFuture<Void> found(SortedSet<String> members) {
+        Value first = Value.founded(members);
+        Ballot ballot = new Ballot(1, ground.self());
+        return accept(ballot, first).thenRun(() -> learn(ballot, first));
+    }
+
+    /** Completes with what became of it, once that is decided; fails at once where too many wait. */
+    public CompletableFuture<Value.Outcome> order(Configuration content) {
+        CompletableFuture<Value.Outcome> done = new CompletableFuture<>();
+        if (orders.size() >= MOST_ORDERS) {
+            done.completeExceptionally(new IllegalStateException("too many orders wait"));
+            return done;
+        }
+        orders.add(new Order(content, done));
+        answer();
         look();
         return done;
     }
 
-    void hold(Configuration next) {
-        if (next.version() <= held.version()) {
+    /** Another set of members, as the first of two steps; passed over where the holder or the epoch is another by then. */
+    public void members(long epoch, SortedSet<String> next) {
+        step = new Step(epoch, Collections.unmodifiableSortedSet(new TreeSet<>(next)));
+        look();
+    }
+
+    /** The second step: the new set alone. */
+    public void settle(long epoch) {
+        step = new Step(epoch, null);
+        look();
+    }
+
+    /** Called often: timers. */
+    public void look() {
+        long now = ground.now();
+        orders.removeIf(o -> o.done().isDone());
+        boolean open = value != null && highest().above(decided);
+        stuckAt = !open ? -1 : stuckAt < 0 ? now + STUCK_MS + ground.chance(STUCK_MS) : stuckAt;
+        boolean stuck = open && now > stuckAt && value.members().contains(ground.self());
+        boolean wants = !orders.isEmpty() || step != null || stuck;
+        if (phase == Phase.NONE && wants && value != null && !writing && now >= proposeAt) {
+            open();
+        }
+    }
+
+    // ---- messages
+
+    /** What goes into a message to that process. */
+    public Map<String, Object> say(String to) {
+        View v = views.computeIfAbsent(to, id -> new View());
+        Map<String, Object> out = new LinkedHashMap<>();
+        out.put("pb", promised.kept());
+        out.put("ab", accepted.kept());
+        out.put("db", decided.kept());
+        out.put("hv", v.valueBallot.kept());
+        boolean asks = phase == Phase.PREPARE || phase == Phase.ACCEPT;
+        if (asks) {
+            out.put("wb", mine.kept());
+            out.put("wa", phase == Phase.ACCEPT);
+        }
+        boolean offers = phase == Phase.ACCEPT;
+        Ballot ballot = offers ? mine : accepted;
+        Value is = offers ? proposed : value;
+        if (is != null && lacks(v, ballot, offers)) {
+            long now = ground.now();
+            if (!v.sent.equals(ballot) || now - v.sentAt > AGAIN_MS) {
+                v.sent = ballot;
+                v.sentAt = now;
+                out.put("vb", ballot.kept());
+                out.put("v", row(is));
+            }
+        }
+        return out;
+    }
+
+    /** What was sent to it may be lost: its connection is another. */
+    void again(String to) {
+        View v = views.get(to);
+        if (v != null) {
+            v.sent = Ballot.NONE;
+        }
+    }
+
+    private boolean lacks(View v, Ballot ballot, boolean offers) {
+        if (ballot.equals(v.accepted) || ballot.equals(v.has) || v.decided.compareTo(ballot) >= 0) {
+            return false;
+        }
+        if (offers) {
+            return true;
+        }
+        boolean prepares = v.wants.equals(promised) && !v.accepting && ballot.above(v.accepted);
+        boolean behind = ballot.above(v.accepted) && ground.now() - acceptedAt > LACKS_MS;
+        return prepares || behind;
+    }
+
+    private static Map<String, Object> row(Value of) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("e", of.epoch());
+        row.put("m", Value.text(of.members()));
+        row.put("o", Value.text(of.outgoing()));
+        row.put("x", Value.text(of.dropped()));
+        row.put("c", of.configuration().body());
+        List<Object> past = new ArrayList<>();
+        of.past().forEach((version, digest) -> {
+            past.add(version);
+            past.add(digest);
+        });
+        row.put("p", past);
+        return row;
+    }
+
+    private static Value value(Pack.Fields row) throws Configuration.Invalid {
+        byte[] body = row.bytes("c");
+        TreeMap<Long, Long> past = new TreeMap<>();
+        List<String> numbers = row.texts("p");
+        for (int i = 0; i + 1 < numbers.size(); i += 2) {
+            past.put(Long.parseLong(numbers.get(i)), Long.parseLong(numbers.get(i + 1)));
+        }
+        return new Value(row.number("e", 0), Value.ids(row.text("m")), Value.ids(row.text("o")), Value.ids(row.text("x")),
+                body == null || body.length == 0 ? Configuration.NONE : Configuration.read(body), past);
+    }
+
+    /** A message of that process; an old one changes nothing. */
+    public void hear(String from, Pack.Fields in) throws Configuration.Invalid {
+        View v = views.computeIfAbsent(from, id -> new View());
+        v.promised = Ballot.highest(v.promised, Ballot.of(in.text("pb")));
+        v.accepted = Ballot.highest(v.accepted, Ballot.of(in.text("ab")));
+        v.decided = Ballot.highest(v.decided, Ballot.of(in.text("db")));
+        v.has = Ballot.highest(v.has, Ballot.of(in.text("hv")));
+        Ballot wants = Ballot.of(in.text("wb"));
+        if (wants.above(v.wants)) {
+            v.wants = wants;
+            v.accepting = in.bit("wa");
+        } else if (wants.equals(v.wants)) {
+            v.accepting |= in.bit("wa");
+        }
+        Ballot ballot = Ballot.of(in.text("vb"));
+        if (ballot.above(v.valueBallot) && in.has("v")) {
+            Object row = in.all().get("v");
+            if (row instanceof Map<?, ?> map) {
+                @SuppressWarnings("unchecked")
+                Map<String, Object> fields = (Map<String, Object>) map;
+                v.value = value(new Pack.Fields(fields));
+                v.valueBallot = ballot;
+            }
+        }
+        consider();
+    }
+
+    /** Whoever is no longer there is forgotten, unless it is a member. */
+    void retain(Predicate<String> there) {
+        views.keySet().removeIf(id -> !there.test(id) && (value == null || !value.members().contains(id) && !value.outgoing().contains(id)));
+    }
+
+    private void consider() {
+        learnFromOthers();
+        acceptor();
+        proposer();
+    }
+
+    /** The value of a ballot, where this process has it from anywhere. */
+    private Value of(Ballot ballot) {
+        if (ballot.equals(accepted)) {
+            return value;
+        }
+        if (ballot.equals(decided)) {
+            return decidedValue;
+        }
+        if (ballot.equals(mine) && phase == Phase.ACCEPT) {
+            return proposed;
+        }
+        for (View v : views.values()) {
+            if (ballot.equals(v.valueBallot)) {
+                return v.value;
+            }
+        }
+        return null;
+    }
+
+    // ---- learner
+
+    private void learnFromOthers() {
+        Ballot best = decided;
+        for (View v : views.values()) {
+            if (v.decided.above(best) && of(v.decided) != null) {
+                best = v.decided;
+            }
+        }
+        List<Ballot> seen = new ArrayList<>();
+        seen.add(accepted);
+        views.values().forEach(v -> seen.add(v.accepted));
+        for (Ballot ballot : seen) {
+            if (ballot.above(best)) {
+                Value is = of(ballot);
+                if (is != null && is.decidedBy(id -> acceptedBy(id).equals(ballot))) {
+                    best = ballot;
+                }
+            }
+        }
+        if (best.above(decided)) {
+            learn(best, of(best));
+        }
+    }
+
+    private void learn(Ballot ballot, Value is) {
+        if (!ballot.above(decided)) {
             return;
         }
-        held = next;
-        String text = new String(next.body(), StandardCharsets.UTF_8);
+        decided = ballot;
+        decidedValue = is;
+        if (!ballot.proposer().equals(ground.self())) {
+            proposeAt = Math.min(proposeAt, ground.now() + ground.chance(BACKOFF_MS));
+        }
+        if (ballot.above(accepted) && !writing) {
+            // What is decided may be taken over whatever was promised: it cannot be undone.
+            accept(ballot, is);
+        }
+        answer();
+        ground.decided(is);
+        ground.tell();
+    }
+
+    private void answer() {
+        if (decidedValue == null) {
+            return;
+        }
+        List<Order> over = new ArrayList<>();
+        orders.removeIf(o -> decidedValue.outcome(o.content()) != Value.Outcome.OPEN && over.add(o));
+        over.forEach(o -> o.done().complete(decidedValue.outcome(o.content())));
+    }
+
+    // ---- acceptor
+
+    private void acceptor() {
+        if (writing) {
+            return;
+        }
+        if (decided.above(accepted)) {
+            accept(decided, decidedValue);
+            return;
+        }
+        Ballot best = promised;
+        View of = null;
+        for (View v : views.values()) {
+            boolean offer = v.accepting && v.valueBallot.equals(v.wants);
+            boolean news = v.wants.above(best) || of == null && v.wants.equals(best) && offer && v.wants.above(accepted);
+            if (news && (offer || !v.accepting)) {
+                best = v.wants;
+                of = v;
+            }
+        }
+        if (of == null) {
+            return;
+        }
+        if (of.accepting) {
+            accept(of.wants, of.value);
+        } else {
+            promise(of.wants);
+        }
+        proposeAt = Math.max(proposeAt, ground.now() + HOLD_OFF_MS);
+    }
+
+    private CompletableFuture<Void> promise(Ballot ballot) {
+        return write(Map.of("promised-ballot", ballot.kept()), () -> promised = Ballot.highest(promised, ballot));
+    }
+
+    private CompletableFuture<Void> accept(Ballot ballot, Value is) {
         Map<String, String> record = new HashMap<>();
+        record.put("promised-ballot", Ballot.highest(promised, ballot).kept());
+        record.put("accepted-ballot", ballot.kept());
+        record.put("epoch", Long.toString(is.epoch()));
+        record.put("members", Value.text(is.members()));
+        record.put("outgoing", Value.text(is.outgoing()));
+        record.put("dropped", Value.text(is.dropped()));
+        StringBuilder past = new StringBuilder();
+        is.past().forEach((version, digest) -> past.append(version).append(':').append(digest).append(','));
+        record.put("past", past.toString());
+        int before = pieces;
+        if (value == null || is.configuration() != value.configuration()) {
+            pieces(record, new String(is.configuration().body(), StandardCharsets.UTF_8));
+        }
+        CompletableFuture<Void> done = write(record, () -> {
+            promised = Ballot.highest(promised, ballot);
+            accepted = ballot;
+            value = is;
+            acceptedAt = ground.now();
+        });
+        done.exceptionally(fault -> {
+            pieces = Math.max(before, pieces);
+            return null;
+        });
+        return done;
+    }
+
+    private void pieces(Map<String, String> record, String text) {
         int count = 0;
         for (int at = 0; at < text.length(); count++) {
             int end = Math.min(text.length(), at + PIECE);
@@ -97,32 +485,117 @@
         }
         pieces = count;
         record.put("pieces", Integer.toString(count));
-        core.store(record).thenRun(() -> {
-            durable = Math.max(durable, next.version());
-            look();
-            core.poke();
+    }
+
+    /** One write at a time; what was heard meanwhile is looked at once it is done. Nothing is said before. */
+    private CompletableFuture<Void> write(Map<String, String> record, Runnable then) {
+        writing = true;
+        CompletableFuture<Void> done = ground.store(record);
+        return done.whenComplete((is, fault) -> {
+            writing = false;
+            if (fault == null) {
+                then.run();
+                ground.tell();
+                consider();
+                look();
+            }
         });
     }
 
-    /** Whether a majority has what is held here, or higher. */
-    void look() {
-        if (durable == held.version() && durable > committed.version()) {
-            int have = core.votes() ? 1 : 0;
-            long digest = digest(held);
-            boolean told = false;
-            for (Peer p : core.peers()) {
-                boolean has = p.version > durable || p.version == durable && p.digest == digest;
-                have += p.voter && !p.recovering && has ? 1 : 0;
-                told |= p.committed > durable || p.committed == durable && p.digest == digest;
+    // ---- proposer
+
+    private void open() {
+        long round = Math.max(promised.round(), Math.max(accepted.round(), mine.round()));
+        for (View v : views.values()) {
+            round = Math.max(round, Math.max(v.promised.round(), Math.max(v.accepted.round(), v.wants.round())));
+        }
+        mine = new Ballot(round + 1, ground.self());
+        phase = Phase.OPENING;
+        Ballot ballot = mine;
+        promise(ballot).whenComplete((is, fault) -> {
+            if (!ballot.equals(mine) || phase != Phase.OPENING) {
+                return;
             }
-            if (have >= core.majority() || told) {
-                committed = held;
-                core.news();
-                core.poke();
+            if (fault != null) {
+                give();
+                return;
+            }
+            phase = Phase.PREPARE;
+            ground.tell();
+            proposer();
+        });
+    }
+
+    /** This ballot is lost or cannot go on: another after a while. */
+    private void give() {
+        phase = Phase.NONE;
+        lost = Math.min(lost + 1, MOST_DOUBLINGS);
+        proposeAt = Math.max(proposeAt, ground.now() + BACKOFF_MS + ground.chance(BACKOFF_MS << lost));
+    }
+
+    private void proposer() {
+        if (phase != Phase.PREPARE && phase != Phase.ACCEPT) {
+            return;
+        }
+        boolean beaten = promised.above(mine);
+        for (View v : views.values()) {
+            beaten |= v.promised.above(mine);
+        }
+        if (beaten) {
+            give();
+            return;
+        }
+        if (phase == Phase.PREPARE) {
+            prepared();
+        } else {
+            counted();
+        }
+    }
+
+    private boolean promisedTo(String id) {
+        return id.equals(ground.self()) ? promised.equals(mine) : views.containsKey(id) && views.get(id).promised.equals(mine);
+    }
+
+    private void prepared() {
+        Ballot highest = accepted;
+        for (Map.Entry<String, View> one : views.entrySet()) {
+            if (promisedTo(one.getKey())) {
+                highest = Ballot.highest(highest, one.getValue().accepted);
             }
         }
-        List<Waits> over = new ArrayList<>();
-        waits.removeIf(w -> w.done().isDone() || w.version() <= committed.version() && over.add(w));
-        over.forEach(w -> w.done().complete(null));
+        Value follows = of(highest);
+        if (follows == null || writing || !follows.quorum(this::promisedTo)) {
+            return;
+        }
+        boolean known = highest.equals(decided);
+        Value next = known ? follows.clean() : follows;
+        for (Order order : orders) {
+            next = order.done().isDone() ? next : next.with(order.content());
+        }
+        if (known && step != null) {
+            boolean may = ground.holds() && step.epoch() == next.epoch() && next.joint() == (step.members() == null);
+            next = !may ? next : next.joint() ? next.settled() : next.towards(step.members());
+            step = null;
+        }
+        base = follows;
+        proposed = next;
+        phase = Phase.ACCEPT;
+        ground.tell();
+        accept(mine, next).exceptionally(fault -> {
+            give();
+            return null;
+        });
+    }
+
+    private void counted() {
+        Ballot ballot = mine;
+        if (proposed.decidedBy(id -> acceptedBy(id).equals(ballot)) && base.quorum(id -> acceptedBy(id).equals(ballot))) {
+            phase = Phase.NONE;
+            lost = 0;
+            learn(ballot, proposed);
+            // Whoever waits for this one to end goes first.
+            proposeAt = Math.max(proposeAt, ground.now() + BACKOFF_MS + ground.chance(BACKOFF_MS));
+            look();
+        }
     }
 }
--- a/src/main/java/dillfront/core/Store.java
+++ b/src/main/java/dillfront/core/Store.java
@@ -11,4 +11,9 @@
 
     /** Completes on the loop once all of it is on the disk, in the order of the calls; fails where it is not. */
     CompletableFuture<Void> put(Map<String, String> texts);
+
+    /** For how long what was given to the disk has been waiting for it, in milliseconds. */
+    default long stalledFor() {
+        return 0;
+    }
 }
--- a/src/main/java/dillfront/programs/ControlPlane.java
+++ b/src/main/java/dillfront/programs/ControlPlane.java
@@ -44,7 +44,8 @@
     }
 
     /** @throws Settings.Bad with the file, the place and the fault */
-    public static void run(Settings settings) throws Settings.Bad, IOException, Keep.Broken {
+    public static void run(DataPlane.Reading reading) throws Settings.Bad, IOException, Keep.Broken {
+        Settings settings = reading.read();
         Log log = new Log(System.err);
         if (settings.control() == null || settings.folder() == null) {
             throw new Settings.Bad("no control_address or no data_directory, which a control plane needs");
@@ -63,8 +64,8 @@
             return thread;
         });
         Core core = new Core(host, settings, new Disk(keep, all, writer, host, log));
-        Signals.on("TERM", () -> host.loop().execute(() -> Runtime.getRuntime().halt(0)), log);
-        Signals.on("HUP", () -> log.info("settings", "kept", "a control plane reads them at its start"), log);
+        Signals.on("TERM", () -> host.loop().execute(() -> core.leave(() -> Runtime.getRuntime().halt(0))), log);
+        Signals.on("HUP", () -> reread(reading, core, host, log), log);
         Signals.on("USR2", () -> host.loop().execute(() -> log.info("status", "line", core.status())), log);
         host.listen(settings.innerOf(settings.ip()), Host.Form.FRAMES, h -> core.accept());
         host.serve(settings.control(), core::call);
@@ -78,4 +79,15 @@
         });
         log.info("start", "program", "control-plane", "name", settings.name(), "zone", settings.zone(), "seeds", settings.seeds());
     }
+
+    /** Seeds may be others now; all else waits for the next start. A file that cannot be used changes nothing. */
+    private static void reread(DataPlane.Reading reading, Core core, NettyHost host, Log log) {
+        try {
+            Settings next = reading.read();
+            host.loop().execute(() -> core.seeds(next.seedIps()));
+            log.info("settings", "seeds", next.seeds());
+        } catch (Settings.Bad bad) {
+            log.warn("settings", "fault", bad.getMessage());
+        }
+    }
 }
--- a/src/main/java/dillfront/programs/Rehearsal.java
+++ b/src/main/java/dillfront/programs/Rehearsal.java
@@ -44,7 +44,7 @@
         Path front = folder.resolve("front.json");
         Files.writeString(front, new JsonObject(common).add("node_name", "front").add("listen_addresses", Json.object()
                 .add("front_address", "127.0.0.1:" + port[2]).add("readiness_address", "127.0.0.1:" + port[3])).toString());
-        ControlPlane.run(Settings.read(core));
+        ControlPlane.run(() -> Settings.read(core));
         DataPlane.run(() -> Settings.read(front));
         NettyHost host = new NettyHost(1);
         JsonObject configuration = Json.object().add("revision_number", 1)
