The simulated client's session ends with its connection, as the wire says

The bound in time still counts for such reads. Change: a new connection begins without a last write.

--- a/src/main/java/dillfront/lab/whole/Client.java
+++ b/src/main/java/dillfront/lab/whole/Client.java
@@ -59,6 +59,8 @@
         prepared.clear();
         ready = false;
         open = true;
+        // Each connection is a session; what another knew of its writes is not this one's.
+        token = 0;
         long mine = ++life;
         Sim.Machine to = day.front(number);
         if (to == null) {
