Out of contact a beat is answered 503; links that bring no answer are left; members' test

Cause: a control process that is cut off went on acknowledging beats, so servers stayed with it while a majority held them silent; a link that a cut had swallowed was kept until TCP woke up.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -37,6 +37,8 @@
     static final long SURE_MS = 3_000;
     private static final int DIAL_MS = 700;
     private static final long REDIAL_MS = 200;
+    /** A connection that brought no answer for so long is left. */
+    private static final long DEAF_MS = 1_500;
     /** Who calls waits a second for an answer. */
     private static final long ANSWER_MS = 900;
     /** Where it ends in order, others get so long to have what only it holds. */
@@ -391,6 +393,10 @@
         host.after(TICK_MS, this::tick);
         int asking = askers.count();
         for (Peer p : peers.values()) {
+            if (p.up && host.now() - Math.max(p.echo, p.upAt) > DEAF_MS) {
+                // What is on its way there may wait for seconds behind what a cut has swallowed.
+                leave(p);
+            }
             if (!p.up && host.now() >= p.dialAt) {
                 dial(p);
             }
@@ -506,6 +512,12 @@
         }
     }
 
+    private void leave(Peer p) {
+        p.link.close();
+        p.up = false;
+        p.dialAt = host.now() + REDIAL_MS;
+    }
+
     private void dial(Peer p) {
         p.dialAt = host.now() + DIAL_MS + REDIAL_MS;
         p.link = host.dial(settings.innerOf(p.ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
@@ -513,6 +525,7 @@
             public void opened(Host.Link link) {
                 p.link = link;
                 p.up = true;
+                p.upAt = host.now();
                 p.toldAt = host.now() - 2 * settings.beat();
                 p.placesTold = "";
                 register.again(p.id);
@@ -537,9 +550,7 @@
             return;
         }
         if (p.link.waiting() > 1 << 20) {
-            p.link.close();
-            p.up = false;
-            p.dialAt = host.now() + REDIAL_MS;
+            leave(p);
             return;
         }
         long now = host.now();
@@ -900,6 +911,10 @@
         } catch (ParseException | UnsupportedOperationException | NumberFormatException bad) {
             return said(400, String.valueOf(bad.getMessage()));
         }
+        if (alone() || leaving) {
+            // Whoever is heard by a majority is to hear it.
+            return said(503, NOBODY);
+        }
         boolean fresh = members.get(id) == null;
         boolean changed = members.merge(new Pack.Fields(row), host.now());
         Member m = members.get(id);
@@ -933,6 +948,9 @@
     }
 
     private CompletableFuture<Host.Answer> leave(String id) {
+        if (alone() || leaving) {
+            return said(503, NOBODY);
+        }
         Member m = members.get(id);
         if (m == null) {
             return CompletableFuture.completedFuture(FINE);
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -12,6 +12,7 @@
     Host.Link link;
     boolean up;
     long dialAt;
+    long upAt;
     /** Beats that were heard here before this were told to it. */
     long toldAt;
     /** Its life, and its clock when it last spoke; that goes back to it with the next word. */
--- /dev/null
+++ b/src/test/java/dillfront/core/MembershipTest.java
@@ -0,0 +1,55 @@
+package dillfront.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Who is to be a member, in one line each: those that are, what is seen of whom, and who is to be one next. */
+final class MembershipTest {
+
+    /**
+     * Seen: id, then z and its zone, s and for how many seconds it has been silent (s* where another has its address), l where it
+     * leaves, n where it is near.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', textBlock = """
+            calm                                  | 1 | a b c     | a-n b-n c-n                  | a b c
+            a restart is waited for               | 1 | a b c     | a-n b-n c-s20                | a b c
+            a learner takes a silent one's place  | 1 | a b c     | a-n b-n c-s2 d-n             | a b d
+            a learner that lags does not          | 1 | a b c     | a-n b-n c-s2 d               | a b c
+            a short silence is none               | 1 | a b c     | a-n b-n c-s1 d-n             | a b c d
+            planned: the new one comes first      | 1 | a b c     | a-n b-n c-n d-n              | a b c d
+            then the old one says that it leaves  | 1 | a b c d   | a-n b-n c-nl d-n             | a b d
+            or ends without a word                | 1 | a b c d   | a-n b-n c-s2 d-n             | a b d
+            one leaves and another is there       | 1 | a b c     | a-n b-n c-nl d-n             | a b d
+            nobody is let go that is needed       | 1 | a b c     | a-n b-n c-nl                 | a b c
+            nobody that leaves is taken in        | 1 | a b c     | a-n b-n c-n d-nl             | a b c
+            an emptied disk is another process    | 1 | a b c/1   | a-n b-n c/1-s* c/2-n         | a b c/2
+            of two that are gone, one at a time   | 2 | a b c d e | a-n b-n c-n d-s2 e-s3 f-n    | a b c d f
+            five, one silent, none to take over   | 2 | a b c d e | a-n b-n c-n d-n e-s20        | a b c d e
+            five, one gone for good               | 2 | a b c d e | a-n b-n c-n d-n e-s31        | a b c d
+            and another                           | 2 | a b c d   | a-n b-n c-n d-s31            | a b c
+            but not a third                       | 2 | a b c     | a-n b-n c-s31                | a b c
+            seven are enough                      | 3 | a b c d e f g | a-n b-n c-n d-n e-n f-n g-n h-n | a b c d e f g
+            from the zone that has fewest         | 1 | a b c     | a-nz1 b-nz2 c-nz2 d-nz2 e-nz1 f-nz3 | a b c f
+            """)
+    void next(String name, int losses, String members, String seen, String expected) {
+        List<Membership.Process> processes = new ArrayList<>();
+        for (String one : seen.trim().split(" +")) {
+            int dash = one.indexOf('-');
+            String id = dash < 0 ? one : one.substring(0, dash);
+            String what = dash < 0 ? "" : one.substring(dash + 1);
+            int silent = what.indexOf('s');
+            int zone = what.indexOf('z');
+            processes.add(new Membership.Process(id, zone < 0 ? "" : what.substring(zone), silent < 0 ? 0
+                    : what.endsWith("*") ? Long.MAX_VALUE : 1_000 * Long.parseLong(what.substring(silent + 1)),
+                    what.contains("n"), what.contains("l")));
+        }
+        assertEquals(new TreeSet<>(List.of(expected.trim().split(" +"))),
+                Membership.next(new TreeSet<>(List.of(members.trim().split(" +"))), processes, losses));
+    }
+}
