--- /dev/null
+++ b/src/test/java/dillfront/host/DeltaTest.java
@@ -0,0 +1,191 @@
+package dillfront.host;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Texts of an operator's form, texts of no form, and deltas that were cut, spoilt or made for another base. */
+class DeltaTest {
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String route(int number, int timeout) {
+        return "{\"name\":\"r-" + Integer.toHexString(number * 7919) + "\",\"host_name\":\"host" + number + "\",\"path_prefix\":\"/\","
+                + "\"route_kind\":\"read_your_writes\",\"timeout_ms\":" + timeout + ",\"target_latency_ms\":600,\"priority\":2,"
+                + "\"service\":\"s" + number % 40 + "\",\"max_attempts\":2,\"max_staleness_ms\":2500,\"note\":\"" + "n".repeat(200) + "\"}";
+    }
+
+    private static byte[] configuration(long version, List<String> routes) {
+        return bytes("{\"revision_number\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":[{\"name\":\"s0\"}],"
+                + "\"limits\":{\"idle_timeout_ms\":15000,\"transaction_idle_ms\":3000}}");
+    }
+
+    private static byte[] both(byte[] base, byte[] next) throws Delta.Bad {
+        byte[] before = base.clone();
+        byte[] delta = Delta.of(base, next);
+        assertArrayEquals(next, Delta.apply(base, delta));
+        assertArrayEquals(before, base);
+        assertArrayEquals(delta, Delta.of(base, next), "the same once more");
+        assertTrue(delta.length <= next.length + 32, delta.length + " for a text of " + next.length);
+        return delta;
+    }
+
+    @Test
+    void textsOfAnyFormComeBackAsTheyWere() throws Exception {
+        String[] texts = {"", "}", "{}", "}".repeat(70_000), "a".repeat(70_000), "{\"a\":1}", "{\"a\":1},{\"a\":2},{\"a\":1}",
+            "é}".repeat(100), "\u0000}\u0000".repeat(50)};
+        for (String base : texts) {
+            for (String next : texts) {
+                both(bytes(base), bytes(next));
+            }
+        }
+        both(new byte[Delta.MOST], new byte[Delta.MOST]);
+        assertThrows(IllegalArgumentException.class, () -> Delta.of(new byte[0], new byte[Delta.MOST + 1]));
+        assertThrows(IllegalArgumentException.class, () -> Delta.of(new byte[Delta.MOST + 1], new byte[0]));
+    }
+
+    /** Texts out of few letters, so that pieces are alike, and each the last with parts changed, moved, doubled or taken out. */
+    @Test
+    void anyChangeOfAnyTextComesBackAsItWasMade() throws Exception {
+        for (long seed = 1; seed <= 400; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            byte[] base = new byte[random.nextInt(3_000)];
+            for (int i = 0; i < base.length; i++) {
+                base[i] = (byte) (random.nextInt(12) == 0 ? '}' : "ab{,".charAt(random.nextInt(4)));
+            }
+            byte[] next = base;
+            for (int k = random.nextInt(6); k >= 0; k--) {
+                int from = random.nextInt(next.length + 1);
+                int to = from + random.nextInt(next.length - from + 1);
+                byte[] part = Arrays.copyOfRange(next, from, to);
+                byte[] rest = join(Arrays.copyOf(next, from), Arrays.copyOfRange(next, to, next.length));
+                int at = random.nextInt(rest.length + 1);
+                next = switch (random.nextInt(4)) {
+                    case 0 -> rest;
+                    case 1 -> join(Arrays.copyOf(rest, at), part, Arrays.copyOfRange(rest, at, rest.length));
+                    case 2 -> join(next, part);
+                    default -> join(Arrays.copyOf(rest, at), bytes("}x" + seed), Arrays.copyOfRange(rest, at, rest.length));
+                };
+            }
+            both(base, next);
+        }
+    }
+
+    private static byte[] join(byte[]... parts) {
+        int length = 0;
+        for (byte[] part : parts) {
+            length += part.length;
+        }
+        byte[] all = new byte[length];
+        int at = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, all, at, part.length);
+            at += part.length;
+        }
+        return all;
+    }
+
+    /** 600 changes of 600 routes, some 260 KB: each goes as little more than what changed. */
+    @Test
+    void aChangeOfALargeConfigurationIsSmall() throws Exception {
+        SplittableRandom random = new SplittableRandom(4);
+        List<String> routes = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            routes.add(route(i, 800));
+        }
+        byte[] is = configuration(1, routes);
+        assertTrue(is.length > 240_000 && is.length < 280_000, is.length + " bytes");
+        int most = 0;
+        for (int v = 2; v <= 601; v++) {
+            int grown = 0;
+            for (int k = random.nextInt(3); k >= 0; k--) {
+                int at = random.nextInt(routes.size());
+                switch (random.nextInt(4)) {
+                    case 0 -> routes.remove(at);
+                    case 1 -> {
+                        routes.add(at, route(1_000 + v * 3 + k, 900));
+                        grown++;
+                    }
+                    default -> routes.set(at, routes.get(at).replaceAll("\"timeout_ms\":\\d+", "\"timeout_ms\":" + (700 + random.nextInt(500))));
+                }
+            }
+            byte[] next = configuration(v, routes);
+            int size = both(is, next).length;
+            assertTrue(size < 300 + 500 * grown, size + " bytes for version " + v);
+            most = Math.max(most, size);
+            is = next;
+        }
+        assertTrue(most > 100, "the largest had " + most);
+        // Nothing is left in its order.
+        List<String> mixed = new ArrayList<>(routes);
+        Collections.reverse(mixed);
+        int size = both(is, configuration(700, mixed)).length;
+        assertTrue(size < 6 * routes.size() + 1_000, size + " bytes for the same in another order");
+    }
+
+    /** A time-out alone: its digits, and the version's. */
+    @Test
+    void aTimeOutIsItsDigits() throws Exception {
+        List<String> routes = new ArrayList<>(List.of(route(1, 800), route(2, 800), route(3, 800)));
+        byte[] base = configuration(7, routes);
+        routes.set(1, route(2, 950));
+        byte[] delta = both(base, configuration(9, routes));
+        assertTrue(delta.length < 50, delta.length + " bytes");
+    }
+
+    /** Whatever became of a delta on its way: it makes the text it was made for, or none. */
+    @Test
+    void aDeltaThatIsSpoiltMakesNoText() throws Exception {
+        List<String> routes = new ArrayList<>(List.of(route(1, 800), route(2, 800), route(3, 800), route(4, 800)));
+        byte[] base = configuration(7, routes);
+        Collections.swap(routes, 0, 2);
+        routes.add(route(9, 1));
+        byte[] next = configuration(8, routes);
+        byte[] delta = Delta.of(base, next);
+        assertEquals(Delta.digest(next), Delta.digest(Delta.apply(base, delta)));
+        for (int at = 0; at < delta.length; at++) {
+            byte[] cut = Arrays.copyOf(delta, at);
+            assertThrows(Delta.Bad.class, () -> Delta.apply(base, cut), "cut at " + at);
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] bad = delta.clone();
+                bad[at] ^= (byte) (1 << bit);
+                spoilt(base, bad, next);
+            }
+        }
+        byte[] other = base.clone();
+        other[60] ^= 1;
+        assertThrows(Delta.Bad.class, () -> Delta.apply(other, delta));
+        assertThrows(Delta.Bad.class, () -> Delta.apply(next, delta));
+        assertThrows(Delta.Bad.class, () -> Delta.apply(new byte[0], delta));
+        for (long seed = 1; seed <= 20_000; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            byte[] bad = seed % 2 == 0 ? delta.clone() : new byte[random.nextInt(60)];
+            for (int k = seed % 2 == 0 ? 1 + random.nextInt(6) : bad.length; k > 0; k--) {
+                bad[random.nextInt(bad.length)] = (byte) random.nextInt(256);
+            }
+            spoilt(base, bad, next);
+        }
+        // A length that no text has is refused before there is room for it.
+        byte[] huge = {1, 0, 0, 0, 0, 0, (byte) 0xff, (byte) 0xff, (byte) 0xff, 0x7f, 0, 0, 0, 0};
+        assertThrows(Delta.Bad.class, () -> Delta.apply(new byte[0], huge));
+    }
+
+    private static void spoilt(byte[] base, byte[] bad, byte[] next) {
+        try {
+            assertArrayEquals(next, Delta.apply(base, bad));
+        } catch (Delta.Bad found) {
+            assertTrue(!found.getMessage().isEmpty());
+        }
+    }
+}
