News to fronts as changes; a process out of contact hands out nothing

Out of contact, Askers say that and no more, also to whoever waits. Sources are the places told last (heard ones first, near first) and the seeds; a source that failed is not gone back to by choice for 20 s, and rounds that find nobody pause up to 400 ms. A configuration that a front cannot read is asked for once a second, no longer without end.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -27,6 +27,11 @@
         String boot = "";
         long has;
         long version = -1;
+        /** Of its configuration; it says so where that has changed. */
+        long digest;
+        boolean wantsWhole;
+        /** The places that it was told on this connection. */
+        List<Object> places = List.of();
         /** That no other leads was said to hold until then. */
         long sureTill;
         long record = -1;
@@ -36,6 +41,7 @@
 
     private final Core core;
     private final TreeMap<String, Asker> fronts = new TreeMap<>();
+    private final Versions versions = new Versions();
 
     Askers(Core core) {
         this.core = core;
@@ -47,13 +53,18 @@
             return;
         }
         Asker a = fronts.computeIfAbsent(name, n -> new Asker());
-        a.link = link;
+        if (a.link != link) {
+            a.link = link;
+            a.places = List.of();
+        }
         a.question = in.number("q", 0);
         a.heard = core.host.now();
         a.waits = true;
         a.boot = in.text("b");
         a.has = in.number("r", 0);
         a.version = in.number("c", -1);
+        a.digest = in.number("cd", a.digest);
+        a.wantsWhole = in.bit("cw");
         int lost = 0;
         for (Sight seen : a.sights.values()) {
             lost += seen.lost();
@@ -84,9 +95,9 @@
         }
     }
 
-    /** Whether this front lacks anything, and has been told so. */
+    /** Whether this front lacks anything, and has been told so. Out of contact with a majority it is told that, and no more. */
     private boolean answer(Asker a) {
-        boolean lacks = !a.boot.equals(core.boot()) || a.has < core.members.changes()
+        boolean lacks = core.alone() || !a.boot.equals(core.boot()) || a.has < core.members.changes()
                 || a.version < core.register.committed().version() || a.record < core.record()
                 || a.suspects != core.suspectsAt() && (a.suspects >= 0 || !core.suspects().isEmpty());
         if (lacks) {
@@ -99,6 +110,12 @@
         a.waits = false;
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("q", a.question);
+        if (core.alone()) {
+            // What it has may be old by now: another is to be asked.
+            out.put("alone", true);
+            a.link.send(Pack.write(out));
+            return;
+        }
         boolean whole = !a.boot.equals(core.boot());
         if (whole || a.has < core.members.changes()) {
             out.put("b", core.boot());
@@ -106,8 +123,11 @@
             out.put("w", whole);
             out.put("m", core.members.since(whole ? -1 : a.has));
         }
-        if (a.version < core.register.committed().version()) {
-            out.put("cb", core.register.committed().body());
+        versions.decided(core.register.committed());
+        if (a.version < versions.newest().version()) {
+            byte[] delta = a.wantsWhole ? null : versions.since(a.version, a.digest);
+            out.put("cv", versions.newest().version());
+            out.put(delta == null ? "cz" : "cx", delta == null ? versions.whole() : delta);
         }
         List<Object> records = new ArrayList<>();
         for (Lead lead : core.leads()) {
@@ -129,17 +149,17 @@
             // It counts from its question, which was before now.
             a.sureTill = Math.max(a.sureTill, core.host.now() + sure);
         }
-        if (core.alone()) {
-            out.put("alone", true);
-        }
-        if (whole) {
-            out.put("cp", core.places());
+        List<Object> places = core.places();
+        if (!places.equals(a.places)) {
+            a.places = places;
+            out.put("cp", places);
         }
         a.link.send(Pack.write(out));
     }
 
     /** There is news: whoever waits and lacks it is answered. */
     void news() {
+        versions.decided(core.register.committed());
         for (Asker a : fronts.values()) {
             if (a.waits) {
                 answer(a);
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -148,11 +148,12 @@
         return peers.values();
     }
 
-    /** Where control processes are, each with its zone. */
+    /** Where control processes are, each with its zone, and whether it is heard; those that are come first. */
     List<Object> places() {
         List<Object> places = new ArrayList<>();
-        peers.values().forEach(p -> places.add(Map.of("i", p.ip, "z", p.zone)));
-        places.add(Map.of("i", ip(), "z", settings.zone()));
+        places.add(new TreeMap<>(Map.of("i", ip(), "z", settings.zone())));
+        peers.values().stream().filter(this::touch).forEach(p -> places.add(new TreeMap<>(Map.of("i", p.ip, "z", p.zone))));
+        peers.values().stream().filter(p -> !touch(p)).forEach(p -> places.add(new TreeMap<>(Map.of("i", p.ip, "z", p.zone, "s", true))));
         return places;
     }
 
@@ -324,6 +325,7 @@
         boolean is = alone();
         if (is != wasAlone && host.now() > started + TOUCH_MS) {
             wasAlone = is;
+            askers.news();
             host.wrong(is ? "no majority of control processes is heard" : "a majority is heard again");
         }
         lease.look();
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -1,16 +1,20 @@
 package dillfront.front;
 
 import dillfront.host.Configuration;
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
 import dillfront.host.Host;
 import dillfront.host.Pack;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Asks a control process for news with what it has, and is answered when there is some, or after a while without. Moves to
- * another control process where one is silent or says that it is out of touch itself.
+ * another control process where one is silent or says that it is out of contact with a majority itself; what it has never goes
+ * back with that. A configuration comes as what turns the one it has into the newest, or whole where that does not fit.
  */
 final class News implements Host.Ear {
 
@@ -18,16 +22,25 @@
     private static final int DIAL_MS = 700;
     private static final long SILENT_MS = 1_400;
     private static final long PAUSE_MS = 100;
-    /** After a source was left, the next is kept for so long though another is nearer. */
-    private static final long STAY_MS = 3_000;
+    private static final int MOST_PAUSES = 4;
+    /** A configuration that it cannot read is not asked for again sooner. */
+    private static final long UNREAD_MS = 1_000;
+    /** A source that was left is not gone back to by choice for so long. */
+    private static final long STAY_MS = 20_000;
     private static final int MOST_SOURCES = 16;
 
+    /** Where a control process is said to be. */
+    private record Place(String ip, boolean near, boolean silent) { }
+
     private final Front front;
-    /** Where control was heard of, the nearest first. */
+    /** What it was told last, and then the seeds: those that are heard first, and the near among them. */
     private final List<String> sources = new ArrayList<>();
-    private int at;
-    /** When it last left a source. */
-    private long movedAt = -STAY_MS;
+    private List<Place> places = List.of();
+    private String source = "-";
+    /** When a source was last left, for those that are listed. */
+    private final TreeMap<String, Long> left = new TreeMap<>();
+    /** Sources left since one had news. */
+    private int tries;
     private Host.Link link;
     private boolean up;
     private long asked;
@@ -35,6 +48,11 @@
     private Host.Timer silence;
     private String boot = "";
     private long has;
+    /** The digest of its configuration was told on this connection; what turns it into the newest did not fit. */
+    private boolean digestTold;
+    private boolean wantsWhole;
+    /** A version that it cannot read; -1 for none. */
+    private long unread = -1;
     /** The newest record it has; it has all before that were not overtaken. */
     private long record = -1;
     /** Services whose primary is suspected, as they were told last. */
@@ -53,15 +71,29 @@
         dial();
     }
 
-    /** Those of the settings file count among all that were heard of. */
+    /** Those of the settings file count, whatever it was told: all that it was told of may be gone. */
     void seeds() {
-        front.settings.seedIps().forEach(this::source);
+        listed();
     }
 
-    private void source(String ip) {
-        if (!sources.contains(ip) && sources.size() < MOST_SOURCES) {
-            sources.add(ip);
+    /** What was told last takes the place of what was told before, so that the list does not fill up with the dead. */
+    private void listed() {
+        sources.clear();
+        for (int rank = 0; rank < 4; rank++) {
+            for (Place p : places) {
+                if (rank == (p.silent() ? 2 : 0) + (p.near() ? 0 : 1) && sources.size() < MOST_SOURCES && !sources.contains(p.ip())) {
+                    sources.add(p.ip());
+                }
+            }
         }
+        front.settings.seedIps().stream().filter(ip -> !sources.contains(ip)).forEach(sources::add);
+        left.keySet().retainAll(sources);
+    }
+
+    /** When it was left, where that is not long ago. */
+    private long leftAt(String ip) {
+        long at = left.getOrDefault(ip, Long.MIN_VALUE);
+        return at != Long.MIN_VALUE && front.host.now() - at < STAY_MS ? at : Long.MIN_VALUE;
     }
 
     private void dial() {
@@ -69,7 +101,12 @@
             front.host.after(PAUSE_MS, this::dial);
             return;
         }
-        String ip = sources.get(at % sources.size());
+        // The first in the list that was not left of late; else the one that was left first.
+        String ip = sources.get(0);
+        for (String other : sources) {
+            ip = leftAt(other) < leftAt(ip) ? other : ip;
+        }
+        source = ip;
         up = false;
         Host.Link[] mine = new Host.Link[1];
         mine[0] = front.host.dial(front.settings.innerOf(ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
@@ -109,16 +146,21 @@
         if (link != null) {
             link.close();
         }
-        front.host.note("news: left " + source() + ", " + why);
-        at++;
-        movedAt = front.host.now();
-        front.host.after(at % Math.max(1, sources.size()) == 0 ? PAUSE_MS : 1, this::dial);
+        front.host.note("news: left " + source + ", " + why);
+        if (sources.contains(source)) {
+            left.put(source, front.host.now());
+        }
+        up = false;
+        tries++;
+        int rounds = tries / Math.max(1, sources.size());
+        front.host.after(tries % Math.max(1, sources.size()) == 0 ? PAUSE_MS * Math.min(rounds, MOST_PAUSES) : 1, this::dial);
     }
 
     @Override
     public void opened(Host.Link opened) {
         link = opened;
         up = true;
+        digestTold = false;
         ask();
     }
 
@@ -138,6 +180,13 @@
         out.put("b", boot);
         out.put("r", has);
         out.put("c", front.configuration().version());
+        if (!digestTold) {
+            digestTold = true;
+            out.put("cd", front.configuration().digest());
+        }
+        if (wantsWhole) {
+            out.put("cw", true);
+        }
         out.put("k", record);
         out.put("sn", suspectsAt);
         // Of most services there is nothing to say; of those that move or are suspected, what is seen here.
@@ -196,15 +245,7 @@
                 }
             }
         }
-        byte[] body = in.bytes("cb");
-        if (body != null) {
-            try {
-                front.configured(Configuration.read(body));
-            } catch (Configuration.Invalid never) {
-                // The control plane took it, so it is of a form that this text does not know: what is held stays.
-                front.host.wrong("configuration not understood: " + never.getMessage());
-            }
-        }
+        configured(in);
         for (Pack.Fields row : in.list("p")) {
             Service s = front.service(row.text("s"));
             record = Math.max(record, row.number("k", 0));
@@ -219,10 +260,10 @@
             suspectsAt = in.number("sn", 0);
             suspects = in.texts("sq");
         }
-        String near = null;
-        for (Pack.Fields place : in.list("cp")) {
-            source(place.text("i"));
-            near = front.settings.near(place.text("z")) ? place.text("i") : near;
+        if (in.has("cp")) {
+            places = new ArrayList<>();
+            in.list("cp").forEach(p -> places.add(new Place(p.text("i"), front.settings.near(p.text("z")), p.bit("s"))));
+            listed();
         }
         fronts = (int) Math.max(1, in.number("f", fronts));
         long sure = in.number("su", 0);
@@ -236,13 +277,60 @@
                 next("alone");
                 return;
             }
-            if (near != null && sources.contains(near) && !near.equals(source()) && now - movedAt > STAY_MS) {
+            tries = 0;
+            String near = nearer();
+            if (near != null) {
                 // What crosses regions costs, and is heard later.
-                at = sources.size() + sources.indexOf(near) - 1;
-                next("farther than another");
-                return;
+                next(near + " is nearer");
+            } else if (in.number("cv", -1) == unread && unread >= 0) {
+                front.host.after(UNREAD_MS, () -> {
+                    if (up && q == question) {
+                        ask();
+                    }
+                });
+            } else {
+                ask();
             }
-            ask();
+        }
+    }
+
+    /** One that is heard and near, where the present source is not near; null for none. */
+    private String nearer() {
+        for (Place p : places) {
+            if (p.ip().equals(source) && p.near()) {
+                return null;
+            }
+        }
+        for (Place p : places) {
+            if (p.near() && !p.silent() && leftAt(p.ip()) == Long.MIN_VALUE) {
+                return p.ip();
+            }
+        }
+        return null;
+    }
+
+    /** Takes a newer configuration over; an older one, or what turns an older one into another, changes nothing. */
+    private void configured(Pack.Fields in) {
+        long version = in.number("cv", -1);
+        if (version <= front.configuration().version()) {
+            return;
+        }
+        try {
+            byte[] delta = in.bytes("cx");
+            byte[] whole = in.bytes("cz");
+            Configuration next = Configuration.read(delta != null ? Delta.apply(front.configuration().body(), delta)
+                    : Deflate.back(whole == null ? new byte[0] : whole, Delta.MOST));
+            front.configured(next);
+            digestTold = false;
+            wantsWhole = false;
+            unread = -1;
+        } catch (Delta.Bad other) {
+            front.host.note("news: version " + version + " asked for whole, " + other.getMessage());
+            wantsWhole = true;
+        } catch (Deflate.Bad | Configuration.Invalid never) {
+            // The control plane took it, so it is of a form that this text does not know: what is held stays.
+            unread = version;
+            front.host.wrong("configuration " + version + " not understood: " + never.getMessage());
         }
     }
 
@@ -279,6 +367,6 @@
     }
 
     String source() {
-        return sources.isEmpty() ? "-" : sources.get(at % sources.size());
+        return source;
     }
 }
--- a/src/main/java/dillfront/host/Configuration.java
+++ b/src/main/java/dillfront/host/Configuration.java
@@ -42,6 +42,7 @@
 
     private final long version;
     private final byte[] body;
+    private final long digest;
     private final Map<String, Route> routes = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private long transactionIdle = 3_000;
@@ -49,6 +50,7 @@
     private Configuration(long version, byte[] body) {
         this.version = version;
         this.body = body;
+        digest = Delta.digest(body);
     }
 
     /** @throws Invalid with the place and the fault */
@@ -169,6 +171,11 @@
         return body;
     }
 
+    /** Of the body: with the version it says which one this is. */
+    public long digest() {
+        return digest;
+    }
+
     /** Null where no route has this database. */
     public Route route(String host) {
         return routes.get(host);
--- /dev/null
+++ b/src/main/java/dillfront/host/Deflate.java
@@ -0,0 +1,72 @@
+package dillfront.host;
+
+import java.io.ByteArrayOutputStream;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/** Texts made shorter for a link, and back. */
+public final class Deflate {
+
+    /** These are no deflated bytes, or more comes of them than any text has. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Bad(String fault) {
+            super(fault);
+        }
+    }
+
+    private static final int PART = 1 << 13;
+
+    private Deflate() {}
+
+    public static byte[] of(byte[] text) {
+        Deflater deflater = new Deflater();
+        try {
+            deflater.setInput(text);
+            deflater.finish();
+            ByteArrayOutputStream out = new ByteArrayOutputStream(text.length / 8 + 64);
+            byte[] part = new byte[PART];
+            while (!deflater.finished()) {
+                out.write(part, 0, deflater.deflate(part));
+            }
+            return out.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    /**
+     * The text again.
+     *
+     * @param most bytes that it may have
+     * @throws Bad where it is damaged, goes on behind its end, or is longer
+     */
+    public static byte[] back(byte[] deflated, int most) throws Bad {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(deflated);
+            ByteArrayOutputStream out = new ByteArrayOutputStream(Math.min(most, deflated.length * 4 + 64));
+            byte[] part = new byte[PART];
+            while (!inflater.finished()) {
+                int got = inflater.inflate(part);
+                if (got == 0 && !inflater.finished()) {
+                    throw new Bad("ends before its end");
+                }
+                if (got > most - out.size()) {
+                    throw new Bad("more than " + most + " bytes come of it");
+                }
+                out.write(part, 0, got);
+            }
+            if (inflater.getRemaining() > 0) {
+                throw new Bad("goes on behind its end");
+            }
+            return out.toByteArray();
+        } catch (DataFormatException bad) {
+            throw new Bad("damaged: " + bad.getMessage());
+        } finally {
+            inflater.end();
+        }
+    }
+}
--- a/src/main/java/dillfront/host/Delta.java
+++ b/src/main/java/dillfront/host/Delta.java
@@ -7,7 +7,7 @@
 
 /**
  * What turns one text into another, where most of it stays: runs that are copied from the base, and bytes between them. Both
- * are cut into pieces behind a '}', so that a list of objects of which a few changed is found again whatever moved.
+ * are cut into pieces behind each '}' and '[', so that a list of objects of which a few changed is found again whatever moved.
  *
  * <pre>
  *   delta   1 form   length and CRC32C of the base   length and CRC32C of the text   steps
@@ -62,7 +62,7 @@
         int[] from = new int[text.length / LEAST_PIECE + 2];
         int count = 1;
         for (int i = 0; i < text.length; i++) {
-            if (text[i] == '}' && i + 1 - from[count - 1] >= LEAST_PIECE && i + 1 < text.length) {
+            if ((text[i] == '}' || text[i] == '[') && i + 1 - from[count - 1] >= LEAST_PIECE && i + 1 < text.length) {
                 from[count++] = i + 1;
             }
         }
--- a/src/main/java/dillfront/lab/CapacityMeasure.java
+++ b/src/main/java/dillfront/lab/CapacityMeasure.java
@@ -4,7 +4,8 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import dillfront.host.Configuration;
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
 import dillfront.host.Host;
 import dillfront.host.NettyHost;
 import dillfront.host.Pack;
@@ -215,6 +216,8 @@
         private long question;
         private long record = -1;
         private long suspects = -1;
+        private byte[] body = new byte[0];
+        private boolean told;
 
         Front(int number) {
             this.number = number;
@@ -238,6 +241,10 @@
             out.put("b", boot);
             out.put("r", has);
             out.put("c", versions[number]);
+            if (!told) {
+                told = true;
+                out.put("cd", Delta.digest(body));
+            }
             out.put("k", record);
             out.put("sn", suspects);
             byte[] message = Pack.write(out);
@@ -258,8 +265,10 @@
                 }
                 suspects = in.number("sn", suspects);
                 in.list("p").forEach(row -> record = Math.max(record, row.number("k", 0)));
-                if (in.bytes("cb") != null) {
-                    versions[number] = Configuration.read(in.bytes("cb")).version();
+                if (in.has("cv")) {
+                    body = in.has("cx") ? Delta.apply(body, in.bytes("cx")) : Deflate.back(in.bytes("cz"), Delta.MOST);
+                    versions[number] = in.number("cv", -1);
+                    told = false;
                     if (waiting.decrementAndGet() == 0) {
                         everywhere.complete(null);
                     }
@@ -267,7 +276,7 @@
                 if (in.number("q", -1) == question) {
                     ask();
                 }
-            } catch (Pack.Bad | Configuration.Invalid bad) {
+            } catch (Pack.Bad | Delta.Bad | Deflate.Bad bad) {
                 throw new IllegalStateException(bad);
             }
         }
--- /dev/null
+++ b/src/test/java/dillfront/core/AskersTest.java
@@ -0,0 +1,149 @@
+package dillfront.core;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
+import dillfront.host.Host;
+import dillfront.host.ManualHost;
+import dillfront.host.Pack;
+import dillfront.host.Settings;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** What a control process tells fronts: a configuration as what changed, and nothing at all where it is out of contact. */
+class AskersTest {
+
+    private final ManualHost host = new ManualHost();
+    private final List<Pack.Fields> answers = new ArrayList<>();
+
+    private static final class Kept implements Store {
+        @Override
+        public Map<String, String> all() {
+            return Map.of();
+        }
+
+        @Override
+        public CompletableFuture<Void> put(Map<String, String> texts) {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    private Core core(String... seeds) throws Exception {
+        List<String> all = new ArrayList<>();
+        for (String seed : seeds) {
+            all.add(seed + ":8002");
+        }
+        Core core = new Core(host, new Settings("core-1", "a", "ra", Map.of("a", "ra"), "10.0.0.1", null, null, "10.0.0.1:8002", 7400, all, true,
+                "/", 1, 1_200, 7_000, 6_000, null), new Kept());
+        core.start();
+        return core;
+    }
+
+    private Host.Ear front(Core core) {
+        Host.Ear ear = core.accept();
+        ear.opened(new Host.Link() {
+            @Override
+            public void send(byte[] message) {
+                try {
+                    answers.add(Pack.read(message));
+                } catch (Pack.Bad bad) {
+                    throw new AssertionError(bad);
+                }
+            }
+
+            @Override
+            public void close() {
+                // It stays.
+            }
+
+            @Override
+            public long waiting() {
+                return 0;
+            }
+        });
+        return ear;
+    }
+
+    private Pack.Fields ask(Host.Ear ear, long question, Object... fields) {
+        Map<String, Object> out = new HashMap<>(Map.of("t", "news", "n", "front-1", "q", question, "b", "", "c", -1));
+        for (int i = 0; i < fields.length; i += 2) {
+            out.put((String) fields[i], fields[i + 1]);
+        }
+        answers.clear();
+        ear.message(Pack.write(out));
+        host.until(host.now() + 700);
+        assertEquals(1, answers.size());
+        assertEquals(question, answers.get(0).number("q", -1));
+        return answers.get(0);
+    }
+
+    private static byte[] configuration(long version) {
+        StringBuilder text = new StringBuilder("{\"revision_number\":" + version + ",\"routes\":[");
+        for (int i = 0; i < 40; i++) {
+            text.append(i == 0 ? "" : ",").append("{\"name\":\"r").append(i).append("\",\"host_name\":\"h").append(i)
+                    .append("\",\"route_kind\":\"primary\",\"timeout_ms\":").append(i == version ? 900 : 800).append(",\"service\":\"s\"}");
+        }
+        return text.append("],\"services\":[{\"name\":\"s\"}]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void configure(Core core, long version) {
+        CompletableFuture<Host.Answer> answer = core.call("POST", "/Configuration.Replace", configuration(version));
+        host.until(host.now() + 1_000);
+        assertEquals(200, answer.join().status());
+    }
+
+    @Test
+    void aFrontThatHasAVersionIsToldWhatChanged() throws Exception {
+        Core core = core("10.0.0.1");
+        Host.Ear front = front(core);
+        configure(core, 1);
+        Pack.Fields first = ask(front, 1);
+        assertArrayEquals(configuration(1), Deflate.back(first.bytes("cz"), Delta.MOST));
+        assertEquals(1, first.number("cv", -1));
+        for (long v = 2; v <= 6; v++) {
+            configure(core, v);
+        }
+        long digest = Delta.digest(configuration(2));
+        Pack.Fields second = ask(front, 2, "c", 2L, "cd", digest);
+        assertArrayEquals(configuration(6), Delta.apply(configuration(2), second.bytes("cx")));
+        assertNull(second.bytes("cz"));
+        assertTrue(second.bytes("cx").length < 100, second.bytes("cx").length + " bytes");
+        // The digest is said once; it holds until another is said.
+        assertTrue(ask(front, 3, "c", 2L).has("cx"));
+        assertTrue(ask(front, 4, "c", 2L, "cw", true).has("cz"), "asked for whole");
+        assertTrue(ask(front, 5, "c", 2L, "cd", digest + 1).has("cz"), "another content under this number");
+        assertTrue(ask(front, 6, "c", 1L, "cd", Delta.digest(configuration(1))).has("cx"));
+        Pack.Fields none = ask(front, 7, "c", 6L, "b", second.text("b"), "r", second.number("r", 0));
+        assertEquals(Set.of("q", "f", "su"), subset(none, "q", "f", "su", "cv", "cx", "cz", "cp", "m"), none.all().toString());
+    }
+
+    private static Set<String> subset(Pack.Fields of, String... names) {
+        Set<String> there = new java.util.TreeSet<>(Set.of(names));
+        there.retainAll(of.all().keySet());
+        return there;
+    }
+
+    /** It hears neither of the two others: whatever it has, it says that alone, and at once. */
+    @Test
+    void outOfContactItHandsOutNothing() throws Exception {
+        Core core = core("10.0.0.1", "10.0.0.2", "10.0.0.3");
+        Host.Ear front = front(core);
+        core.call("POST", "/Instances.Heartbeat/i-1", ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone_name\":\"a\",\"state\":\"ready\","
+                + "\"database_role\":\"primary\",\"call_sequence\":1}").getBytes(StandardCharsets.UTF_8));
+        host.until(3_000);
+        answers.clear();
+        front.message(Pack.write(Map.of("t", "news", "n", "front-1", "q", 5, "b", "", "c", -1)));
+        assertEquals(1, answers.size(), "at once");
+        assertEquals(Map.of("q", 5L, "alone", true), answers.get(0).all());
+    }
+}
