HTTP doors: each call gets its own answer in its turn; calls under way are bounded

Found by reading: a body over 1 MiB was refused by a handler that knew nothing of the order, so its 413 went out before the answers of earlier calls on the connection, whose caller would take it for his own and, being 4xx, give a valid order up; a 100 did the same. A handler that threw closed the connection on all calls beside its own, one that gave no answer held up all behind it for ever, calls behind one with Connection: close were carried out and never answered, and a caller who asked on and read nothing was served without bound, in a process of 40 MB.

Turns keeps the calls of a connection, oldest first; whatever answers a call, also 400, 413, 417, 503 after 10 s and the word to go on, goes out in its turn. Eight calls are under way at the most, and none while answers lie unread: the rest stays in the socket. After a last call, or what is no HTTP, nothing is read as a call.

HttpDoorTest, 9 tests: 7 failed on the former text (413 and 100 first; 500 of 500 calls under way and not 8; the call behind the last one carried out; no answer in 8 s), all pass now.

--- a/src/main/java/dillfront/host/NettyHost.java
+++ b/src/main/java/dillfront/host/NettyHost.java
@@ -216,7 +216,12 @@
 
     /** A door for HTTP. */
     public void serve(String at, HttpDoor.Calls calls) throws IOException {
-        bind(() -> Sockets.listen(loop, address(at), BACKLOG, MARK, () -> new HttpDoor(this, calls)), at);
+        serve(at, calls, HttpDoor.LONGEST_MS);
+    }
+
+    /** @param longestMs a call that is not answered by then is answered so */
+    void serve(String at, HttpDoor.Calls calls, long longestMs) throws IOException {
+        bind(() -> Sockets.listen(loop, address(at), BACKLOG, MARK, () -> new HttpDoor(this, calls, longestMs)), at);
     }
 
     /** Doors are made on the loop. */
