--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -74,7 +74,7 @@
         return configuration.version();
     }
 
-    Configuration configuration() {
+    public Configuration configuration() {
         return configuration;
     }
 
--- a/src/main/java/dillfront/lab/whole/Audit.java
+++ b/src/main/java/dillfront/lab/whole/Audit.java
@@ -49,6 +49,11 @@
     int lost;
     int twice;
     int staleReads;
+    /** Answers that belong to another call than the one they came to. */
+    int wrongCaller;
+    /** Calls that may not be repeated and ran twice. */
+    int sentTwice;
+    private final Set<String> onceOnly = new HashSet<>();
     int promotions;
     final List<Long> promoteMs = new ArrayList<>();
     final List<Long> configMs = new ArrayList<>();
@@ -86,6 +91,12 @@
         return number;
     }
 
+    /** A client's call got the row or the stamp of another. */
+    void wrongCaller(String id, String answer) {
+        wrongCaller++;
+        breach("MIXED", id + " is answered with " + answer);
+    }
+
     private long needed(String database, long before) {
         long most = 0;
         for (long[] one : acknowledged.getOrDefault(database, List.of())) {
@@ -103,6 +114,11 @@
             breach("UNASKED", at.id + " runs " + id);
             return;
         }
+        boolean once = text.equals("COMMIT") || text.startsWith("WRITE");
+        if (once && !onceOnly.add(id)) {
+            sentTwice++;
+            breach("TWICE", id + " runs a second time, at " + at.id);
+        }
         if (begins) {
             Long from = drained.get(at.id);
             if (from != null && sim.micros() > from + drainMs * 1_000) {
--- a/src/main/java/dillfront/lab/whole/Client.java
+++ b/src/main/java/dillfront/lab/whole/Client.java
@@ -178,6 +178,10 @@
             } else {
                 answered(line.charAt(6));
             }
+        } else if (line.startsWith("ROW ")) {
+            if (!line.equals("ROW r" + out)) {
+                day.audit.wrongCaller(out, line);
+            }
         } else if (line.startsWith("COMPLETE ")) {
             stamp = line.substring(9);
         } else if (line.startsWith("ERROR ")) {
@@ -195,7 +199,7 @@
         if (code == null) {
             boolean runs = text.startsWith("READ") || text.startsWith("WRITE") || text.startsWith("EXECUTE") || text.equals("COMMIT");
             if (runs && !id.equals(day.stamp(database, stamp))) {
-                day.audit.breach("MIXED", id + " is answered with " + stamp);
+                day.audit.wrongCaller(id, stamp);
             }
             if (text.startsWith("SET")) {
                 String[] part = Sim.words(text, 3);
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -112,6 +112,10 @@
         int applied;
         /** Each answer is lost with this chance. */
         double lost;
+        /** It receives nothing, and does not know. */
+        boolean deaf;
+        /** A new one has nothing before it has copied all of it. */
+        long copiedAt;
         private int busy;
         private final List<Runnable> queue = new ArrayList<>();
         int connections;
@@ -150,7 +154,8 @@
 
         /** Gets what the leader has, over the network, and applies it later. */
         void follow(Server leader) {
-            if (held != 0 || !machine.up || leads || !leader.leads || sim.cut(machine, leader.machine)) {
+            if (held != 0 || !machine.up || machine.dark || deaf || sim.millis() < copiedAt || leads || !leader.leads
+                    || sim.cut(machine, leader.machine)) {
                 return;
             }
             boolean got = false;
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -1,15 +1,11 @@
 package dillfront.lab.whole;
 
 import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
-import dillfront.core.Core;
-import dillfront.core.Store;
 import dillfront.front.Front;
 import dillfront.host.Configuration;
 import dillfront.host.Host;
 import dillfront.host.Settings;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,79 +21,33 @@
 
     static final int FRONT = 8_000;
     static final int READY = 8_001;
-    private static final int CONTROL = 8_002;
-    private static final int INNER = 7_400;
     private static final int DATABASE = 8_080;
     private static final int PLATFORM = 8_783;
-    private static final String[] ZONES = {"a", "b", "c"};
+    static final String[] ZONES = {"a", "b", "c"};
     private static final long BEAT_MS = 1_200;
-    private static final double SYNC_MS = 3;
-
-    /** What is on a machine's disk: synced with every put that was answered. */
-    private final class Disk implements Store {
-        final Map<String, String> kept = new HashMap<>();
-        private final Sim.Machine machine;
-        private long freeAt;
-
-        Disk(Sim.Machine machine) {
-            this.machine = machine;
-        }
-
-        @Override
-        public Map<String, String> all() {
-            return new HashMap<>(kept);
-        }
-
-        @Override
-        public CompletableFuture<Void> put(Map<String, String> texts) {
-            CompletableFuture<Void> done = new CompletableFuture<>();
-            freeAt = Math.max(freeAt, sim.micros()) + Math.round(SYNC_MS * 1_000);
-            int life = machine.life;
-            sim.at(freeAt, () -> {
-                if (machine.life == life) {
-                    texts.forEach((name, text) -> {
-                        if (text.isEmpty()) {
-                            kept.remove(name);
-                        } else {
-                            kept.put(name, text);
-                        }
-                    });
-                    done.complete(null);
-                }
-            });
-            return done;
-        }
-    }
-
-    private static final class ControlMachine {
-        Sim.Machine machine;
-        Disk disk;
-        Core core;
-        boolean wiped;
-    }
 
     private static final class FrontMachine {
         Sim.Machine machine;
         Front front;
         /** Since when nothing has happened to it. */
         long calmFrom;
+        Configuration had = Configuration.NONE;
+        long digest;
     }
 
     final Sim sim;
     final Audit audit;
     final Sim.Machine clients;
     private final Sim.Machine platform;
-    private final Sim.Machine operator;
-    private final TreeMap<String, ControlMachine> controls = new TreeMap<>();
+    final Controls controls;
+    final Orders orders;
+    final ConfigAudit configAudit;
     private final TreeMap<String, FrontMachine> fronts = new TreeMap<>();
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, long[]> fences = new HashMap<>();
     private boolean platformDown;
     private final List<Client> sessions = new ArrayList<>();
     private final long length;
-    private long version = 1;
-    private long acknowledgedVersion;
-    private boolean fresh = true;
     int owed;
     int served;
     private int replaced;
@@ -105,18 +55,21 @@
     public final List<String> story = new ArrayList<>();
 
     public Day(long seed, int frontsEach, int services, int sessionsEach, long lengthMs) {
+        this(seed, frontsEach, services, sessionsEach, lengthMs, ZONES.length);
+    }
+
+    /** With so many control machines. */
+    public Day(long seed, int frontsEach, int services, int sessionsEach, long lengthMs, int controlMachines) {
         sim = new Sim(seed);
         audit = new Audit(sim);
         length = lengthMs;
         clients = sim.new Machine("clients", "a", "10.9.0.1");
         platform = sim.new Machine("platform", "a", "10.9.0.2");
-        operator = sim.new Machine("operator", "b", "10.9.0.3");
+        orders = new Orders(this, sim.new Machine("operator", "b", "10.9.0.3"));
+        configAudit = new ConfigAudit(this);
+        controls = new Controls(this, controlMachines, (m, first) -> settings(m, true, first));
         platform.serve(PLATFORM, this::promotion);
         for (int z = 0; z < ZONES.length; z++) {
-            ControlMachine c = new ControlMachine();
-            c.machine = sim.new Machine("core-" + ZONES[z], ZONES[z], "10." + z + ".0.1");
-            c.disk = new Disk(c.machine);
-            controls.put(ZONES[z], c);
             for (int i = 0; i < frontsEach; i++) {
                 FrontMachine f = new FrontMachine();
                 f.machine = sim.new Machine("front-" + ZONES[z] + i, ZONES[z], "10." + z + ".1." + i);
@@ -143,6 +96,18 @@
         return sim.millis() > length - 3_000;
     }
 
+    boolean ended() {
+        return sim.millis() >= length;
+    }
+
+    int databases() {
+        return databases.size();
+    }
+
+    Iterable<String> databaseNames() {
+        return databases.keySet();
+    }
+
     String stamp(String database, String stamp) {
         return databases.get(database).stamps.get(stamp);
     }
@@ -177,14 +142,14 @@
         if (!s.machine.up || tries > 6) {
             return;
         }
-        List<ControlMachine> all = new ArrayList<>(controls.values());
+        List<ControlMachine> all = controls.known();
         ControlMachine to = all.get(sim.random.nextInt(all.size()));
         boolean drains = s.draining;
         String json = Json.object().add("service", db.name).add("address", s.address).add("zone_name", s.machine.zone)
                 .add("state", drains ? "draining" : "ready").add("database_role", s.leads ? "primary" : "replica")
                 .add("call_sequence", ++calls).toString();
         String path = (leaves ? "/Instances.Leave/" : "/Instances.Heartbeat/") + s.id;
-        s.machine.call("POST", to.machine.ip + ":" + CONTROL, path, Sim.bytes(json), Map.of(), 1_000).whenComplete((is, fault) -> {
+        s.machine.call("POST", to.machine.ip + ":" + Controls.HTTP, path, Sim.bytes(json), Map.of(), 1_000).whenComplete((is, fault) -> {
             if (fault != null || is.status() != 200) {
                 s.machine.after(50L * (tries + 1), () -> beat(db, s, leaves, tries + 1));
             } else if (drains) {
@@ -201,6 +166,8 @@
         String service = in.getString("service", "");
         long fence = Long.parseLong(headers.getOrDefault("Dillfront-Fence-Number", "0"));
         long[] seen = fences.computeIfAbsent(service, s -> new long[1]);
+        String holder = headers.getOrDefault("Dillfront-Duty-Holder", "");
+        configAudit.acts(holder, fence);
         story.add(sim.millis() + " platform: " + in.getString("instance_id", "") + " fence " + fence);
         if (fence < seen[0]) {
             return CompletableFuture.completedFuture(new Host.Answer(409, new byte[0]));
@@ -212,40 +179,46 @@
 
     // ---- the system's machines
 
-    private Settings settings(Sim.Machine m, boolean control) {
+    private Settings settings(Sim.Machine m, boolean control, boolean first) {
         Map<String, String> regions = new HashMap<>();
-        List<String> seeds = new ArrayList<>();
         for (String zone : ZONES) {
             regions.put(zone, "r" + zone);
-            seeds.add(controls.get(zone).machine.ip + ":" + CONTROL);
         }
         return new Settings(m.name, m.zone, "r" + m.zone, regions, m.ip, control ? null : m.ip + ":" + FRONT,
-                control ? null : m.ip + ":" + READY, control ? m.ip + ":" + CONTROL : null, INNER, seeds, fresh, control ? "/" : null,
-                1, BEAT_MS, 7_000, 6_000, platform.ip + ":" + PLATFORM);
-    }
-
-    private void startControl(ControlMachine c) {
-        c.machine.up();
-        Core core = new Core(c.machine, settings(c.machine, true), c.disk);
-        c.core = core;
-        c.machine.listen(INNER, h -> core.accept());
-        c.machine.serve(CONTROL, (method, path, body, headers) -> core.call(method, path, body));
-        try {
-            core.start();
-        } catch (Configuration.Invalid bad) {
-            throw new IllegalStateException(bad);
-        }
+                control ? null : m.ip + ":" + READY, control ? m.ip + ":" + Controls.HTTP : null, Controls.INNER, controls.seeds(), first,
+                control ? "/" : null, 1, BEAT_MS, 7_000, 6_000, platform.ip + ":" + PLATFORM);
     }
 
-    private void startFront(FrontMachine f) {
+    private void startFront(FrontMachine f, boolean first) {
         f.machine.up();
         f.calmFrom = sim.millis();
-        Front front = new Front(f.machine, settings(f.machine, false));
+        Front front = new Front(f.machine, settings(f.machine, false, first));
         f.front = front;
         f.machine.listen(FRONT, h -> front.accept());
         front.start();
     }
 
+    /** Each front's configuration is looked at, over and over. */
+    private void lookAtFronts() {
+        sim.after(50, this::lookAtFronts);
+        boolean settled = controls.settled();
+        for (FrontMachine f : fronts.values()) {
+            if (!f.machine.up || f.front == null) {
+                continue;
+            }
+            boolean touch = settled && !f.machine.frozen() && sim.millis() - f.calmFrom >= Controls.IN_TOUCH_MS;
+            for (ControlMachine c : controls.all()) {
+                touch &= !controls.reachesMajority(c) || !sim.cut(f.machine, c.machine);
+            }
+            Configuration has = f.front.configuration();
+            configAudit.sees(f.machine.name, f.machine.life, touch, has.version(), has == f.had ? f.digest : ConfigAudit.digest(has.body()));
+            if (has != f.had) {
+                f.had = has;
+                f.digest = ConfigAudit.digest(has.body());
+            }
+        }
+    }
+
     /** For a client: one of the fronts that are ready, by its number and by chance. */
     Sim.Machine front(int number) {
         List<Sim.Machine> ready = new ArrayList<>();
@@ -257,68 +230,23 @@
         return ready.isEmpty() ? null : ready.get((number + sim.random.nextInt(2)) % ready.size());
     }
 
-    private byte[] configuration(long of) {
-        JsonArray routes = Json.array().asArray();
-        JsonArray services = Json.array().asArray();
-        for (String name : databases.keySet()) {
-            services.add(Json.object().add("name", name).add("connection_limit", 60).add("synchronous_replicas", 1));
-            for (String[] kind : new String[][] {{"primary", "primary"}, {"bounded", "bounded_staleness"}, {"own", "read_your_writes"}}) {
-                routes.add(Json.object().add("name", name + kind[0]).add("host_name", name + "-" + kind[0]).add("path_prefix", "/")
-                        .add("route_kind", kind[1]).add("timeout_ms", 1_000 + of).add("target_latency_ms", 400).add("priority", 1)
-                        .add("service", name).add("max_attempts", 2).add("max_staleness_ms", kind[0].equals("bounded") ? 1_500 : 2_500));
-            }
-        }
-        return Json.object().add("revision_number", of).add("routes", routes).add("services", services)
-                .add("limits", Json.object().add("transaction_idle_ms", 3_000)).toString().getBytes(StandardCharsets.UTF_8);
-    }
-
-    /** Sends it until it is taken, to one control machine after the other. */
-    void configure() {
-        long of = version++;
-        configure(of, sim.millis(), 0);
-    }
-
-    private void configure(long of, long since, int tries) {
-        List<ControlMachine> all = new ArrayList<>(controls.values());
-        ControlMachine to = all.get((int) ((of + tries) % all.size()));
-        operator.call("POST", to.machine.ip + ":" + CONTROL, "/Configuration.Replace", configuration(of), Map.of(), 2_000).whenComplete((is, fault) -> {
-            if (fault != null || is.status() >= 500) {
-                if (tries < 30) {
-                    operator.after(100, () -> configure(of, since, tries + 1));
-                }
-                return;
-            }
-            acknowledgedVersion = Math.max(acknowledgedVersion, of);
-            long acknowledged = sim.millis();
-            applied(of, acknowledged);
-        });
-    }
-
-    private void applied(long of, long acknowledged) {
+    /** Once it is acknowledged: until every front that was in touch has it. */
+    void applied(long of, long acknowledged) {
         boolean all = true;
         for (FrontMachine f : fronts.values()) {
-            boolean counts = f.machine.up && f.calmFrom < acknowledged - 4_000;
+            boolean counts = f.machine.up && f.calmFrom < acknowledged - Controls.IN_TOUCH_MS;
             all &= !counts || f.front.version() >= of;
         }
-        long took = sim.millis() - acknowledged;
         if (all) {
-            audit.configMs.add(took);
-        } else if (took > 3_000 && coreCalm(acknowledged)) {
-            audit.breach("CONFIG", "version " + of + " is not in force everywhere after " + took + " ms");
-        } else {
+            audit.configMs.add(sim.millis() - acknowledged);
+        } else if (sim.millis() - acknowledged < 20_000) {
             sim.after(5, () -> applied(of, acknowledged));
         }
     }
 
-    private long coreTrouble = -100_000;
-
-    private boolean coreCalm(long since) {
-        return coreTrouble < since - 4_000;
-    }
-
     // ---- what happens
 
-    private void say(String what) {
+    void say(String what) {
         story.add(sim.millis() + " " + what);
     }
 
@@ -369,6 +297,60 @@
         });
     }
 
+    /** Gone for good, with its log; after a while a new, empty one comes at another address, or at the same. */
+    private void gone(Database db, Database.Server s, boolean same) {
+        if (s == null) {
+            return;
+        }
+        say("gone for good " + s.id + (s.leads ? " (primary)" : ""));
+        if (s.leads) {
+            audit.leaderless(db.name);
+        }
+        s.stop(true);
+        s.leads = false;
+        db.servers.remove(s);
+        comes(db, s, same, 2_000);
+    }
+
+    /** A new server with nothing, that copies what there is from the primary. */
+    private void comes(Database db, Database.Server old, boolean same, long inMs) {
+        sim.after(inMs, () -> {
+            int port = Integer.parseInt(old.address.substring(old.address.indexOf(':') + 1));
+            Database.Server next;
+            if (same) {
+                old.machine.up();
+                next = db.new Server(old.machine, old.id.replaceAll("r\\d*$", "") + "r" + ++replaced, port);
+                Database.Server mine = next;
+                next.roleTold = () -> beat(db, mine, false, 0);
+                beats(db, next);
+            } else {
+                next = server(db, old.machine.zone, 100 + ++replaced, port);
+            }
+            next.copiedAt = sim.millis() + 300 + sim.random.nextInt(1_200);
+            say("new " + next.id);
+        });
+    }
+
+    /** The primary's machine does not reach the others of its kind, the control machines, or some of the fronts. */
+    private void primaryCut(Database db, String from, long forMs) {
+        Database.Server p = db.leader();
+        if (p == null) {
+            return;
+        }
+        say("primary " + p.id + " is cut off from " + from);
+        List<Sim.Machine> off = new ArrayList<>();
+        switch (from) {
+            case "replicas" -> db.servers.stream().filter(s -> s != p).forEach(s -> off.add(s.machine));
+            case "core" -> controls.all().forEach(c -> off.add(c.machine));
+            default -> fronts.values().stream().filter(f -> sim.random.nextDouble() < 0.4).forEach(f -> {
+                off.add(f.machine);
+                f.calmFrom = sim.millis() + forMs;
+            });
+        }
+        off.forEach(m -> sim.cut(p.machine, m, true));
+        sim.after(forMs, () -> off.forEach(m -> sim.cut(p.machine, m, false)));
+    }
+
     private static int common(Database.Server a, Database.Server b) {
         int same = 0;
         while (same < a.log.size() && same < b.log.size() && a.log.get(same) == b.log.get(same)) {
@@ -377,52 +359,44 @@
         return same;
     }
 
-    /** Its log goes to a new server of another id, which starts first. */
-    private void release(Database db, Database.Server s) {
+    /**
+     * It drains, counts as a synchronous replica until it is gone, and takes its log along. A new one, empty, starts first at
+     * another address, or later at the same.
+     */
+    private void release(Database db, Database.Server s, boolean same, long longerMs) {
         if (s == null) {
             return;
         }
         say("release " + s.id);
-        int port = Integer.parseInt(s.address.substring(s.address.indexOf(':') + 1));
-        Database.Server next = server(db, s.machine.zone, 100 + ++replaced, port);
+        if (!same) {
+            comes(db, s, false, 0);
+        }
         sim.after(1_500, () -> {
             s.draining = true;
             beat(db, s, false, 0);
-            sim.after(7_500, () -> {
+            sim.after(7_500 + longerMs, () -> {
                 if (s.machine.up) {
                     beat(db, s, true, 0);
                 }
                 sim.after(300, () -> {
-                    say("ended " + s.id);
+                    say("ended " + s.id + (s.leads ? " (primary)" : ""));
                     if (s.leads) {
                         audit.leaderless(db.name);
                     }
                     s.stop(false);
                     db.servers.remove(s);
                     s.leads = false;
+                    if (same) {
+                        comes(db, s, true, 2_000);
+                    }
                 });
             });
         });
-        say("new " + next.id);
     }
 
-    private void control(String zone, boolean power, boolean wipe, long forMs) {
-        ControlMachine c = controls.get(zone);
-        if (!c.machine.up) {
-            return;
-        }
-        say((wipe ? "wipe " : power ? "power " : "kill ") + c.machine.name);
-        coreTrouble = sim.millis() + forMs;
-        c.machine.down(power);
-        if (wipe) {
-            c.disk.kept.clear();
-        }
-        sim.after(forMs, () -> {
-            if (!c.machine.up) {
-                say("back " + c.machine.name);
-                startControl(c);
-            }
-        });
+    /** Whoever runs is told of other seeds. */
+    void reseed() {
+        fronts.values().stream().filter(f -> f.machine.up).forEach(f -> f.front.settings(settings(f.machine, false, false)));
     }
 
     private void front(String key, boolean power, long forMs) {
@@ -439,7 +413,7 @@
     private void back(FrontMachine f, long in) {
         sim.after(in, () -> {
             if (!f.machine.up) {
-                startFront(f);
+                startFront(f, false);
             }
         });
     }
@@ -448,32 +422,31 @@
         Sim.Machine x = machine(a);
         Sim.Machine y = machine(b);
         say("cut " + a + " " + b);
-        if (a.startsWith("core") || b.startsWith("core")) {
-            coreTrouble = sim.millis() + forMs;
-        }
         sim.cut(x, y, true);
+        controls.event();
         for (FrontMachine f : fronts.values()) {
             if (f.machine == x || f.machine == y) {
                 f.calmFrom = sim.millis() + forMs;
             }
         }
-        sim.after(forMs, () -> sim.cut(x, y, false));
+        sim.after(forMs, () -> {
+            sim.cut(x, y, false);
+            controls.event();
+        });
     }
 
     private Sim.Machine machine(String name) {
+        if (name.startsWith("core") || name.equals("leader") || name.equals("seed") || name.equals("other")) {
+            return controls.of(name).machine;
+        }
         return sim.machines.stream().filter(m -> m.name.equals(name)).findFirst().orElseThrow(() -> new IllegalArgumentException("no machine " + name));
     }
 
     private void restartAll(boolean power) {
         say(power ? "all lose power" : "all are killed");
-        coreTrouble = sim.millis() + 1_500;
-        fresh = false;
-        controls.values().forEach(c -> c.machine.down(power));
+        controls.loseAll(power, null, 900);
         fronts.values().forEach(f -> f.machine.down(power));
-        sim.after(900, () -> {
-            controls.values().stream().filter(c -> !c.machine.up).forEach(this::startControl);
-            fronts.values().stream().filter(f -> !f.machine.up).forEach(this::startFront);
-        });
+        sim.after(900, () -> fronts.values().stream().filter(f -> !f.machine.up).forEach(f -> startFront(f, false)));
     }
 
     /**
@@ -484,6 +457,9 @@
     public void happen(String line) {
         String[] w = line.trim().split("\\s+");
         long ms = w.length > 2 && w[w.length - 2].equals("for") ? Math.round(Double.parseDouble(w[w.length - 1]) * 1_000) : 3_000;
+        if (new ControlTroubles(this).happen(w, line, ms)) {
+            return;
+        }
         switch (w[0]) {
             case "crash":
             case "dark": {
@@ -493,7 +469,7 @@
             }
             case "release": {
                 Database db = database(w[1]);
-                release(db, which(db, w[2]));
+                release(db, which(db, w[2]), line.contains(" same"), line.contains(" longer") ? ms : 0);
                 break;
             }
             case "lag":
@@ -511,25 +487,34 @@
                 }
                 break;
             }
+            case "gone": {
+                Database db = database(w[1]);
+                gone(db, which(db, w[2]), line.contains(" same"));
+                break;
+            }
+            case "deaf": {
+                Database.Server s = which(database(w[1]), w[2]);
+                if (s != null) {
+                    say("deaf " + s.id);
+                    s.deaf = true;
+                    sim.after(ms, () -> s.deaf = false);
+                }
+                break;
+            }
+            case "primary_cut":
+                primaryCut(database(w[1]), w[2], ms);
+                break;
             case "kill":
             case "power":
-            case "wipe":
-                fresh = false;
-                if (w[1].startsWith("core-")) {
-                    control(w[1].substring(5), !w[0].equals("kill"), w[0].equals("wipe"), ms);
-                } else {
-                    front(w[1].substring(6), !w[0].equals("kill"), ms);
-                }
+                front(w[1].substring(6), w[0].equals("power"), ms);
                 break;
-            case "holder":
-                fresh = false;
-                for (Map.Entry<String, ControlMachine> c : controls.entrySet()) {
-                    if (c.getValue().machine.up && c.getValue().core.status().contains(" held ")) {
-                        control(c.getKey(), true, false, ms);
-                        break;
-                    }
-                }
+            case "freeze": {
+                FrontMachine f = fronts.get(w[1].substring(6));
+                say("freeze " + w[1] + " for " + ms);
+                f.machine.freeze(ms);
+                f.calmFrom = sim.millis() + ms;
                 break;
+            }
             case "cut":
                 cut(w[1], w[2], ms);
                 break;
@@ -545,9 +530,6 @@
                 }
                 break;
             }
-            case "configure":
-                configure();
-                break;
             case "platform":
                 platformDown = true;
                 sim.after(ms, () -> platformDown = false);
@@ -562,9 +544,11 @@
 
     /** Plays it; what happens was set by at() before. */
     public void play() {
-        controls.values().forEach(this::startControl);
-        fronts.values().forEach(this::startFront);
-        sim.after(300, this::configure);
+        controls.startAll();
+        fronts.values().forEach(f -> sim.after(sim.random.nextDouble() * 300, () -> startFront(f, true)));
+        sim.after(300, () -> orders.change(null, c -> { }));
+        configAudit.look();
+        lookAtFronts();
         sim.until(4_000);
         sessions.forEach(Client::start);
         sim.until(length);
@@ -572,27 +556,13 @@
         audit.close();
     }
 
-    /** The operator reads the newest back. */
+    /** The operator asks for the newest, over and over, at each. */
     private void readBack() {
-        long[] got = {-1};
-        for (ControlMachine c : controls.values()) {
-            operator.call("GET", c.machine.ip + ":" + CONTROL, "/Configuration.Read", new byte[0], Map.of(), 3_000).whenComplete((is, fault) -> {
-                if (fault == null && is.status() == 200) {
-                    try {
-                        got[0] = Math.max(got[0], Configuration.read(is.body()).version());
-                        if (Configuration.read(is.body()).version() < acknowledgedVersion) {
-                            audit.breach("CONFIG", c.machine.name + " reads back " + Configuration.read(is.body()).version());
-                        }
-                    } catch (Configuration.Invalid bad) {
-                        audit.breach("CONFIG", bad.getMessage());
-                    }
-                }
-            });
-        }
-        sim.until(length + 4_000);
-        if (got[0] < acknowledgedVersion) {
-            audit.breach("CONFIG", "read back " + got[0] + ", acknowledged " + acknowledgedVersion);
+        for (int i = 0; i < 8; i++) {
+            sim.after(i * 500L, () -> controls.all().forEach(c -> orders.read(c, 1_000)));
         }
+        sim.until(length + 6_000);
+        configAudit.close();
     }
 
     public void at(double seconds, String what) {
@@ -668,10 +638,13 @@
         return sim.told;
     }
 
+    public ControlCounts control() {
+        return new ControlCounts(audit, configAudit);
+    }
+
     /** The state of all processes, for whoever looks into a seed. */
     public List<String> status() {
-        List<String> all = new ArrayList<>();
-        controls.values().forEach(c -> all.add(c.machine.name + " " + c.core.status()));
+        List<String> all = controls.status();
         fronts.values().forEach(f -> all.add(f.machine.name + " " + f.front.status()));
         return all;
     }
--- /dev/null
+++ b/src/main/java/dillfront/lab/whole/Orders.java
@@ -0,0 +1,253 @@
+package dillfront.lab.whole;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import dillfront.host.Configuration;
+import dillfront.host.Host;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * The operators of a day. They pick among the control machines of a list that lags, go on after a failure, a 5xx, 408, 429 or
+ * a silence with a pause that grows, and send the same order again, to any process; up to eight are under way at once.
+ */
+final class Orders {
+
+    private static final int AT_ONCE = 8;
+    private static final long SILENCE_MS = 1_000;
+    private static final double ROUTE_MS = 3;
+    private static final long PAUSE_MS = 100;
+    private static final long MOST_PAUSE_MS = 800;
+    private static final Set<Integer> LAST = Set.of(400, 409, 412, 413, 422);
+    private static final Set<Integer> AGAIN = Set.of(307, 408, 429);
+
+    /** One change, or one of two under one number. */
+    final class Order {
+        final long number;
+        final byte[] body;
+        final long digest;
+        final int routes;
+        long sentAt = -1;
+        boolean acknowledged;
+        boolean refused;
+        /** No more is done for it. */
+        boolean over;
+        /** The other one under its number. */
+        Order rival;
+        private int tries;
+        private int others;
+        private ControlMachine first;
+        /** Told which process acknowledged it, once. */
+        private Consumer<ControlMachine> then = c -> { };
+
+        Order(long number, int variant) {
+            this.number = number;
+            routes = day.databases() * 3 + more;
+            body = body(number, variant);
+            digest = ConfigAudit.digest(body);
+        }
+
+        /** How long it may take where nothing is wrong. */
+        double bytesMs() {
+            return routes * ROUTE_MS;
+        }
+    }
+
+    private final Day day;
+    private final Sim sim;
+    private final Sim.Machine operator;
+    private final ArrayDeque<Order> queue = new ArrayDeque<>();
+    private int underWay;
+    private long number = 1;
+    /** Routes that make the configuration bigger. */
+    int more;
+    /** Each answer is lost on its way with this chance. */
+    double lost;
+    final List<Order> all = new ArrayList<>();
+
+    Orders(Day day, Sim.Machine operator) {
+        this.day = day;
+        this.sim = day.sim;
+        this.operator = operator;
+    }
+
+    private byte[] body(long of, int variant) {
+        JsonArray routes = Json.array().asArray();
+        JsonArray services = Json.array().asArray();
+        for (String name : day.databaseNames()) {
+            services.add(Json.object().add("name", name).add("connection_limit", 60).add("synchronous_replicas", 1));
+            for (String[] kind : new String[][] {{"primary", "primary"}, {"bounded", "bounded_staleness"}, {"own", "read_your_writes"}}) {
+                routes.add(Json.object().add("name", name + kind[0]).add("host_name", name + "-" + kind[0]).add("path_prefix", "/")
+                        .add("route_kind", kind[1]).add("timeout_ms", 1_000 + of % 1_000).add("target_latency_ms", 400 + variant).add("priority", 1)
+                        .add("service", name).add("max_attempts", 2).add("max_staleness_ms", kind[0].equals("bounded") ? 1_500 : 2_500));
+            }
+        }
+        for (int i = 0; i < more; i++) {
+            routes.add(Json.object().add("name", "more" + i).add("host_name", "more" + i).add("path_prefix", "/").add("route_kind", "primary")
+                    .add("timeout_ms", 1_000 + of % 1_000).add("target_latency_ms", 400).add("priority", 1).add("service", "db0"));
+        }
+        return Json.object().add("revision_number", of).add("routes", routes).add("services", services)
+                .add("limits", Json.object().add("transaction_idle_ms", 3_000)).toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The next number with a content of its own; sent to this one first, if one is given. */
+    Order change(ControlMachine first, Consumer<ControlMachine> then) {
+        Order o = new Order(number++, 0);
+        o.first = first;
+        o.then = then;
+        add(o);
+        return o;
+    }
+
+    private void add(Order o) {
+        all.add(o);
+        queue.add(o);
+        take();
+    }
+
+    /** Two operators, one number, two contents, to two processes at once. */
+    void race() {
+        Order one = new Order(number, 0);
+        Order two = new Order(number++, 1);
+        one.rival = two;
+        two.rival = one;
+        List<ControlMachine> to = day.controls.known();
+        int at = sim.random.nextInt(to.size());
+        one.first = to.get(at);
+        two.first = to.get((at + 1) % to.size());
+        add(one);
+        add(two);
+    }
+
+    private void take() {
+        while (underWay < AT_ONCE && !queue.isEmpty()) {
+            Order o = queue.poll();
+            underWay++;
+            o.sentAt = sim.millis();
+            day.configAudit.sent(o);
+            send(o);
+        }
+    }
+
+    private ControlMachine any() {
+        List<ControlMachine> list = day.controls.known();
+        return list.get(sim.random.nextInt(list.size()));
+    }
+
+    private void send(Order o) {
+        ControlMachine to = o.tries++ == 0 && o.first != null ? o.first : any();
+        long began = sim.millis();
+        long silence = SILENCE_MS + Math.round(o.bytesMs());
+        boolean unheard = lost > 0 && sim.random.nextDouble() < lost;
+        operator.call("POST", to.machine.ip + ":" + Controls.HTTP, "/Configuration.Replace", o.body, Map.of(), (int) silence)
+                .whenComplete((is, fault) -> {
+                    if (fault == null) {
+                        day.configAudit.answered(to, began, is.status());
+                    }
+                    if (fault == null && unheard) {
+                        sim.at((began + silence) * 1_000, () -> again(o));
+                    } else {
+                        heard(o, to, fault == null ? is.status() : 503);
+                    }
+                });
+    }
+
+    private void again(Order o) {
+        sim.after(Math.min(MOST_PAUSE_MS, PAUSE_MS << Math.min(6, o.tries)), () -> {
+            if (!o.over && !day.ended()) {
+                send(o);
+            }
+        });
+    }
+
+    private void heard(Order o, ControlMachine to, int status) {
+        if (status >= 200 && status < 300) {
+            boolean early = !o.acknowledged;
+            o.acknowledged = true;
+            day.configAudit.acknowledged(o, to);
+            end(o);
+            if (early) {
+                day.controls.acted(to.machine.name);
+                o.then.accept(to);
+                if (sim.random.nextDouble() < 0.15) {
+                    sim.after(100 + sim.random.nextInt(3_000), () -> repeat(o));
+                }
+            }
+        } else if (status >= 500 || AGAIN.contains(status)) {
+            again(o);
+        } else if (LAST.contains(status) || ++o.others >= 3) {
+            o.refused = true;
+            day.configAudit.refused(o, to, status);
+            end(o);
+        } else {
+            again(o);
+        }
+    }
+
+    private void end(Order o) {
+        if (!o.over) {
+            o.over = true;
+            underWay--;
+            take();
+        }
+    }
+
+    /** One that was acknowledged is sent again, to any process. */
+    void repeat(Order o) {
+        if (day.ended()) {
+            return;
+        }
+        ControlMachine to = any();
+        long began = sim.millis();
+        operator.call("POST", to.machine.ip + ":" + Controls.HTTP, "/Configuration.Replace", o.body, Map.of(),
+                (int) (SILENCE_MS + o.bytesMs())).whenComplete((is, fault) -> {
+                    if (fault != null) {
+                        return;
+                    }
+                    day.configAudit.answered(to, began, is.status());
+                    if (is.status() >= 400 && is.status() < 500 && !AGAIN.contains(is.status())) {
+                        day.configAudit.refused(o, to, is.status());
+                    } else if (is.status() == 200) {
+                        day.configAudit.acknowledged(o, to);
+                    }
+                });
+    }
+
+    /** An old one that was acknowledged, or any of the last, again. */
+    void repeatOld() {
+        List<Order> old = all.stream().filter(o -> o.acknowledged).toList();
+        if (!old.isEmpty()) {
+            repeat(old.get(sim.random.nextInt(old.size())));
+        }
+    }
+
+    /** Reads the configuration from any process, over and over. */
+    void reading(long gapMs) {
+        if (!day.ended()) {
+            read(any(), 1_000);
+            sim.after(gapMs * (0.5 + sim.random.nextDouble()), () -> reading(gapMs));
+        }
+    }
+
+    void read(ControlMachine from, int timeoutMs) {
+        ConfigAudit.Reading reading = day.configAudit.reads(from);
+        long began = sim.millis();
+        operator.call("GET", from.machine.ip + ":" + Controls.HTTP, "/Configuration.Read", new byte[0], Map.of(), timeoutMs)
+                .whenComplete((Host.Answer is, Throwable fault) -> {
+                    if (fault != null || is.status() != 200) {
+                        return;
+                    }
+                    day.configAudit.answered(from, began, is.status());
+                    try {
+                        day.configAudit.read(reading, Configuration.read(is.body()).version(), ConfigAudit.digest(is.body()));
+                    } catch (Configuration.Invalid bad) {
+                        day.audit.breach("CONFIG", bad.getMessage());
+                    }
+                });
+    }
+}
--- a/src/main/java/dillfront/lab/whole/Sim.java
+++ b/src/main/java/dillfront/lab/whole/Sim.java
@@ -2,14 +2,13 @@
 
 import dillfront.host.Host;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -29,7 +28,10 @@
     private long order;
     final SplittableRandom random;
     private final Map<String, Machine> listeners = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
+    /** How many cuts lie on the way from one to the other. */
+    private final Map<String, Integer> cuts = new HashMap<>();
+    /** Ends of connections on which something is held up. */
+    private final List<Line> stuck = new ArrayList<>();
     final List<Machine> machines = new ArrayList<>();
     /** What processes noted. */
     final List<String> told = new ArrayList<>();
@@ -64,17 +66,36 @@
         now = ms * 1_000;
     }
 
+    /** Both ways. */
     void cut(Machine a, Machine b, boolean is) {
-        String pair = a.name.compareTo(b.name) < 0 ? a.name + " " + b.name : b.name + " " + a.name;
+        cutWay(a, b, is);
+        cutWay(b, a, is);
+    }
+
+    /** What the one sends does not reach the other; what waited on open connections arrives once the last cut has ended. */
+    void cutWay(Machine from, Machine to, boolean is) {
+        String way = from.name + " " + to.name;
         if (is) {
-            cuts.add(pair);
-        } else {
-            cuts.remove(pair);
+            cuts.merge(way, 1, Integer::sum);
+        } else if (cuts.merge(way, -1, Integer::sum) <= 0) {
+            cuts.remove(way);
+            for (Line line : List.copyOf(stuck)) {
+                if (line.at == from && line.other.at == to) {
+                    stuck.remove(line);
+                    after(20 + random.nextDouble() * 300, line::release);
+                }
+            }
         }
     }
 
+    /** Whether what the one sends does not reach the other. */
+    boolean cutWay(Machine from, Machine to) {
+        return !cuts.isEmpty() && cuts.containsKey(from.name + " " + to.name);
+    }
+
+    /** Whether the way there or back is cut. */
     boolean cut(Machine a, Machine b) {
-        return !cuts.isEmpty() && cuts.contains(a.name.compareTo(b.name) < 0 ? a.name + " " + b.name : b.name + " " + a.name);
+        return cutWay(a, b) || cutWay(b, a);
     }
 
     /** One way, in milliseconds. */
@@ -101,12 +122,18 @@
         private final Map<Integer, Http> calls = new HashMap<>();
         private final List<Line> lines = new ArrayList<>();
         private final RandomGenerator chance;
+        /** The process is paused: what comes to it, and its timers, wait until it goes on. */
+        private boolean frozen;
+        private final List<Runnable> waiting = new ArrayList<>();
+        /** What its steady clock showed when the day began. */
+        private long zero;
 
         Machine(String name, String zone, String ip) {
             this.name = name;
             this.zone = zone;
             this.ip = ip;
             chance = random.split();
+            zero = chance.nextInt(1 << 24);
             listeners.put(ip, this);
             machines.add(this);
         }
@@ -124,26 +151,81 @@
             up = false;
             dark = power;
             life++;
+            frozen = false;
+            waiting.clear();
             doors.clear();
             calls.clear();
             List<Line> open = new ArrayList<>(lines);
             lines.clear();
             for (Line line : open) {
                 line.over = true;
-                if (!power) {
+                if (power) {
+                    line.held.clear();
+                } else {
                     line.hangUp();
                 }
             }
         }
 
         void up() {
+            if (dark) {
+                zero = chance.nextInt(1 << 24) - millis();
+            }
             up = true;
             dark = false;
         }
 
+        /** Something for its process: now, or once it goes on. */
+        void enter(Runnable run) {
+            if (frozen) {
+                waiting.add(run);
+            } else {
+                run.run();
+            }
+        }
+
+        boolean frozen() {
+            return frozen;
+        }
+
+        /** Paused for so long; the clock goes on. */
+        void freeze(double ms) {
+            if (!up || frozen) {
+                return;
+            }
+            frozen = true;
+            int mine = life;
+            Sim.this.after(ms, () -> {
+                if (life != mine) {
+                    return;
+                }
+                frozen = false;
+                List<Runnable> all = new ArrayList<>(waiting);
+                waiting.clear();
+                for (Runnable one : all) {
+                    if (life == mine) {
+                        enter(one);
+                    }
+                }
+            });
+        }
+
+        /** All its connections are reset. */
+        void reset() {
+            for (Line line : List.copyOf(lines)) {
+                line.held.clear();
+                Line far = line.other;
+                line.end("reset");
+                if (far != null) {
+                    far.held.clear();
+                    Sim.this.after(way(this, far.at), () -> far.end("reset"));
+                }
+            }
+        }
+
         @Override
         public long now() {
-            return millis();
+            return zero + millis();
         }
 
         @Override
@@ -151,8 +233,12 @@
             int mine = life;
             boolean[] off = new boolean[1];
             Sim.this.after(ms, () -> {
-                if (!off[0] && life == mine && up) {
-                    run.run();
+                if (life == mine && up) {
+                    enter(() -> {
+                        if (!off[0]) {
+                            run.run();
+                        }
+                    });
                 }
             });
             return () -> off[0] = true;
@@ -174,7 +260,7 @@
         }
 
         boolean reaches(Machine to) {
-            return up && !to.dark && !dark && !cut(this, to);
+            return up && !to.dark && !dark && !cutWay(this, to);
         }
 
         @Override
@@ -193,7 +279,7 @@
                 return near;
             }
             Sim.this.after(way(this, to), () -> {
-                if (!reaches(to) || near.over) {
+                if (!reaches(to) || cutWay(to, this) || near.over) {
                     return;
                 }
                 Function<Host, Ear> door = to.up ? to.doors.get(port) : null;
@@ -201,15 +287,22 @@
                     Sim.this.after(way(this, to), () -> near.end("refused"));
                     return;
                 }
-                Line far = new Line(to, form, door.apply(to));
+                Line far = new Line(to, form, null);
                 far.other = near;
                 to.lines.add(far);
-                far.ear.opened(far);
+                to.enter(() -> {
+                    far.ear = door.apply(to);
+                    far.ear.opened(far);
+                });
                 int mine = life;
                 Sim.this.after(way(this, to), () -> {
                     if (life == mine && !near.over) {
                         near.other = far;
-                        near.ear.opened(near);
+                        enter(() -> {
+                            if (!near.over) {
+                                near.ear.opened(near);
+                            }
+                        });
                     } else {
                         far.end("broken");
                     }
@@ -234,16 +327,17 @@
                 Sim.this.after(2 * way(this, to), () -> {
                     Http http = to.up && reaches(to) ? to.calls.get(port) : null;
                     if (http == null) {
-                        if (reaches(to)) {
+                        if (reaches(to) && !cutWay(to, this)) {
                             answer.completeExceptionally(new IllegalStateException("refused"));
                         }
                         return;
                     }
-                    http.call(method, path, body, headers).whenComplete((is, fault) -> Sim.this.after(way(this, to), () -> {
-                        if (reaches(to) && life == mine) {
-                            answer.complete(fault == null ? is : new Answer(503, new byte[0]));
+                    int its = to.life;
+                    to.enter(() -> http.call(method, path, body, headers).whenComplete((is, fault) -> Sim.this.after(way(this, to), () -> {
+                        if (its == to.life && to.reaches(this) && life == mine) {
+                            enter(() -> answer.complete(fault == null ? is : new Answer(503, new byte[0])));
                         }
-                    }));
+                    })));
                 });
             }
             return answer;
@@ -254,10 +348,12 @@
     final class Line implements Host.Link {
         final Machine at;
         final Host.Form form;
-        final Host.Ear ear;
+        private Host.Ear ear;
         Line other;
         boolean over;
         private long lastAt;
+        /** What a cut holds up, in order. */
+        private final ArrayDeque<Runnable> held = new ArrayDeque<>();
 
         Line(Machine at, Host.Form form, Host.Ear ear) {
             this.at = at;
@@ -266,11 +362,13 @@
         }
 
         void end(String why) {
-            if (!over) {
-                over = true;
-                at.lines.remove(this);
-                ear.closed(why);
-            }
+            at.enter(() -> {
+                if (!over) {
+                    over = true;
+                    at.lines.remove(this);
+                    ear.closed(why);
+                }
+            });
         }
 
         private void pass(Runnable run) {
@@ -280,12 +378,44 @@
             }
             lastAt = Math.max(lastAt, now + Math.round(way(at, far.at) * 1_000));
             Sim.this.at(lastAt, () -> {
-                if (!far.over && !far.at.dark && !cut(at, far.at)) {
-                    run.run();
+                if (far.at.dark) {
+                    return;
+                }
+                if (cutWay(at, far.at) || !held.isEmpty()) {
+                    if (!at.dark) {
+                        held.add(run);
+                        if (!stuck.contains(this)) {
+                            stuck.add(this);
+                        }
+                    }
+                } else {
+                    arrive(far, run);
                 }
             });
         }
 
+        /** Who has no such connection any more says so. */
+        private void arrive(Line far, Runnable run) {
+            if (!far.over) {
+                far.at.enter(run);
+            } else if (far.at.up && !over && !cutWay(far.at, at)) {
+                Sim.this.after(way(far.at, at), () -> end("reset"));
+            }
+        }
+
+        private void release() {
+            Line far = other;
+            while (!held.isEmpty() && !cutWay(at, far.at)) {
+                Runnable run = held.poll();
+                if (!far.at.dark) {
+                    arrive(far, run);
+                }
+            }
+            if (!held.isEmpty() && !stuck.contains(this)) {
+                stuck.add(this);
+            }
+        }
+
         @Override
         public void send(byte[] message) {
             if (over || other == null) {
@@ -293,7 +423,11 @@
             }
             Line far = other;
             if (form == Host.Form.FRAMES) {
-                pass(() -> far.ear.message(message));
+                pass(() -> {
+                    if (!far.over) {
+                        far.ear.message(message);
+                    }
+                });
                 return;
             }
             for (String line : new String(message, StandardCharsets.ISO_8859_1).split("\r\n", -1)) {
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -16,9 +16,9 @@
  * Plays each file under scenarios on simulated time: days with set troubles, no rule broken, and what is expected besides.
  *
  * <pre>
- *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS
+ *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   at SECONDS what happens, as Day.happen() has it
- *   expect served|promotions|promote_ms|config_ms|noted ...
+ *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
@@ -44,6 +44,10 @@
         }
     }
 
+    private static void within(List<Long> times, String most, String told) {
+        assertTrue(!times.isEmpty() && times.stream().allMatch(ms -> ms <= Long.parseLong(most)), times + "\n" + told);
+    }
+
     private static void play(Path file) throws IOException {
         Day day = null;
         List<String> lines = Files.readAllLines(file).stream().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
@@ -51,7 +55,8 @@
             String[] w = line.split("\\s+", 3);
             if (w[0].equals("day")) {
                 String[] n = line.split("\\s+");
-                day = new Day(Long.parseLong(n[1]), Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000);
+                day = new Day(Long.parseLong(n[1]), Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000,
+                        n.length > 6 ? Integer.parseInt(n[6]) : 3);
             } else if (w[0].equals("at")) {
                 day.at(Double.parseDouble(w[1]), w[2]);
             }
@@ -69,6 +74,12 @@
                 case "promotions" -> assertEquals(Integer.parseInt(w[2]), day.promotions(), told);
                 case "promote_ms" -> assertTrue(day.promoteMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.promoteMs() + "\n" + told);
                 case "config_ms" -> assertTrue(!day.configMs().isEmpty() && day.configMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.configMs() + "\n" + told);
+                case "losses" -> assertTrue(day.control().losses >= Long.parseLong(w[2]), day.control().losses + "\n" + told);
+                case "acknowledged" -> assertTrue(day.control().acknowledged >= Long.parseLong(w[2]), day.control().acknowledged + "\n" + told);
+                case "replaced" -> assertEquals(Long.parseLong(w[2]), day.control().replaced, told);
+                case "replace_ms" -> within(day.control().replaceMs, w[2], told);
+                case "behind" -> assertTrue(day.control().behindChanges >= Long.parseLong(w[2]), day.control().behindChanges + "\n" + told);
+                case "catch_up_ms" -> within(day.control().catchUpMs, w[2], told);
                 case "noted" -> assertTrue(day.told().stream().anyMatch(l -> l.contains(w[2])), told);
                 default -> throw new IllegalArgumentException(file + ": " + line);
             }
--- /dev/null
+++ b/src/test/java/dillfront/lab/whole/SimTest.java
@@ -0,0 +1,150 @@
+package dillfront.lab.whole;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillfront.host.Host;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** The simulated network, processes and disks do what the pages say of real ones. */
+class SimTest {
+
+    private final Sim sim = new Sim(1);
+    private final Sim.Machine a = sim.new Machine("a", "a", "10.0.0.1");
+    private final Sim.Machine b = sim.new Machine("b", "b", "10.0.0.2");
+    private final List<String> heard = new ArrayList<>();
+    private Host.Link link;
+    private Host.Link far;
+
+    private Host.Ear ear(String who) {
+        return new Host.Ear() {
+            @Override
+            public void opened(Host.Link opened) {
+                if (who.equals("a")) {
+                    link = opened;
+                } else {
+                    far = opened;
+                }
+            }
+
+            @Override
+            public void message(byte[] message) {
+                heard.add(who + " " + Sim.text(message));
+            }
+
+            @Override
+            public void closed(String why) {
+                heard.add(who + " closed");
+            }
+        };
+    }
+
+    private void connect() {
+        b.listen(1, h -> ear("b"));
+        a.dial("10.0.0.2:1", Host.Form.FRAMES, 500, ear("a"));
+        sim.until(100);
+    }
+
+    @Test
+    void whatACutHoldsUpArrivesAfterItInOrder() {
+        connect();
+        sim.cutWay(a, b, true);
+        link.send(Sim.bytes("one"));
+        link.send(Sim.bytes("two"));
+        link.close();
+        far.send(Sim.bytes("back"));
+        sim.until(1_000);
+        assertEquals(List.of(), heard);
+        sim.cutWay(a, b, false);
+        sim.until(2_000);
+        assertEquals(List.of("b one", "b two", "b closed"), heard);
+    }
+
+    @Test
+    void oneWayIsCutAndTheOtherIsNot() {
+        connect();
+        sim.cutWay(a, b, true);
+        far.send(Sim.bytes("back"));
+        sim.until(200);
+        assertEquals(List.of("a back"), heard);
+        sim.cut(a, b, true);
+        sim.cut(a, b, false);
+        link.send(Sim.bytes("one"));
+        sim.until(800);
+        assertEquals(List.of("a back"), heard);
+    }
+
+    @Test
+    void whatIsHeldUpIsLostWithThePowerOfItsSender() {
+        connect();
+        sim.cut(a, b, true);
+        link.send(Sim.bytes("one"));
+        sim.until(200);
+        a.down(true);
+        sim.cut(a, b, false);
+        sim.until(2_000);
+        assertEquals(List.of(), heard);
+    }
+
+    @Test
+    void aPausedProcessHearsAllOfItLaterAndItsClockHasGoneOn() {
+        connect();
+        long was = b.now();
+        b.freeze(1_000);
+        link.send(Sim.bytes("one"));
+        b.after(1, () -> heard.add("timer"));
+        sim.until(1_050);
+        assertEquals(List.of(), heard);
+        sim.until(1_200);
+        assertEquals(List.of("timer", "b one"), heard);
+        assertEquals(1_100, b.now() - was);
+    }
+
+    @Test
+    void aDiskKeepsWhatItAnsweredAndOfTheRestAFirstPart() {
+        int none = 0;
+        int some = 0;
+        for (int i = 0; i < 40; i++) {
+            Disk disk = new Disk(sim, a);
+            CompletableFuture<Void> one = disk.put(Map.of("one", "1", "gone", "1"));
+            sim.until(sim.millis() + 20);
+            assertTrue(one.isDone());
+            CompletableFuture<Void> two = disk.put(Map.of("two", "1", "gone", ""));
+            CompletableFuture<Void> three = disk.put(Map.of("three", "1"));
+            disk.cutShort();
+            sim.until(sim.millis() + 20);
+            assertFalse(two.isDone() || three.isDone());
+            Map<String, String> all = disk.all();
+            assertTrue(all.containsKey("one"));
+            assertTrue(all.containsKey("two") || !all.containsKey("three"));
+            assertTrue(all.containsKey("two") != all.containsKey("gone"));
+            none += all.containsKey("two") ? 0 : 1;
+            some += all.containsKey("three") ? 1 : 0;
+        }
+        assertTrue(none > 0 && some > 0, none + " " + some);
+    }
+
+    @Test
+    void aDiskInTroubleWaitsOrRefuses() {
+        Disk disk = new Disk(sim, a);
+        disk.stall(1_000);
+        CompletableFuture<Void> waits = disk.put(Map.of("one", "1"));
+        sim.until(900);
+        assertFalse(waits.isDone());
+        sim.until(1_100);
+        assertTrue(waits.isDone() && disk.all().containsKey("one"));
+        disk.refuse(true);
+        CompletableFuture<Void> refused = disk.put(Map.of("two", "1"));
+        sim.until(1_200);
+        assertTrue(refused.isCompletedExceptionally() && !disk.all().containsKey("two"));
+        disk.refuse(false);
+        CompletableFuture<Void> again = disk.put(Map.of("two", "1"));
+        sim.until(1_300);
+        assertTrue(again.isDone() && !again.isCompletedExceptionally());
+    }
+}
