--- a/src/main/java/dillfront/lab/whole/Disk.java
+++ b/src/main/java/dillfront/lab/whole/Disk.java
@@ -14,7 +14,7 @@
 
     private static final double SYNC_MS = 3;
 
-    private record Write(Map<String, String> texts, CompletableFuture<Void> done) { }
+    private record Write(Map<String, String> texts, long at, CompletableFuture<Void> done) { }
 
     private final Sim sim;
     private final Sim.Machine machine;
@@ -36,7 +36,7 @@
 
     @Override
     public CompletableFuture<Void> put(Map<String, String> texts) {
-        Write write = new Write(texts, new CompletableFuture<>());
+        Write write = new Write(texts, sim.millis(), new CompletableFuture<>());
         queue.add(write);
         if (queue.size() == 1) {
             begin();
@@ -44,6 +44,11 @@
         return write.done();
     }
 
+    @Override
+    public long stalledFor() {
+        return queue.isEmpty() ? 0 : sim.millis() - queue.peek().at();
+    }
+
     private void begin() {
         Write write = queue.peek();
         sim.after(SYNC_MS * slower * (0.7 + 0.6 * sim.random.nextDouble()), () -> finish(write));
--- a/src/main/java/dillfront/lab/whole/Orders.java
+++ b/src/main/java/dillfront/lab/whole/Orders.java
@@ -34,6 +34,8 @@
         final int routes;
         long sentAt = -1;
         boolean acknowledged;
+        /** It was acknowledged, though that may have been lost on its way. */
+        boolean taken;
         boolean refused;
         /** No more is done for it. */
         boolean over;
@@ -148,6 +150,7 @@
                 .whenComplete((is, fault) -> {
                     if (fault == null) {
                         day.configAudit.answered(to, began, is.status());
+                        o.taken |= is.status() == 200;
                     }
                     if (fault == null && unheard) {
                         sim.at((began + silence) * 1_000, () -> again(o));
