Values go between control processes as changes; silence counts from the first question

Each accepted value went whole to each member. Change: a timer per unanswered question; 2 s for one that was alone; register values as Delta against what the other has, else deflated.

--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -1,6 +1,8 @@
 package dillfront.core;
 
 import dillfront.host.Configuration;
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
 import dillfront.host.Pack;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -56,7 +58,7 @@
     private static final long STUCK_MS = 250;
     /** Who lacks a decided value is sent it by others than its proposer after so long; and again after this. */
     private static final long LACKS_MS = 300;
-    private static final long AGAIN_MS = 1_000;
+    private static final long AGAIN_MS = 350;
     private static final int MOST_ORDERS = 256;
 
     /** What another process said last; each field only ever rises. */
@@ -102,6 +104,9 @@
     /** What the sets are to become: the epoch that this is meant for, and the next members; null for the second step. */
     private Step step;
     private long stuckAt = -1;
+    /** The newest value that was told, as it went to those who have another; by the ballot of that. */
+    private Ballot rowsOf = Ballot.NONE;
+    private final TreeMap<Ballot, Map<String, Object>> rows = new TreeMap<>();
 
     public Register(Ground ground) {
         this.ground = ground;
@@ -242,10 +247,12 @@
         if (is != null && lacks(v, ballot, offers)) {
             long now = ground.now();
             if (!v.sent.equals(ballot) || now - v.sentAt > AGAIN_MS) {
+                // Against what it has, once; where that did not help, whole.
+                Value has = v.sent.equals(ballot) ? null : of(v.accepted);
+                out.put("vb", ballot.kept());
+                out.put("v", row(ballot, is, has == null ? Ballot.NONE : v.accepted, has));
                 v.sent = ballot;
                 v.sentAt = now;
-                out.put("vb", ballot.kept());
-                out.put("v", row(is));
             }
         }
         return out;
@@ -271,31 +278,59 @@
         return prepares || behind;
     }
 
-    private static Map<String, Object> row(Value of) {
-        Map<String, Object> row = new LinkedHashMap<>();
-        row.put("e", of.epoch());
-        row.put("m", Value.text(of.members()));
-        row.put("o", Value.text(of.outgoing()));
-        row.put("x", Value.text(of.dropped()));
-        row.put("c", of.configuration().body());
-        List<Object> past = new ArrayList<>();
-        of.past().forEach((version, digest) -> {
-            past.add(version);
-            past.add(digest);
+    /** How a value goes to whoever has that other one; what is made for one serves all. */
+    private Map<String, Object> row(Ballot ballot, Value of, Ballot than, Value other) {
+        if (!ballot.equals(rowsOf)) {
+            rowsOf = ballot;
+            rows.clear();
+        }
+        return rows.computeIfAbsent(than, t -> {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("e", of.epoch());
+            row.put("m", Value.text(of.members()));
+            row.put("o", Value.text(of.outgoing()));
+            row.put("x", Value.text(of.dropped()));
+            List<Object> past = new ArrayList<>();
+            of.past().forEach((version, digest) -> {
+                if (other == null || !other.past().containsKey(version)) {
+                    past.add(version);
+                    past.add(digest);
+                }
+            });
+            row.put("p", past);
+            if (other == null) {
+                row.put("cz", Deflate.of(of.configuration().body()));
+            } else {
+                row.put("b", than.kept());
+                if (of.configuration().version() != other.configuration().version()) {
+                    row.put("cx", Delta.of(other.configuration().body(), of.configuration().body()));
+                }
+            }
+            return row;
         });
-        row.put("p", past);
-        return row;
     }
 
-    private static Value value(Pack.Fields row) throws Configuration.Invalid {
-        byte[] body = row.bytes("c");
+    /** Null where it says what it is by another value that is not known here. */
+    private Value value(Pack.Fields row) throws Configuration.Invalid {
+        Value other = row.has("b") ? of(Ballot.of(row.text("b"))) : null;
+        if (row.has("b") && other == null) {
+            return null;
+        }
         TreeMap<Long, Long> past = new TreeMap<>();
         List<String> numbers = row.texts("p");
         for (int i = 0; i + 1 < numbers.size(); i += 2) {
             past.put(Long.parseLong(numbers.get(i)), Long.parseLong(numbers.get(i + 1)));
         }
+        Configuration configuration = other == null ? Configuration.NONE : other.configuration();
+        try {
+            byte[] body = row.has("cx") ? Delta.apply(configuration.body(), row.bytes("cx"))
+                    : other == null ? Deflate.back(row.bytes("cz"), Delta.MOST) : null;
+            configuration = body == null || body.length == 0 ? configuration : Configuration.read(body);
+        } catch (Delta.Bad | Deflate.Bad bad) {
+            return null;
+        }
         return new Value(row.number("e", 0), Value.ids(row.text("m")), Value.ids(row.text("o")), Value.ids(row.text("x")),
-                body == null || body.length == 0 ? Configuration.NONE : Configuration.read(body), past);
+                configuration, other == null ? past : other.pastWith(past));
     }
 
     /** A message of that process; an old one changes nothing. */
@@ -318,8 +353,9 @@
             if (row instanceof Map<?, ?> map) {
                 @SuppressWarnings("unchecked")
                 Map<String, Object> fields = (Map<String, Object>) map;
-                v.value = value(new Pack.Fields(fields));
-                v.valueBallot = ballot;
+                Value is = value(new Pack.Fields(fields));
+                v.value = is == null ? v.value : is;
+                v.valueBallot = is == null ? v.valueBallot : ballot;
             }
         }
         consider();
--- a/src/main/java/dillfront/core/Value.java
+++ b/src/main/java/dillfront/core/Value.java
@@ -3,13 +3,13 @@
 import dillfront.host.Configuration;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
-import java.util.zip.CRC32C;
 
 /**
  * What the register holds: the set of members and the configuration, one value.
@@ -42,9 +42,7 @@
     }
 
     static long digest(Configuration of) {
-        CRC32C crc = new CRC32C();
-        crc.update(of.body());
-        return crc.getValue();
+        return of.digest();
     }
 
     boolean joint() {
@@ -85,11 +83,7 @@
         if (past.containsKey(order.version())) {
             return this;
         }
-        TreeMap<Long, Long> next = new TreeMap<>(past);
-        next.put(order.version(), digest(order));
-        while (next.size() > MOST_PAST) {
-            next.pollFirstEntry();
-        }
+        SortedMap<Long, Long> next = pastWith(Map.of(order.version(), digest(order)));
         if (order.version() > configuration.version()) {
             return new Value(epoch, members, outgoing, dropped, order, next);
         }
@@ -97,6 +91,15 @@
         return next.containsKey(order.version()) ? new Value(epoch, members, outgoing, dropped, configuration, next) : this;
     }
 
+    SortedMap<Long, Long> pastWith(Map<Long, Long> more) {
+        TreeMap<Long, Long> next = new TreeMap<>(past);
+        next.putAll(more);
+        while (next.size() > MOST_PAST) {
+            next.pollFirstEntry();
+        }
+        return next;
+    }
+
     /** What this value, decided, says of an order. */
     public Outcome outcome(Configuration order) {
         Long digest = past.get(order.version());
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -25,9 +25,11 @@
     private static final int MOST_PAUSES = 4;
     /** A configuration that it cannot read is not asked for again sooner. */
     private static final long UNREAD_MS = 1_000;
-    /** A source that was left is not gone back to by choice for so long. */
+    /** A source that was left is not gone back to by choice for so long; less where it said itself that it hears no majority. */
     private static final long STAY_MS = 20_000;
+    private static final long ALONE_MS = 2_000;
     private static final int MOST_SOURCES = 16;
+    private static final String ALONE = "alone";
 
     /** Where a control process is said to be. */
     private record Place(String ip, boolean near, boolean silent) { }
@@ -37,7 +39,7 @@
     private final List<String> sources = new ArrayList<>();
     private List<Place> places = List.of();
     private String source = "-";
-    /** When a source was last left, for those that are listed. */
+    /** Until when a source that was left is not gone back to by choice, for those that are listed. */
     private final TreeMap<String, Long> left = new TreeMap<>();
     /** Sources left since one had news. */
     private int tries;
@@ -46,6 +48,8 @@
     private long asked;
     private long question;
     private Host.Timer silence;
+    /** A question was sent and nothing came since: silence counts from the first such, whatever is asked meanwhile. */
+    private boolean outstanding;
     private String boot = "";
     private long has;
     /** The digest of its configuration was told on this connection; what turns it into the newest did not fit. */
@@ -90,10 +94,10 @@
         left.keySet().retainAll(sources);
     }
 
-    /** When it was left, where that is not long ago. */
-    private long leftAt(String ip) {
-        long at = left.getOrDefault(ip, Long.MIN_VALUE);
-        return at != Long.MIN_VALUE && front.host.now() - at < STAY_MS ? at : Long.MIN_VALUE;
+    /** Until when it is not gone back to by choice, where that is still to come. */
+    private long leftUntil(String ip) {
+        long until = left.getOrDefault(ip, Long.MIN_VALUE);
+        return until > front.host.now() ? until : Long.MIN_VALUE;
     }
 
     private void dial() {
@@ -101,10 +105,10 @@
             front.host.after(PAUSE_MS, this::dial);
             return;
         }
-        // The first in the list that was not left of late; else the one that was left first.
+        // The first in the list that was not left of late; else the one whose time is over first.
         String ip = sources.get(0);
         for (String other : sources) {
-            ip = leftAt(other) < leftAt(ip) ? other : ip;
+            ip = leftUntil(other) < leftUntil(ip) ? other : ip;
         }
         source = ip;
         up = false;
@@ -148,7 +152,7 @@
         }
         front.host.note("news: left " + source + ", " + why);
         if (sources.contains(source)) {
-            left.put(source, front.host.now());
+            left.put(source, front.host.now() + (why.equals(ALONE) ? ALONE_MS : STAY_MS));
         }
         up = false;
         tries++;
@@ -160,6 +164,7 @@
     public void opened(Host.Link opened) {
         link = opened;
         up = true;
+        outstanding = false;
         digestTold = false;
         ask();
     }
@@ -207,7 +212,10 @@
             out.put("s", sights);
         }
         link.send(Pack.write(out));
-        watch(SILENT_MS);
+        if (!outstanding) {
+            outstanding = true;
+            watch(SILENT_MS);
+        }
     }
 
     /** What it sees of a primary has changed: worth a question now. */
@@ -226,7 +234,11 @@
             next("bad");
             return;
         }
-        long now = front.host.now();
+        if (in.number("q", -1) != question) {
+            watch(SILENT_MS);
+        } else {
+            outstanding = false;
+        }
         if (in.has("b")) {
             boolean whole = in.bit("w");
             boot = in.text("b");
@@ -274,7 +286,7 @@
             }
             if (in.bit("alone")) {
                 // It has lost the others: it may know less than they do.
-                next("alone");
+                next(ALONE);
                 return;
             }
             tries = 0;
@@ -302,7 +314,7 @@
             }
         }
         for (Place p : places) {
-            if (p.near() && !p.silent() && leftAt(p.ip()) == Long.MIN_VALUE) {
+            if (p.near() && !p.silent() && leftUntil(p.ip()) == Long.MIN_VALUE) {
                 return p.ip();
             }
         }
