Candidates for the lease of one moment no longer wait for each other for ever

Change: what was promised to oneself and is not held binds nobody else: whoever then promises another has let its own go first.

--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -68,7 +68,8 @@
         long now = core.host.now();
         if (number == promised && p.id.equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
-        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo))) {
+        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo) || promisedTo.equals(core.id()) && !holds())) {
+            // What was promised to oneself and came to nothing binds nobody else: candidates of one moment would wait for each other for ever.
             promise(number, p.id);
         }
     }
--- a/src/main/java/dillfront/lab/whole/Orders.java
+++ b/src/main/java/dillfront/lab/whole/Orders.java
@@ -44,6 +44,8 @@
         private int tries;
         private int others;
         private ControlMachine first;
+        /** Tried since it last began with all of them anew. */
+        private final List<ControlMachine> tried = new ArrayList<>();
         /** Told which process acknowledged it, once. */
         private Consumer<ControlMachine> then = c -> { };
 
@@ -141,8 +143,20 @@
         return list.get(sim.random.nextInt(list.size()));
     }
 
+    /** One that was not tried yet; anew once all were. */
+    private ControlMachine another(List<ControlMachine> tried) {
+        List<ControlMachine> left = new ArrayList<>(day.controls.known());
+        left.removeAll(tried);
+        if (left.isEmpty()) {
+            tried.clear();
+            return any();
+        }
+        return left.get(sim.random.nextInt(left.size()));
+    }
+
     private void send(Order o) {
-        ControlMachine to = o.tries++ == 0 && o.first != null ? o.first : any();
+        ControlMachine to = o.tries++ == 0 && o.first != null ? o.first : another(o.tried);
+        o.tried.add(to);
         long began = sim.millis();
         long silence = SILENCE_MS + Math.round(o.bytesMs());
         boolean unheard = lost > 0 && sim.random.nextDouble() < lost;
