The holder of the lease asks a new set at once

Cause: the lease counts under an epoch, so each change of the sets ended it, and its holder waited out a whole span (2.5 s) before it asked again, without anybody doing the duty. Change: where the epoch is another than the one it was held under, the next number is asked for at once; all others' promises to this process still stand, so nobody is passed over.

--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -26,6 +26,8 @@
     /** What it wants or holds itself; 0 for nothing. */
     private long mine;
     private long heldSince = -1;
+    /** The epoch under which it was held last. */
+    private long heldEpoch;
     private boolean writing;
     private long candidateAt;
     private boolean leaving;
@@ -130,6 +132,7 @@
         boolean unfit = leaving || core.stalledFor() > DISK_MS;
         if (holds() && !unfit) {
             heldSince = heldSince < 0 ? now : heldSince;
+            heldEpoch = core.epoch();
             promisedUntil = now + SPAN_MS;
             return;
         }
@@ -137,7 +140,8 @@
             // It ended: another number next time, so that whoever saw this one pass is not asked to take it again.
             heldSince = -1;
             mine = 0;
-            candidateAt = now + SPAN_MS;
+            // Another set is asked at once: nobody else may be promised anything before this one's time is over.
+            candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
         if (!core.votes() || core.alone() || writing || unfit) {
             candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
