--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -94,6 +94,10 @@
             if (fault == null) {
                 promised = number;
                 promisedTo = to;
+                if (!to.equals(core.id())) {
+                    // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
+                    mine = 0;
+                }
                 promisedUntil = core.host.now() + SPAN_MS;
                 core.poke();
             }
--- /dev/null
+++ b/src/main/java/dillfront/lab/ControlMeasure.java
@@ -0,0 +1,70 @@
+package dillfront.lab;
+
+import dillfront.lab.whole.ControlCounts;
+import dillfront.lab.whole.Day;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * The worst days of the control side in simulated time, and what became of the letter's five points. With an argument: one seed, told
+ * in full.
+ */
+public final class ControlMeasure {
+
+    private static final long PLAY_MS = 40_000;
+    private static final long BUDGET_MS = 30_000;
+    private static final int MOST_DAYS = 400;
+
+    private ControlMeasure() {}
+
+    /** The day of a seed: three, four or five control machines; not yet played. */
+    public static Day day(long seed) {
+        boolean busy = seed % 8 == 0;
+        Day day = new Day(seed, busy ? 2 : 1, busy ? 2 : 1, busy ? 9 : 3, PLAY_MS, seed % 5 < 3 ? 3 : seed % 5 == 3 ? 4 : 5);
+        day.worst();
+        return day;
+    }
+
+    public static void main(String[] args) {
+        if (args.length > 0) {
+            Day day = day(Long.parseLong(args[0]));
+            day.play();
+            day.story.forEach(System.out::println);
+            day.told().forEach(System.out::println);
+            day.status().forEach(System.out::println);
+            day.breaches().forEach(System.out::println);
+            System.out.println("served " + day.served() + " promotions " + day.promotions() + " promote_ms " + day.promoteMs());
+            return;
+        }
+        long from = System.nanoTime();
+        ControlCounts all = new ControlCounts();
+        int days = 0;
+        int broken = 0;
+        double served = 0;
+        for (long seed = 1; days < MOST_DAYS && (System.nanoTime() - from) / 1_000_000 < BUDGET_MS; seed++) {
+            Day day = day(seed);
+            day.play();
+            days++;
+            all.add(day.control());
+            served += day.served();
+            if (!day.breaches().isEmpty()) {
+                broken++;
+                System.out.println("seed " + seed + ": " + day.breaches().get(0) + (day.breaches().size() > 1 ? " and " + (day.breaches().size() - 1) + " more" : ""));
+            }
+        }
+        System.out.printf("days=%d broken=%d served=%.4f%n", days, broken, served / Math.max(1, days));
+        System.out.printf("control: losses=%d acknowledged=%d lost=%d back=%d two_under_one=%d refused_again=%d minority_answers=%d"
+                + " two_holders=%d fence_repeats=%d replaced=%d no_majority=%d replace_ms_p99=%d behind_changes=%d catch_up_ms_p99=%d"
+                + " wrong_caller=%d sent_twice=%d worlds=%d defences=%d defences_caught=%d%n", all.losses, all.acknowledged, all.lost, all.back,
+                all.twoUnderOne, all.refusedAgain, all.minorityAnswers, all.twoHolders, all.fenceRepeats, all.replaced, all.noMajority,
+                p99(all.replaceMs), all.behindChanges, p99(all.catchUpMs), all.wrongCaller, all.sentTwice, 0, 0, 0);
+    }
+
+    private static long p99(List<Long> of) {
+        if (of.isEmpty()) {
+            return 0;
+        }
+        Collections.sort(of);
+        return of.get(Math.min(of.size() - 1, of.size() * 99 / 100));
+    }
+}
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -421,6 +421,10 @@
     private void cut(String a, String b, long forMs) {
         Sim.Machine x = machine(a);
         Sim.Machine y = machine(b);
+        if (x == null || y == null) {
+            // It was replaced, and who comes for it is not there yet.
+            return;
+        }
         say("cut " + a + " " + b);
         sim.cut(x, y, true);
         controls.event();
@@ -437,7 +441,8 @@
 
     private Sim.Machine machine(String name) {
         if (name.startsWith("core") || name.equals("leader") || name.equals("seed") || name.equals("other")) {
-            return controls.of(name).machine;
+            ControlMachine c = controls.of(name);
+            return c == null ? null : c.machine;
         }
         return sim.machines.stream().filter(m -> m.name.equals(name)).findFirst().orElseThrow(() -> new IllegalArgumentException("no machine " + name));
     }
@@ -600,6 +605,11 @@
         at(from + 7, "configure");
     }
 
+    /** The worst days, by chance: all that may happen to control machines, one loss after the other, and much besides. */
+    public void worst() {
+        new WorstDay(this).plan();
+    }
+
     public List<String> breaches() {
         return audit.breaches;
     }
