Only a log that reaches all acknowledged commits is named; replicas are resumed for sure

Need: a leaving replica takes its log along, so the primary may hold the only copy of an acknowledged commit, and whoever was left was promoted without it. And one lost RESUME, or a PAUSE still on its way, left a replica paused for ever: with both so, no commit is answered again. The record says that replicas may be paused until each has answered that it receives. A draining primary hands over only once a replica that stays has its log. Members.succeeds no longer claims that a new server has the log of the one before. The simulated fleet: 'retire' (leaves, nobody comes), 'deaf', 'last'.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -1,5 +1,6 @@
 package dillfront.core;
 
+import dillfront.host.Acknowledged;
 import dillfront.host.Host;
 import dillfront.host.Pack;
 import java.util.ArrayList;
@@ -36,6 +37,8 @@
 
     private final Core core;
     private final TreeMap<String, Asker> fronts = new TreeMap<>();
+    /** By service: what any front ever told of acknowledged commits, here or at another control process. */
+    private final Map<String, Acknowledged> acknowledged = new HashMap<>();
 
     Askers(Core core) {
         this.core = core;
@@ -64,6 +67,7 @@
         for (Pack.Fields row : in.list("s")) {
             String service = row.text("s");
             long sees = row.number("h", 0);
+            acknowledged(service, Acknowledged.of(row.text("a")));
             a.sights.put(service, new Sight(row.text("p"), sees > 0 ? 1 : 0, sees < 0 ? 1 : 0,
                     (int) Math.max(0, Math.min(1 << 20, row.number("o", 0)))));
             lost -= sees < 0 ? 1 : 0;
@@ -170,6 +174,16 @@
         return all;
     }
 
+    Acknowledged acknowledged(String service) {
+        return acknowledged.getOrDefault(service, Acknowledged.NONE);
+    }
+
+    void acknowledged(String service, Acknowledged also) {
+        if (!also.equals(Acknowledged.NONE) && (acknowledged.size() < MOST || acknowledged.containsKey(service))) {
+            acknowledged.merge(service, also, Acknowledged::and);
+        }
+    }
+
     /** How many ask here. */
     int count() {
         long now = core.host.now();
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -1,5 +1,6 @@
 package dillfront.core;
 
+import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
 import dillfront.host.Host;
 import dillfront.host.HttpDoor;
@@ -421,7 +422,8 @@
             }
             Sight seen = askers.sight(lead.service(), lead.primary());
             if (seen.lost() > 0 || lead.moving()) {
-                sights.add(List.of(lead.service(), lead.primary(), seen.well(), seen.lost(), seen.open()));
+                sights.add(List.of(lead.service(), lead.primary(), seen.well(), seen.lost(), seen.open(),
+                        askers.acknowledged(lead.service()).toString()));
             }
         }
         if (!records.isEmpty()) {
@@ -510,9 +512,10 @@
         Object seen = in.all().get("s");
         if (seen instanceof List<?> list) {
             for (Object one : list) {
-                if (one instanceof List<?> row && row.size() == 5) {
+                if (one instanceof List<?> row && row.size() == 6) {
                     p.sights.put(String.valueOf(row.get(0)), new Sight(String.valueOf(row.get(1)),
                             ((Number) row.get(2)).intValue(), ((Number) row.get(3)).intValue(), ((Number) row.get(4)).intValue()));
+                    askers.acknowledged(String.valueOf(row.get(0)), Acknowledged.of(String.valueOf(row.get(5))));
                 }
             }
         }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -1,6 +1,8 @@
 package dillfront.core;
 
 import com.eclipsesource.json.Json;
+import dillfront.host.Acknowledged;
+import dillfront.host.Configuration;
 import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,8 +28,15 @@
     private static final long OPEN_MS = 900;
     /** A replica gets so long to receive what the old primary had last, before the longest log is taken as it is. */
     private static final long CATCH_UP_MS = 2_500;
-    /** A server that was silent for so long when its primary was still there holds nothing that others lack. */
+    /** A server that was silent for so long when its primary was still there is not waited for. */
     private static final long LONG_SILENT_MS = 10_000;
+    /** Where logs may lack a commit, they receive for so long before they are stopped and looked at again. */
+    private static final long RECEIVE_MS = 1_000;
+    /** Where it is not known whether they do, for so long altogether. */
+    private static final long UNSURE_MS = 4_000;
+    private static final long RESUME_MS = 500;
+    /** A word that was on its way when a service settled has arrived, or never does, once this is over. */
+    private static final long ON_ITS_WAY_MS = 3_500;
     private static final long NO_LEAD_MS = 4_000;
     private static final long LEAD_PROBE_MS = 350;
     /** A lease that ends sooner is no ground to begin a call on. */
@@ -40,6 +49,15 @@
         boolean probing;
         boolean calling;
         long refusedUntil;
+        /** Whether another could take over from one that drains is being asked, and when it was asked last. */
+        boolean comparing;
+        long comparedAt = Long.MIN_VALUE / 2;
+        /** Of the record under which replicas are resumed: those that have not answered yet. */
+        long resuming = -1;
+        long resumingFrom;
+        final TreeSet<String> paused = new TreeSet<>();
+        final TreeSet<String> asking = new TreeSet<>();
+        final Map<String, Long> askAgain = new TreeMap<>();
     }
 
     private enum Step { CLEAR, STOP, CHOOSE, NAME, WAIT }
@@ -58,6 +76,10 @@
         Position last;
         long steppedAt;
         boolean forced;
+        boolean paused;
+        /** Since when every log that is left lacks what may have been acknowledged; -1 while that is not so. */
+        long lacksFrom = -1;
+        long toldLackAt = Long.MIN_VALUE / 2;
         final Map<String, Question.Row> rows = new TreeMap<>();
         final TreeSet<String> asking = new TreeSet<>();
         final Map<String, Long> askAgain = new TreeMap<>();
@@ -73,6 +95,7 @@
             this.lead = lead;
             this.planned = planned;
             this.inherited = inherited;
+            paused = lead.paused() || inherited;
             this.since = since;
         }
     }
@@ -131,8 +154,13 @@
                 Lead lead = core.lead(service);
                 if (lead == null) {
                     begin(service);
-                } else if (watch(lead)) {
-                    suspected.add(service);
+                } else {
+                    if (lead.paused()) {
+                        resume(lead);
+                    }
+                    if (watch(lead)) {
+                        suspected.add(service);
+                    }
                 }
             }
         }
@@ -152,7 +180,7 @@
         List<Lead> all = new ArrayList<>();
         core.leads().forEach(all::add);
         for (Lead lead : all) {
-            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving());
+            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving(), lead.paused());
             core.lead(mine);
             if (lead.moving()) {
                 moves.put(lead.service(), new Move(mine, false, true, now()));
@@ -190,7 +218,7 @@
             return;
         }
         if (core.settings.first() && held == 1) {
-            core.lead(new Lead(service, number(), leads.id, false));
+            core.lead(new Lead(service, number(), leads.id, false, false));
             return;
         }
         w.calling = true;
@@ -200,7 +228,7 @@
             boolean unheard = fault != null && ++w.misses >= 2;
             if (settled() && core.lead(service) == null && (fault == null && status == 200 || unheard)) {
                 w.misses = 0;
-                core.lead(new Lead(service, number(), leads.id, false));
+                core.lead(new Lead(service, number(), leads.id, false, true));
             }
         });
     }
@@ -224,16 +252,15 @@
         Member says = leader(lead.service());
         if (says != null && !says.id.equals(lead.primary()) && (m == null || m.left() || !m.leads())) {
             // Promoted by a call of an earlier holder that arrived late: so it is.
-            core.lead(new Lead(lead.service(), number(), says.id, false));
+            core.lead(new Lead(lead.service(), number(), says.id, false, lead.paused()));
             return false;
         }
         if (m == null || m.left()) {
             move(lead, false);
             return false;
         }
-        if (m.draining() && candidate(lead)) {
-            move(lead, true);
-            return false;
+        if (m.draining()) {
+            handOver(lead, m);
         }
         Sight seen = seen(lead.service(), lead.primary());
         boolean quiet = silent(m);
@@ -283,20 +310,40 @@
         return all;
     }
 
-    private boolean candidate(Lead lead) {
+    /** One that drains leads on until another, which stays, has received all that it had when it was asked. */
+    private void handOver(Lead lead, Member from) {
+        Watch w = watchOf(lead.service());
+        List<Member> heirs = new ArrayList<>();
         for (Member m : core.members.of(lead.service())) {
             if (!m.id.equals(lead.primary()) && !m.draining() && now() - m.heard < 2 * core.settings.beat()) {
-                return true;
+                heirs.add(m);
             }
         }
-        return false;
+        if (heirs.isEmpty() || w.comparing || now() < w.comparedAt + PROBE_GAP_MS) {
+            return;
+        }
+        w.comparing = true;
+        Question.ask(core, from, PROBE_MS, null).whenComplete((has, fault) -> {
+            w.comparing = false;
+            w.comparedAt = now();
+            if (fault != null) {
+                return;
+            }
+            for (Member heir : heirs) {
+                Question.ask(core, heir, PROBE_MS, null).whenComplete((row, none) -> {
+                    if (none == null && row.position().covers(has.position()) && settled() && core.lead(lead.service()) == lead) {
+                        move(lead, true);
+                    }
+                });
+            }
+        });
     }
 
     // ---- a service that moves
 
     private void move(Lead lead, boolean planned) {
         watchOf(lead.service()).misses = 0;
-        Lead moving = new Lead(lead.service(), number(), lead.primary(), true);
+        Lead moving = new Lead(lead.service(), number(), lead.primary(), true, lead.paused());
         core.lead(moving);
         moves.put(lead.service(), new Move(moving, planned, false, now()));
         if (planned) {
@@ -449,6 +496,9 @@
                 }
             });
         }
+        if (now() < m.again) {
+            return;
+        }
         boolean all = true;
         int replicas = 0;
         for (Member r : core.members.of(m.lead.service())) {
@@ -464,14 +514,19 @@
                 continue;
             }
             all = false;
-            ask(m, r, AGAIN_MS, row -> "PAUSE " + row.next(), row -> {
+            m.paused = true;
+            ask(m, r, AGAIN_MS, row -> moves.get(m.lead.service()) == m && mayAct() ? "PAUSE " + row.next() : null, row -> {
                 if (row.leads()) {
                     settle(m, r.id);
-                } else {
+                } else if (row.held() != 0) {
                     m.rows.put(r.id, row);
                 }
             });
         }
+        if (m.stepped && from != null && !from.left() && !silent(from) && !m.rows.containsKey(from.id)) {
+            // It runs, and has all.
+            all = false;
+        }
         if (all && replicas > 0 && !m.rows.isEmpty()) {
             m.step = Step.CHOOSE;
         }
@@ -507,12 +562,92 @@
         done(m, id);
     }
 
-    private void resume(Move m, String but) {
+    private static String resumes(Question.Row row) {
+        return row.held() != 0 ? "RESUME" : null;
+    }
+
+    /**
+     * Each replica is told at once, and again until it has said that it receives when no PAUSE can be on its way any more; before
+     * that is recorded, the next holder goes on with it.
+     */
+    private void resume(Lead lead) {
+        Watch w = watchOf(lead.service());
+        if (w.resuming != lead.number()) {
+            w.resuming = lead.number();
+            w.resumingFrom = now();
+            w.askAgain.clear();
+            w.paused.clear();
+            core.members.of(lead.service()).forEach(r -> w.paused.add(r.id));
+            w.paused.remove(lead.primary());
+        }
+        w.paused.removeIf(id -> core.members.get(id) == null || core.members.get(id).left());
+        if (w.paused.isEmpty()) {
+            core.lead(new Lead(lead.service(), number(), lead.primary(), false, false));
+            return;
+        }
+        for (String id : w.paused) {
+            Member r = core.members.get(id);
+            if (w.asking.contains(id) || now() < w.askAgain.getOrDefault(id, 0L) || silent(r)) {
+                continue;
+            }
+            w.asking.add(id);
+            long asked = now();
+            long last = w.resumingFrom + ON_ITS_WAY_MS;
+            Question.ask(core, r, 2 * PROBE_MS, Duty::resumes).whenComplete((row, fault) -> {
+                w.asking.remove(id);
+                boolean receives = fault == null && row.held() == 0;
+                w.askAgain.put(id, receives ? Math.max(last, now()) : now() + RESUME_MS);
+                if (receives && asked >= last && w.resuming == lead.number()) {
+                    w.paused.remove(id);
+                }
+            });
+        }
+    }
+
+    /**
+     * No log that is left is known to hold all that was acknowledged: they receive for a while, in case the old primary
+     * reaches them though nobody here reaches it; then they are stopped and looked at again.
+     */
+    private void lacks(Move m, Position furthest, Acknowledged known) {
+        if (now() - m.toldLackAt > LONG_SILENT_MS) {
+            m.toldLackAt = now();
+            core.host.wrong("move " + m.lead.service() + ": the longest log that is left ends at " + furthest + " and lacks what was"
+                    + " acknowledged, " + known + "; waiting for " + m.lead.primary() + " or another that has it");
+        }
         for (Member r : core.members.of(m.lead.service())) {
-            if (!r.id.equals(but)) {
-                Question.ask(core, r, 2 * PROBE_MS, row -> row.held() != 0 ? "RESUME" : null);
+            Question.ask(core, r, PROBE_MS, Duty::resumes);
+        }
+        m.rows.clear();
+        m.step = Step.STOP;
+        m.forced = true;
+        m.again = now() + RECEIVE_MS;
+    }
+
+    /** Whether this log may be named: it lacks no acknowledged commit that any front in touch, or gone since, knows of. */
+    private boolean holdsAll(Move m, Position furthest, Acknowledged known) {
+        Configuration.Service is = core.register.committed().services().get(m.lead.service());
+        if (is != null && is.synchronous() == 0) {
+            return true;
+        }
+        if (!furthest.covers(known.least())) {
+            return false;
+        }
+        if (furthest.covers(known.most()) || m.last == null && !misses(m)) {
+            return true;
+        }
+        m.lacksFrom = m.lacksFrom < 0 ? now() : m.lacksFrom;
+        return now() > m.lacksFrom + UNSURE_MS;
+    }
+
+    /** Whether a replica that counted for commits a moment before the primary was lost is not among those that were asked. */
+    private boolean misses(Move m) {
+        for (Member r : core.members.all()) {
+            if (r.service.equals(m.lead.service()) && !r.id.equals(m.lead.primary()) && !m.rows.containsKey(r.id)
+                    && (!r.left() || m.since - r.heard < 3 * core.settings.beat())) {
+                return true;
             }
         }
+        return false;
     }
 
     private void choose(Move m, Member from) {
@@ -538,6 +673,15 @@
                 best = null;
             }
         }
+        Acknowledged known = core.askers.acknowledged(m.lead.service());
+        if (m.last != null) {
+            known = known.and(new Acknowledged(Position.NONE, m.last));
+        }
+        if (best != null && !holdsAll(m, furthest, known)) {
+            m.refused.clear();
+            lacks(m, furthest, known);
+            return;
+        }
         if (best == null) {
             m.refused.clear();
             m.rows.clear();
@@ -598,8 +742,11 @@
         }
         moves.remove(m.lead.service());
         core.host.note("lead " + m.lead.service() + " " + primary + " after " + (now() - m.since) + " ms");
-        core.lead(new Lead(m.lead.service(), number(), primary, false));
+        Lead leads = new Lead(m.lead.service(), number(), primary, false, m.paused);
+        core.lead(leads);
         core.poke();
-        resume(m, primary);
+        if (m.paused) {
+            resume(leads);
+        }
     }
 }
--- a/src/main/java/dillfront/core/Lead.java
+++ b/src/main/java/dillfront/core/Lead.java
@@ -9,8 +9,9 @@
  *
  * @param number rises with each record; that of a later holder is above all of an earlier one
  * @param moving nobody is to be asked as the primary until the next record
+ * @param paused replicas may not receive: whoever holds the duty resumes them
  */
-record Lead(String service, long number, String primary, boolean moving) {
+record Lead(String service, long number, String primary, boolean moving, boolean paused) {
 
     Map<String, Object> row() {
         Map<String, Object> row = new LinkedHashMap<>();
@@ -18,19 +19,24 @@
         row.put("k", number);
         row.put("p", primary);
         row.put("m", moving);
+        if (paused) {
+            row.put("h", true);
+        }
         return row;
     }
 
     static Lead of(Pack.Fields row) {
-        return new Lead(row.text("s"), row.number("k", 0), row.text("p"), row.bit("m"));
+        return new Lead(row.text("s"), row.number("k", 0), row.text("p"), row.bit("m"), row.bit("h"));
     }
 
     String kept() {
-        return number + "\n" + primary + "\n" + moving;
+        return number + "\n" + primary + "\n" + moving + "\n" + paused;
     }
 
     static Lead kept(String service, String text) {
         String[] part = text.split("\n", -1);
-        return part.length == 3 ? new Lead(service, Long.parseLong(part[0]), part[1], Boolean.parseBoolean(part[2])) : null;
+        // Texts before this one wrote three parts.
+        return part.length < 3 ? null : new Lead(service, Long.parseLong(part[0]), part[1], Boolean.parseBoolean(part[2]),
+                part.length == 3 || Boolean.parseBoolean(part[3]));
     }
 }
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -103,8 +103,9 @@
     }
 
     /**
-     * A new server has this one's address, and with it the log of whichever of the same service had it before: that one is
-     * gone. Only a server's own call says so, never hearsay, which may be late.
+     * A new server has this one's address: whichever of the same service had it before is gone. That the new one has its log
+     * is not said; one that left took it along, and the new one copies. Only a server's own call says so, never hearsay, which
+     * may be late.
      */
     boolean succeeds(Member fresh) {
         boolean any = false;
--- a/src/main/java/dillfront/front/Connection.java
+++ b/src/main/java/dillfront/front/Connection.java
@@ -166,6 +166,7 @@
                 char state = rest.isEmpty() ? '?' : rest.charAt(0);
                 int gap = rest.indexOf(' ');
                 Position position = gap < 0 ? null : Position.of(rest.substring(gap + 1));
+                server.seen = Position.later(server.seen, position);
                 if (!started) {
                     started = true;
                     server.dialing--;
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -145,12 +145,13 @@
         for (Service s : front.services()) {
             Server lead = s.servers.get(s.primary);
             int sees = lead == null ? 0 : lead.sight();
-            if (sees < 0 || s.moving || suspects.contains(s.name)) {
+            if (sees < 0 || s.moving || suspects.contains(s.name) || s.loses()) {
                 Map<String, Object> row = new LinkedHashMap<>();
                 row.put("s", s.name);
                 row.put("o", s.openAtPrimary);
                 row.put("p", s.primary);
                 row.put("h", sees);
+                row.put("a", s.acknowledged.toString());
                 sights.add(row);
             }
         }
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -1,6 +1,7 @@
 package dillfront.front;
 
 import dillfront.host.Host;
+import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -45,6 +46,8 @@
     boolean leads;
     /** It took a write, or said that it leads, and has denied it since by no answer. */
     boolean proven;
+    /** How far its log was at the least, by any of its answers. */
+    Position seen;
     final List<Connection> idle = new ArrayList<>();
     final List<Connection> all = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
--- a/src/main/java/dillfront/front/Service.java
+++ b/src/main/java/dillfront/front/Service.java
@@ -1,5 +1,6 @@
 package dillfront.front;
 
+import dillfront.host.Acknowledged;
 import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +23,8 @@
     double spill = SPILL_BURST;
     /** Transactions that are open at the primary. */
     int openAtPrimary;
+    /** Of the commits whose answers came here. */
+    Acknowledged acknowledged = Acknowledged.NONE;
     private final List<Runnable> waiting = new ArrayList<>();
 
     private static final double SPILL_BURST = 4;
@@ -135,6 +138,16 @@
         return other;
     }
 
+    /** A replica leaves and takes its log along: what was acknowledged is told meanwhile. */
+    boolean loses() {
+        for (Server s : servers.values()) {
+            if (s.draining) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Runs once something has changed that whoever waits should look at. */
     void await(Runnable again) {
         waiting.add(again);
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -1,5 +1,6 @@
 package dillfront.front;
 
+import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
 import dillfront.host.Configuration.Kind;
 import dillfront.host.Configuration.Route;
@@ -560,6 +561,7 @@
     private void send(Job of, Service service, Server server, Connection on, Position need) {
         of.on = on;
         long sent = front.host.now();
+        Position before = server.seen;
         boolean after = !of.writes && of.route.kind() != Kind.PRIMARY && need != null;
         String line = (after ? "AFTER " + need + " " : "") + line(of);
         on.ask(values, of.shape, of.id, line, (rows, stamp, code, text, state, position) -> {
@@ -567,6 +569,9 @@
             if (code == null) {
                 server.fresh();
                 boolean sure = service.sure(server);
+                if (of.writes) {
+                    service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
+                }
                 if (of.writes || sure) {
                     server.proven |= of.writes;
                     service.floors.led(position, sent);
@@ -850,9 +855,13 @@
         of.ran = true;
         of.wrote = wrote;
         long sent = front.host.now();
+        Position before = on.server.seen;
         // Values may have been set within the transaction; what would need a RESET cannot come here.
         on.ask(values, asked.shape, asked.id, line(asked), (rows, stamp, code, text, state, position) -> {
             asked.on = null;
+            if (code == null && commit && wrote) {
+                service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
+            }
             if (asked.over || over || txn != of) {
                 return;
             }
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -105,6 +105,8 @@
         final String address;
         boolean leads;
         boolean draining;
+        /** It runs and answers, and receives nothing of the log. */
+        boolean deaf;
         long term = 1;
         long held;
         /** What was received, and how much of it is applied. */
@@ -150,7 +152,7 @@
 
         /** Gets what the leader has, over the network, and applies it later. */
         void follow(Server leader) {
-            if (held != 0 || !machine.up || leads || !leader.leads || sim.cut(machine, leader.machine)) {
+            if (held != 0 || deaf || !machine.up || leads || !leader.leads || sim.cut(machine, leader.machine)) {
                 return;
             }
             boolean got = false;
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -335,7 +335,8 @@
         if (which.equals("primary")) {
             return leader;
         }
-        return db.servers.stream().filter(s -> s != leader && s.machine.up).findFirst().orElse(null);
+        List<Database.Server> replicas = db.servers.stream().filter(s -> s != leader && s.machine.up).toList();
+        return replicas.isEmpty() ? null : replicas.get(which.equals("last") ? replicas.size() - 1 : 0);
     }
 
     /** A server is down for a while; dark, or with its connections reset. */
@@ -377,7 +378,7 @@
         return same;
     }
 
-    /** Its log goes to a new server of another id, which starts first. */
+    /** A new server of another id starts first, empty, and receives; the one that leaves takes its log along. */
     private void release(Database db, Database.Server s) {
         if (s == null) {
             return;
@@ -385,6 +386,16 @@
         say("release " + s.id);
         int port = Integer.parseInt(s.address.substring(s.address.indexOf(':') + 1));
         Database.Server next = server(db, s.machine.zone, 100 + ++replaced, port);
+        say("new " + next.id);
+        leave(db, s);
+    }
+
+    /** It drains, receiving and counting to its end, and takes its log along. */
+    private void leave(Database db, Database.Server s) {
+        if (s == null) {
+            return;
+        }
+        say("leave " + s.id);
         sim.after(1_500, () -> {
             s.draining = true;
             beat(db, s, false, 0);
@@ -403,7 +414,6 @@
                 });
             });
         });
-        say("new " + next.id);
     }
 
     private void control(String zone, boolean power, boolean wipe, long forMs) {
@@ -496,6 +506,20 @@
                 release(db, which(db, w[2]));
                 break;
             }
+            case "retire": {
+                Database db = database(w[1]);
+                leave(db, which(db, w[2]));
+                break;
+            }
+            case "deaf": {
+                Database.Server s = which(database(w[1]), w[2]);
+                if (s != null) {
+                    say("deaf " + s.id);
+                    s.deaf = true;
+                    sim.after(ms, () -> s.deaf = false);
+                }
+                break;
+            }
             case "lag":
                 database(w[1]).lagMs = 8 * Double.parseDouble(w[2]);
                 sim.after(ms, () -> database(w[1]).lagMs = 8);
@@ -668,6 +692,11 @@
         return sim.told;
     }
 
+    /** Servers that were told to stop receiving and never to go on. */
+    public List<String> paused() {
+        return databases.values().stream().flatMap(db -> db.servers.stream()).filter(s -> s.machine.up && s.held != 0).map(s -> s.id).toList();
+    }
+
     /** The state of all processes, for whoever looks into a seed. */
     public List<String> status() {
         List<String> all = new ArrayList<>();
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -44,6 +44,37 @@
         }
     }
 
+    /** The primary is back while its replicas are stopped, and whoever holds the duty goes at any moment of that. */
+    @Test
+    void replicasReceiveAgainWhoeverHolds() {
+        replicasReceiveAgain("holder for 4");
+    }
+
+    /** The same, and one of the replicas is out of the holder's reach from any moment on. */
+    @Test
+    void replicasReceiveAgainOnceTheyAreReached() {
+        replicasReceiveAgain("cut core-a db0-c2 for 3");
+    }
+
+    private static void replicasReceiveAgain(String also) {
+        Day calm = primaryIsBack(15_000, "configure");
+        long leads = calm.told().stream().filter(l -> l.contains(" lead db0 ")).mapToLong(l -> Long.parseLong(l.split(" ")[0])).max().orElseThrow();
+        for (long at = leads - 400; at < leads + 60; at += 8) {
+            Day day = primaryIsBack(at, also);
+            String told = also + " at " + at + "\n" + String.join("\n", day.story) + "\n" + String.join("\n", day.told());
+            assertEquals(List.of(), day.breaches(), told);
+            assertEquals(List.of(), day.paused(), told);
+        }
+    }
+
+    private static Day primaryIsBack(long ms, String also) {
+        Day day = new Day(31, 1, 1, 6, 21_000);
+        day.at(8, "dark db0 primary for 0.9");
+        day.at(ms / 1e3, also);
+        day.play();
+        return day;
+    }
+
     private static void play(Path file) throws IOException {
         Day day = null;
         List<String> lines = Files.readAllLines(file).stream().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
