Shelf: a failed change of names loses nothing, a damaged file stays damaged

Reading found: where the sync of the folder failed as the file was written anew, later records carried a number twice and were taken for damage; a damaged file was found so in one life alone, for what could be read of it was written as a whole new file before anybody acted on it; a spoilt first record counted as a torn tail; a text above 64 KB was written with a wrong length; a folder that was made was not synced into the one above it. Change: names are synced by a call of their own, after a failed one the next put writes all anew, a failed rewriting does not fail the put before it; Keep takes nothing over from a damaged file; too long a text is refused before anything is written. Tests: MemoryTest's disk now loses names too, and fails at any call with its work done or not; the check of names that are synced is stricter than the contract it had.

--- a/src/main/java/dillfront/memory/Disk.java
+++ b/src/main/java/dillfront/memory/Disk.java
@@ -23,11 +23,14 @@
 
     void cut(String name, long length) throws IOException;
 
-    /** In the place of whatever had that name; once it returns, it is so also after a loss of power. */
+    /** In the place of whatever had that name. After a loss of power it is either so or not, until the names are synced. */
     void rename(String from, String to) throws IOException;
 
     void delete(String name) throws IOException;
 
+    /** All files have the names that they have now also after a loss of power. */
+    void syncNames() throws IOException;
+
     @Override
     void close();
 
@@ -47,7 +50,15 @@
         /** @throws Shelf.Held where another process has it */
         Folder(Path folder) throws IOException, Shelf.Held {
             this.folder = folder;
+            Path there = folder.toAbsolutePath();
+            while (!Files.exists(there)) {
+                there = there.getParent();
+            }
             Files.createDirectories(folder);
+            // A folder that was made is a name in the one above it.
+            for (Path made = folder.toAbsolutePath(); !made.equals(there); made = made.getParent()) {
+                syncNames(made.getParent());
+            }
             lock = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             FileLock held;
             try {
@@ -114,7 +125,15 @@
         public void rename(String from, String to) throws IOException {
             shut();
             Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+        }
+
+        @Override
+        public void syncNames() throws IOException {
+            syncNames(folder);
+        }
+
+        private static void syncNames(Path of) throws IOException {
+            try (FileChannel names = FileChannel.open(of, StandardOpenOption.READ)) {
                 names.force(true);
             }
         }
--- a/src/main/java/dillfront/memory/Keep.java
+++ b/src/main/java/dillfront/memory/Keep.java
@@ -32,13 +32,13 @@
 
     static Keep on(Disk disk, String where, String owner) throws Broken {
         try {
-            return new Keep(Shelf.open(disk, where, owner));
+            return new Keep(Shelf.open(disk, where, owner, true));
         } catch (Shelf.Broken bad) {
             throw new Broken(bad.getMessage());
         }
     }
 
-    /** More than the last record was damaged: what was kept may be gone, so nothing of it is to be relied on. */
+    /** More than the last record was damaged: what was kept may be gone, so nothing of it was taken over, and the folder begins anew. */
     public boolean damaged() {
         return shelf.isAside();
     }
@@ -47,7 +47,12 @@
         return shelf.all();
     }
 
-    /** Returns once it is on the disk; an empty text takes its name out. */
+    /**
+     * Returns once it is on the disk; an empty text takes its name out.
+     *
+     * @throws Broken where it may be there or not; what was kept before stays, and the next put tries the disk again
+     * @throws IllegalArgumentException where a name or a text has more than 65,535 bytes in UTF-8
+     */
     public void put(Map<String, String> texts) throws Broken {
         try {
             shelf.put(texts, Map.of());
--- a/src/main/java/dillfront/memory/Shelf.java
+++ b/src/main/java/dillfront/memory/Shelf.java
@@ -57,6 +57,8 @@
     /** The file may be so many times as long as what is in it, or so long, before it is written anew. */
     private static final int TIMES = 4;
     private static final int LEAST = 1 << 16;
+    /** Bytes of a name, and of a text: its length has two of them. */
+    static final int LONGEST = 0xffff;
 
     private final Disk disk;
     private final String where;
@@ -69,7 +71,11 @@
     private String cut;
     private boolean aside;
     /** A write failed: what is behind the good part is not known. */
-    private boolean doubtful;
+    private boolean tailDoubtful;
+    /** A change of names failed: which file has the name, and which will have it after a loss of power, is not known. */
+    private boolean namesDoubtful;
+    /** Where it could not be written anew, that is tried again at this length. */
+    private long dueAt;
 
     private Shelf(Disk disk, String where) {
         this.disk = disk;
@@ -84,16 +90,21 @@
      * @throws Broken where the file is another router's or of a format that this program does not know, or cannot be read
      */
     static Shelf open(Disk disk, String where, String owner) throws Broken {
+        return open(disk, where, owner, false);
+    }
+
+    /** @param whole of a file of which more than a torn tail is wrong nothing is taken over, in no later life either */
+    static Shelf open(Disk disk, String where, String owner, boolean whole) throws Broken {
         Shelf shelf = new Shelf(disk, where);
         try {
-            shelf.read(owner);
+            shelf.read(owner, whole);
         } catch (IOException bad) {
             throw new Broken(shelf.where + ": " + said(bad));
         }
         return shelf;
     }
 
-    private void read(String owner) throws IOException, Broken {
+    private void read(String owner, boolean whole) throws IOException, Broken {
         disk.delete(NEXT);
         byte[] all = disk.read(FILE);
         if (all == null) {
@@ -119,18 +130,25 @@
         }
         if (good < all.length) {
             String fault = "of " + all.length + " bytes, those from " + good + " on are no record";
-            if (more(all, good)) {
+            if (good == at || more(all, good)) {
                 // Not the tail alone: something that was kept is lost, so the rest is kept for whoever looks into it.
                 aside(all, fault);
             } else {
                 cut = fault;
             }
+        } else if (good == at) {
+            aside(all, "no record");
+        }
+        if (aside && whole) {
+            texts.clear();
+            numbers.clear();
+            texts.put(OWNER, owner);
         }
         if (good == at || good < all.length) {
             anew();
         } else {
             length = good;
-            live = size();
+            live = HEAD.length + BEFORE_BODY + size(texts, numbers);
         }
     }
 
@@ -232,87 +250,130 @@
     }
 
     /**
-     * All of it or nothing is there after a loss of power.
+     * All of it or nothing is there after a loss of power. Where it fails, all or nothing of it may be there; what was kept before
+     * stays.
      *
      * @param named an empty text takes its name out
      * @param numbered null takes its key out
+     * @throws IllegalArgumentException where a name or a text is longer than the form can hold; nothing is written then
      */
     void put(Map<String, String> named, Map<Long, Long> numbered) throws Broken {
+        int size = size(named, numbered);
         try {
-            if (doubtful) {
-                // A disk that is full gets back what is no longer needed, by this put too: as a whole new file.
+            if (tailDoubtful) {
                 disk.cut(FILE, length);
-                Map<String, String> texts = new HashMap<>(this.texts);
-                Map<Long, Long> numbers = new HashMap<>(this.numbers);
+                tailDoubtful = false;
+                // A disk that is full gets back what is no longer needed, by this put too: as a whole new file.
+                anewWith(named, numbered);
+            } else if (namesDoubtful) {
+                anewWith(named, numbered);
+            } else {
+                tailDoubtful = true;
+                disk.append(FILE, record(record + 1, size, named, numbered));
+                disk.sync(FILE);
+                tailDoubtful = false;
+                record++;
+                length += BEFORE_BODY + size;
                 named.forEach(this::put);
                 numbered.forEach(this::put);
-                try {
-                    anew();
-                    doubtful = false;
-                    return;
-                } finally {
-                    if (doubtful) {
-                        this.texts.clear();
-                        this.texts.putAll(texts);
-                        this.numbers.clear();
-                        this.numbers.putAll(numbers);
-                    }
-                }
-            }
-            ByteBuffer bytes = record(record + 1, named, numbered);
-            int size = bytes.remaining();
-            doubtful = true;
-            disk.append(FILE, bytes);
-            disk.sync(FILE);
-            doubtful = false;
-            record++;
-            length += size;
-            named.forEach(this::put);
-            numbered.forEach(this::put);
-            if (length > Math.max(LEAST, TIMES * live)) {
-                live = size();
-                if (length > Math.max(LEAST, TIMES * live)) {
-                    anew();
-                }
+                grown();
             }
         } catch (IOException bad) {
             throw new Broken(where + ": " + said(bad));
         }
     }
 
-    /** All that is here into a new file, which then takes the place of the former. */
+    /** Writes the file anew where it has grown long; if that fails, what was put is on the disk all the same. */
+    private void grown() {
+        if (length <= Math.max(dueAt, Math.max(LEAST, TIMES * live))) {
+            return;
+        }
+        live = HEAD.length + BEFORE_BODY + size(texts, numbers);
+        if (length > Math.max(LEAST, TIMES * live)) {
+            try {
+                anew();
+            } catch (IOException later) {
+                dueAt = length + Math.max(LEAST, live);
+            }
+        }
+    }
+
+    /** All that is here, and this, as a new file. */
+    private void anewWith(Map<String, String> named, Map<Long, Long> numbered) throws IOException {
+        Map<String, String> texts = new HashMap<>(this.texts);
+        Map<Long, Long> numbers = new HashMap<>(this.numbers);
+        named.forEach(this::put);
+        numbered.forEach(this::put);
+        boolean there = false;
+        try {
+            anew();
+            there = true;
+        } finally {
+            if (!there) {
+                tailDoubtful |= !namesDoubtful;
+                this.texts.clear();
+                this.texts.putAll(texts);
+                this.numbers.clear();
+                this.numbers.putAll(numbers);
+            }
+        }
+    }
+
+    /**
+     * All that is here into a new file, which then takes the place of the former. Until the folder is synced either may be there
+     * after a loss of power, so nothing is put into the new one before.
+     */
     private void anew() throws IOException {
         disk.delete(NEXT);
-        ByteBuffer all = record(record + 1, texts, numbers);
-        int size = HEAD.length + all.remaining();
+        int body = size(texts, numbers);
         disk.append(NEXT, ByteBuffer.wrap(HEAD));
-        disk.append(NEXT, all);
+        disk.append(NEXT, record(record + 1, body, texts, numbers));
         disk.sync(NEXT);
+        namesDoubtful = true;
         disk.rename(NEXT, FILE);
         record++;
-        length = size;
-        live = size;
+        length = HEAD.length + BEFORE_BODY + body;
+        live = length;
+        dueAt = 0;
+        disk.syncNames();
+        namesDoubtful = false;
     }
 
-    private int size() {
-        return HEAD.length + record(0, texts, numbers).remaining();
+    /** Bytes of the body of a record with these. */
+    private static int size(Map<String, String> named, Map<Long, Long> numbered) {
+        long size = LEAST_BODY + 17L * numbered.size();
+        for (Map.Entry<String, String> one : named.entrySet()) {
+            size += 4 + size(one.getKey()) + size(one.getValue());
+        }
+        return Math.toIntExact(size);
     }
 
-    private static ByteBuffer record(long number, Map<String, String> named, Map<Long, Long> numbered) {
-        int size = LEAST_BODY + numbered.size() * 17;
-        byte[][] parts = new byte[2 * named.size()][];
-        int at = 0;
-        for (Map.Entry<String, String> one : named.entrySet()) {
-            parts[at++] = one.getKey().getBytes(StandardCharsets.UTF_8);
-            parts[at++] = one.getValue().getBytes(StandardCharsets.UTF_8);
+    /** Bytes of a text in UTF-8. */
+    private static int size(String text) {
+        int size = text.length();
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c >= 0x80) {
+                // Each half of a pair counts for two; one that stands alone is written as '?'.
+                boolean pair = Character.isHighSurrogate(c) && i + 1 < text.length() && Character.isLowSurrogate(text.charAt(i + 1));
+                size += pair ? 2 : Character.isSurrogate(c) ? 0 : c < 0x800 ? 1 : 2;
+                i += pair ? 1 : 0;
+            }
         }
-        for (byte[] part : parts) {
-            size += 2 + part.length;
+        if (size > LONGEST) {
+            throw new IllegalArgumentException("a text of " + size + " bytes, and at most " + LONGEST + " are kept under a name");
         }
+        return size;
+    }
+
+    private static ByteBuffer record(long number, int size, Map<String, String> named, Map<Long, Long> numbered) {
         ByteBuffer out = ByteBuffer.allocate(BEFORE_BODY + size);
         out.putInt(size).putInt(0).putLong(number).putInt(named.size());
-        for (byte[] part : parts) {
-            out.putShort((short) part.length).put(part);
+        for (Map.Entry<String, String> one : named.entrySet()) {
+            for (String text : new String[] {one.getKey(), one.getValue()}) {
+                byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+                out.putShort((short) bytes.length).put(bytes);
+            }
         }
         out.putInt(numbered.size());
         numbered.forEach((key, is) -> out.putLong(key).put((byte) (is == null ? 0 : 1)).putLong(is == null ? 0 : is));
--- a/src/test/java/dillfront/memory/MemoryTest.java
+++ b/src/test/java/dillfront/memory/MemoryTest.java
@@ -35,19 +35,39 @@
     private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
     private final Log log = new Log(new PrintStream(lines, true));
 
-    /** A disk in the test's hands: of what was written since the last sync any sector may be lost. */
+    /**
+     * A disk in the test's hands: of what was written since the last sync any sector may be lost, and of names that were made,
+     * changed or removed since the last sync of the folder any by itself. A call may fail, with what it was to do done or not.
+     */
     private static final class Lossy implements Disk {
 
         private final Map<String, byte[]> files = new TreeMap<>();
         private final Map<String, Integer> synced = new HashMap<>();
+        /** What else may be found under a name after a loss of power; null for no file. */
+        private final Map<String, List<byte[]>> former = new TreeMap<>();
         private Runnable each = () -> { };
         /** So many bytes may be written from now on. */
         private long room = Long.MAX_VALUE;
+        /** How many calls go well before one fails; and whether that one did its work all the same. */
+        private int fine = Integer.MAX_VALUE;
+        private boolean done;
+        private long written;
 
         Lossy(Map<String, byte[]> files) {
             this.files.putAll(files);
         }
 
+        /** Whether this call is to do its work; it ends with failed() in any case. */
+        private boolean works() {
+            return --fine != 0 || done;
+        }
+
+        private void failed() throws IOException {
+            if (fine == 0) {
+                throw new IOException("Input/output error");
+            }
+        }
+
         @Override
         public byte[] read(String name) {
             return files.get(name);
@@ -55,45 +75,82 @@
 
         @Override
         public void append(String name, ByteBuffer bytes) throws IOException {
-            byte[] before = files.getOrDefault(name, new byte[0]);
-            int fits = (int) Math.min(bytes.remaining(), room);
-            byte[] after = Arrays.copyOf(before, before.length + fits);
-            bytes.get(after, before.length, fits);
-            files.put(name, after);
-            synced.putIfAbsent(name, before.length);
-            room -= fits;
-            each.run();
+            if (works()) {
+                byte[] before = files.get(name);
+                if (before == null) {
+                    named(name);
+                    before = new byte[0];
+                }
+                int fits = (int) Math.min(bytes.remaining(), room);
+                byte[] after = Arrays.copyOf(before, before.length + fits);
+                bytes.get(after, before.length, fits);
+                files.put(name, after);
+                synced.putIfAbsent(name, before.length);
+                room -= fits;
+                written += fits;
+                each.run();
+            }
+            failed();
             if (bytes.hasRemaining()) {
                 throw new IOException("No space left on device");
             }
         }
 
         @Override
-        public void sync(String name) {
-            synced.remove(name);
+        public void sync(String name) throws IOException {
+            if (works()) {
+                synced.remove(name);
+            }
             each.run();
+            failed();
         }
 
         @Override
-        public void cut(String name, long length) {
-            files.put(name, Arrays.copyOf(files.get(name), (int) length));
-            synced.remove(name);
+        public void cut(String name, long length) throws IOException {
+            if (works() && files.get(name).length > length) {
+                files.put(name, Arrays.copyOf(files.get(name), (int) length));
+                synced.remove(name);
+            }
             each.run();
+            failed();
         }
 
         @Override
-        public void rename(String from, String to) {
+        public void rename(String from, String to) throws IOException {
             assertTrue(!synced.containsKey(from), "renamed before it was synced");
             each.run();
-            files.put(to, files.remove(from));
-            synced.remove(to);
+            if (works()) {
+                named(from);
+                named(to);
+                files.put(to, files.remove(from));
+                synced.remove(to);
+            }
             each.run();
+            failed();
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            if (works() && files.containsKey(name)) {
+                named(name);
+                files.remove(name);
+                synced.remove(name);
+            }
+            failed();
         }
 
         @Override
-        public void delete(String name) {
-            files.remove(name);
-            synced.remove(name);
+        public void syncNames() throws IOException {
+            if (works()) {
+                former.clear();
+            }
+            each.run();
+            failed();
+        }
+
+        /** This name is about to be another file's, or nobody's. */
+        private void named(String name) {
+            former.computeIfAbsent(name, n -> new ArrayList<>()).add(files.get(name));
         }
 
         @Override
@@ -101,28 +158,53 @@
 
         /** What may be found after a loss of power now; all of it where there is little, else by chance. */
         List<Map<String, byte[]>> after(SplittableRandom chance) {
-            List<Map<String, byte[]>> all = new ArrayList<>(List.of(new TreeMap<>(files)));
-            synced.forEach((name, from) -> {
-                byte[] now = files.get(name);
-                int first = from / SECTOR;
-                int sectors = (now.length + SECTOR - 1) / SECTOR - first;
-                for (int subset = 0; subset < 1 << Math.min(sectors, 5); subset++) {
-                    byte[] disk = now.clone();
-                    int end = 0;
-                    for (int k = 0; k < sectors; k++) {
-                        boolean there = sectors <= 5 ? (subset >> k & 1) != 0 : chance.nextBoolean();
-                        int at = Math.max(from, (first + k) * SECTOR);
-                        int to = Math.min(now.length, (first + k + 1) * SECTOR);
-                        if (!there) {
-                            Arrays.fill(disk, at, to, (byte) 0);
+            List<Map<String, byte[]>> all = new ArrayList<>();
+            for (Map<String, byte[]> names : names()) {
+                all.add(names);
+                synced.forEach((name, from) -> {
+                    byte[] now = files.get(name);
+                    if (names.get(name) != now) {
+                        return;
+                    }
+                    int first = from / SECTOR;
+                    int sectors = (now.length + SECTOR - 1) / SECTOR - first;
+                    for (int subset = 0; subset < 1 << Math.min(sectors, 5); subset++) {
+                        byte[] disk = now.clone();
+                        int end = 0;
+                        for (int k = 0; k < sectors; k++) {
+                            boolean there = sectors <= 5 ? (subset >> k & 1) != 0 : chance.nextBoolean();
+                            int at = Math.max(from, (first + k) * SECTOR);
+                            int to = Math.min(now.length, (first + k + 1) * SECTOR);
+                            if (!there) {
+                                Arrays.fill(disk, at, to, (byte) 0);
+                            }
+                            end = there ? to : end;
+                        }
+                        // Zeros to the end, or a length that was not written either.
+                        for (byte[] one : List.of(disk, Arrays.copyOf(disk, Math.max(from, end)))) {
+                            Map<String, byte[]> found = new TreeMap<>(names);
+                            found.put(name, one);
+                            all.add(found);
                         }
-                        end = there ? to : end;
                     }
-                    // Zeros to the end, or a length that was not written either.
-                    for (byte[] one : List.of(disk, Arrays.copyOf(disk, Math.max(from, end)))) {
-                        Map<String, byte[]> found = new TreeMap<>(files);
-                        found.put(name, one);
-                        all.add(found);
+                });
+            }
+            return all;
+        }
+
+        /** Every way in which the names may be found, each by itself as it is or as it was. */
+        private List<Map<String, byte[]>> names() {
+            List<Map<String, byte[]>> all = new ArrayList<>(List.of(new TreeMap<>(files)));
+            former.forEach((name, was) -> {
+                for (Map<String, byte[]> one : new ArrayList<>(all)) {
+                    for (byte[] file : was) {
+                        Map<String, byte[]> other = new TreeMap<>(one);
+                        if (file == null) {
+                            other.remove(name);
+                        } else {
+                            other.put(name, file);
+                        }
+                        all.add(other);
                     }
                 }
             });
@@ -203,6 +285,127 @@
         }
     }
 
+    /**
+     * Any one call of the disk fails, with its work done or not, at any moment of many puts, and the disk works again. Whatever
+     * moment power goes at, the next life finds all that was said to be kept, with or without what was not, and never a file that
+     * is called damaged.
+     */
+    @Test
+    void anyCallOfTheDiskMayFailOnce() throws Exception {
+        int[] failed = new int[1];
+        int[] looked = new int[1];
+        for (int call = 1; call <= 130; call++) {
+            for (boolean done : new boolean[] {false, true}) {
+                SplittableRandom chance = new SplittableRandom(call);
+                Lossy disk = new Lossy(Map.of());
+                Shelf shelf = Shelf.open(disk, "m", "r1");
+                List<String> may = new ArrayList<>();
+                int now = call;
+                disk.each = () -> {
+                    // Where nothing has failed, or that is long ago, the test above has looked.
+                    for (Map<String, byte[]> files : disk.fine > 2 || disk.fine < -8 ? List.<Map<String, byte[]>>of() : disk.after(chance)) {
+                        looked[0]++;
+                        try {
+                            Shelf again = Shelf.open(new Lossy(files), "m", "r1");
+                            assertTrue(may.contains(state(again)), "call " + now + " " + done + ": " + state(again).length() + " of " + may.size());
+                            assertTrue(!again.isAside(), "call " + now + " " + done + ": " + again.fault());
+                        } catch (Shelf.Broken bad) {
+                            throw new AssertionError("call " + now, bad);
+                        }
+                    }
+                };
+                disk.fine = call;
+                disk.done = done;
+                Map<String, String> is = new TreeMap<>();
+                may.add(is + " {}");
+                for (int i = 0; i < 40; i++) {
+                    // Large texts, so that the file is written anew now and then.
+                    Map<String, String> put = Map.of("s-" + i % 3, i + "x".repeat(chance.nextInt(12_000)), "n", "" + i);
+                    Map<String, String> next = new TreeMap<>(is);
+                    next.putAll(put);
+                    may.add(next + " {}");
+                    try {
+                        shelf.put(put, Map.of());
+                        is = next;
+                        may.clear();
+                        may.add(is + " {}");
+                        assertEquals(is + " {}", state(shelf));
+                    } catch (Shelf.Broken bad) {
+                        failed[0]++;
+                        assertEquals(is + " {}", state(shelf));
+                    }
+                }
+                assertTrue(may.contains(state(Shelf.open(new Lossy(disk.files), "m", "r1"))), "call " + call + " " + done);
+            }
+        }
+        assertTrue(failed[0] > 100, failed[0] + " puts failed");
+        assertTrue(looked[0] > 4_000, "looked at " + looked[0] + " disks");
+    }
+
+    /** Of a damaged file a process relies on nothing, in no later life either, wherever it ended while it found that out. */
+    @Test
+    void ofADamagedFileNothingIsReliedOn() throws Exception {
+        Lossy disk = new Lossy(Map.of());
+        Keep keep = Keep.on(disk, "m", "r1");
+        for (int i = 0; i < 8; i++) {
+            keep.put(Map.of("s-" + i, "promised " + i));
+        }
+        byte[] good = disk.files.get(Shelf.FILE);
+        SplittableRandom chance = new SplittableRandom(9);
+        int damaged = 0;
+        for (int at = 25; at < good.length - 60; at++) {
+            byte[] bad = good.clone();
+            bad[at] ^= 0x10;
+            Lossy next = new Lossy(Map.of(Shelf.FILE, bad));
+            next.each = () -> next.after(chance).forEach(files -> {
+                try {
+                    Keep again = Keep.on(new Lossy(files), "m", "r1");
+                    assertEquals(Map.of(), again.all());
+                } catch (Keep.Broken broken) {
+                    throw new AssertionError(broken);
+                }
+            });
+            Keep found = Keep.on(next, "m", "r1");
+            assertTrue(found.damaged(), "at " + at);
+            assertEquals(Map.of(), found.all());
+            next.each = () -> { };
+            found.put(Map.of("id", "another"));
+            Keep later = Keep.on(new Lossy(next.files), "m", "r1");
+            assertTrue(!later.damaged());
+            assertEquals(Map.of("id", "another"), later.all());
+            damaged++;
+        }
+        assertTrue(damaged > 100, damaged + " places");
+        // A first record that is torn or spoilt: it was synced before the file had its name, so it is no torn tail either.
+        Lossy fresh = new Lossy(Map.of());
+        Keep.on(fresh, "m", "r1");
+        byte[] first = fresh.files.get(Shelf.FILE);
+        for (int at = 19; at < first.length; at++) {
+            byte[] bad = first.clone();
+            bad[at] ^= 0x10;
+            assertTrue(Keep.on(new Lossy(Map.of(Shelf.FILE, bad)), "m", "r1").damaged(), "at " + at);
+            assertTrue(Keep.on(new Lossy(Map.of(Shelf.FILE, Arrays.copyOf(first, at))), "m", "r1").damaged(), "cut at " + at);
+        }
+        // A file of its head alone: its first record was synced with it, so it is not a torn tail.
+        Keep head = Keep.on(new Lossy(Map.of(Shelf.FILE, Arrays.copyOf(good, 19))), "m", "r1");
+        assertTrue(head.damaged());
+        Keep none = Keep.on(new Lossy(Map.of(Shelf.FILE, new byte[0])), "m", "r1");
+        assertTrue(none.damaged());
+    }
+
+    /** A text that the form cannot hold is refused, and leaves what was kept as it was. */
+    @Test
+    void aTextThatIsTooLongIsRefused() throws Exception {
+        Lossy disk = new Lossy(Map.of());
+        Keep keep = Keep.on(disk, "m", "r1");
+        String longest = "é".repeat(32_767) + "x";
+        keep.put(Map.of("a", longest));
+        assertThrows(IllegalArgumentException.class, () -> keep.put(Map.of("b", "1", "a", longest + "x")));
+        assertThrows(IllegalArgumentException.class, () -> keep.put(Map.of(longest + "x", "1")));
+        keep.put(Map.of("c", "2"));
+        assertEquals(Map.of("a", longest, "c", "2"), Keep.on(new Lossy(disk.files), "m", "r1").all());
+    }
+
     /** A byte that goes bad: what was before it holds, the file as it was is set aside; a bad tail alone is cut. */
     @Test
     void whatIsSpoiltIsFoundAndWhatWasBeforeItHolds() throws Exception {
