core.Durable: what the disk refused is tried again, and gets there

Change: between Core and its Store, texts of a refused put wait and go again, after 0.1 to 2 s and with the next put, the newest of each name; whoever put is told once it is there, in order. What comes while a write is under way goes together in the next; what is on the disk already is not written again. stalledFor() says how long the oldest has waited, by which the lease steps back.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -99,7 +99,7 @@
     public Core(Host host, Settings settings, Store store) {
         this.host = host;
         this.settings = settings;
-        this.store = store;
+        this.store = new Durable(host, store);
         boot = Long.toHexString(host.chance().nextLong());
         register = new Register(this);
         lease = new Lease(this);
--- a/src/main/java/dillfront/core/Store.java
+++ b/src/main/java/dillfront/core/Store.java
@@ -6,6 +6,9 @@
 /** The disk of a control process: texts under names. */
 public interface Store {
 
+    /** A text has at most so many letters; a disk may hold it in two bytes of length, with up to three a letter. */
+    int LONGEST = 0xffff / 3;
+
     /** What was there at the start. */
     Map<String, String> all();
 
--- a/src/main/java/dillfront/programs/ControlPlane.java
+++ b/src/main/java/dillfront/programs/ControlPlane.java
@@ -32,7 +32,7 @@
                 try {
                     keep.put(texts);
                     host.loop().execute(() -> done.complete(null));
-                } catch (Keep.Broken bad) {
+                } catch (Keep.Broken | IllegalArgumentException bad) {
                     host.loop().execute(() -> {
                         log.warn("disk", "fault", bad.getMessage());
                         done.completeExceptionally(bad);
