--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -26,6 +26,8 @@
     /** What it wants or holds itself; 0 for nothing. */
     private long mine;
     private long heldSince = -1;
+    /** The epoch under which it was held last. */
+    private long heldEpoch;
     private boolean writing;
     private long candidateAt;
     private boolean leaving;
@@ -68,7 +70,8 @@
         long now = core.host.now();
         if (number == promised && p.id.equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
-        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo))) {
+        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo) || promisedTo.equals(core.id()) && !holds())) {
+            // What was promised to oneself and came to nothing binds nobody else: candidates of one moment would wait for each other for ever.
             promise(number, p.id);
         }
     }
@@ -91,6 +94,10 @@
             if (fault == null) {
                 promised = number;
                 promisedTo = to;
+                if (!to.equals(core.id())) {
+                    // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
+                    mine = 0;
+                }
                 promisedUntil = core.host.now() + SPAN_MS;
                 core.poke();
             }
@@ -102,7 +109,8 @@
         if (mine == 0 || promised != mine || !promisedTo.equals(core.id()) || !core.votes()) {
             return -1;
         }
-        return core.reached(core.host.now(), p -> p.promised == mine && p.promisedTo.equals(core.id()) && p.epoch >= core.epoch()
+        // Whoever promised is bound for the whole span, also where the set has changed since.
+        return core.reached(core.host.now(), p -> p.promised == mine && p.promisedTo.equals(core.id())
                 ? p.echo : Long.MIN_VALUE / 2) + SPAN_MS - EARLY_MS;
     }
 
@@ -129,6 +137,7 @@
         boolean unfit = leaving || core.stalledFor() > DISK_MS;
         if (holds() && !unfit) {
             heldSince = heldSince < 0 ? now : heldSince;
+            heldEpoch = core.epoch();
             promisedUntil = now + SPAN_MS;
             return;
         }
@@ -136,7 +145,8 @@
             // It ended: another number next time, so that whoever saw this one pass is not asked to take it again.
             heldSince = -1;
             mine = 0;
-            candidateAt = now + SPAN_MS;
+            // Another set is asked at once: nobody else may be promised anything before this one's time is over.
+            candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
         if (!core.votes() || core.alone() || writing || unfit) {
             candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -25,9 +25,11 @@
     private static final int MOST_PAUSES = 4;
     /** A configuration that it cannot read is not asked for again sooner. */
     private static final long UNREAD_MS = 1_000;
-    /** A source that was left is not gone back to by choice for so long. */
+    /** A source that was left is not gone back to by choice for so long; less where it said itself that it hears no majority. */
     private static final long STAY_MS = 20_000;
+    private static final long ALONE_MS = 2_000;
     private static final int MOST_SOURCES = 16;
+    private static final String ALONE = "alone";
 
     /** Where a control process is said to be. */
     private record Place(String ip, boolean near, boolean silent) { }
@@ -37,8 +39,11 @@
     private final List<String> sources = new ArrayList<>();
     private List<Place> places = List.of();
     private String source = "-";
-    /** When a source was last left, for those that are listed. */
-    private final TreeMap<String, Long> left = new TreeMap<>();
+    /** Of a source that was left: when, and until when it is not gone back to by choice. */
+    private record Left(long at, long until) { }
+
+    /** For those that are listed. */
+    private final TreeMap<String, Left> left = new TreeMap<>();
     /** Sources left since one had news. */
     private int tries;
     private Host.Link link;
@@ -46,6 +51,8 @@
     private long asked;
     private long question;
     private Host.Timer silence;
+    /** A question was sent and nothing came since: silence counts from the first such, whatever is asked meanwhile. */
+    private boolean outstanding;
     private String boot = "";
     private long has;
     /** The digest of its configuration was told on this connection; what turns it into the newest did not fit. */
@@ -90,10 +97,10 @@
         left.keySet().retainAll(sources);
     }
 
-    /** When it was left, where that is not long ago. */
+    /** When it was left, where it is not to be gone back to by choice yet. */
     private long leftAt(String ip) {
-        long at = left.getOrDefault(ip, Long.MIN_VALUE);
-        return at != Long.MIN_VALUE && front.host.now() - at < STAY_MS ? at : Long.MIN_VALUE;
+        Left is = left.get(ip);
+        return is != null && is.until() > front.host.now() ? is.at() : Long.MIN_VALUE;
     }
 
     private void dial() {
@@ -148,7 +155,7 @@
         }
         front.host.note("news: left " + source + ", " + why);
         if (sources.contains(source)) {
-            left.put(source, front.host.now());
+            left.put(source, new Left(front.host.now(), front.host.now() + (why.equals(ALONE) ? ALONE_MS : STAY_MS)));
         }
         up = false;
         tries++;
@@ -160,6 +167,7 @@
     public void opened(Host.Link opened) {
         link = opened;
         up = true;
+        outstanding = false;
         digestTold = false;
         ask();
     }
@@ -207,7 +215,10 @@
             out.put("s", sights);
         }
         link.send(Pack.write(out));
-        watch(SILENT_MS);
+        if (!outstanding) {
+            outstanding = true;
+            watch(SILENT_MS);
+        }
     }
 
     /** What it sees of a primary has changed: worth a question now. */
@@ -226,7 +237,11 @@
             next("bad");
             return;
         }
-        long now = front.host.now();
+        if (in.number("q", -1) != question) {
+            watch(SILENT_MS);
+        } else {
+            outstanding = false;
+        }
         if (in.has("b")) {
             boolean whole = in.bit("w");
             boot = in.text("b");
@@ -274,7 +289,7 @@
             }
             if (in.bit("alone")) {
                 // It has lost the others: it may know less than they do.
-                next("alone");
+                next(ALONE);
                 return;
             }
             tries = 0;
