Answers of database servers are matched in one place; late second words and lost answers

Found by reading: what a server said on a connection at rest, or before it was ready, was kept and handed to whoever asked there next; a READY with neither stamp nor error left the connection in use, one answer out of step; a lost answer to the front's own ROLLBACK, STATUS or BEGIN left a connection, and its transaction, to nobody for ever. A control process that stood still between STATUS and its answer sent PAUSE or STEPDOWN when it ran again, without its lease; a row from before STATUS passed for the answer to it.

host.Answers puts lines together for fronts and for control alike: each line must be the next of the answer that is due, or the connection is left. A word of the front's own has 1.5 s, a BEGIN the time of its route. The second word of a question goes out only within its time and under the lease it was asked under.

--- a/src/main/java/dillfront/core/Question.java
+++ b/src/main/java/dillfront/core/Question.java
@@ -1,5 +1,6 @@
 package dillfront.core;
 
+import dillfront.host.Answers;
 import dillfront.host.Host;
 import dillfront.host.Position;
 import java.nio.charset.StandardCharsets;
@@ -37,16 +38,20 @@
     private final Core core;
     private final Member to;
     private final Function<Row, String> then;
+    /** The lease under which it was asked, and when its time is over. */
+    private final long lease;
+    private final long until;
     private final CompletableFuture<Row> answer = new CompletableFuture<>();
+    private final Answers answers = new Answers();
     private Host.Link link;
-    private boolean started;
     private boolean second;
-    private Row row;
 
-    private Question(Core core, Member to, Function<Row, String> then) {
+    private Question(Core core, Member to, long timeoutMs, Function<Row, String> then) {
         this.core = core;
         this.to = to;
         this.then = then;
+        lease = core.lease.number();
+        until = core.host.now() + timeoutMs;
     }
 
     /**
@@ -55,7 +60,7 @@
      * @param then gives the second word; null for none
      */
     static CompletableFuture<Row> ask(Core core, Member to, long timeoutMs, Function<Row, String> then) {
-        Question q = new Question(core, to, then);
+        Question q = new Question(core, to, timeoutMs, then);
         q.link = core.host.dial(to.address, Host.Form.LINES, (int) timeoutMs, q);
         core.host.after(timeoutMs, () -> q.end(new Unanswered("no answer in " + timeoutMs + " ms", false)));
         return q.answer;
@@ -63,7 +68,7 @@
 
     private void end(Unanswered why) {
         if (!answer.isDone()) {
-            if (started) {
+            if (answers.connected()) {
                 say("GOODBYE");
             }
             link.close();
@@ -75,6 +80,11 @@
         link.send(line.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    private void ask(String word) {
+        answers.asked();
+        say("QUERY - " + word);
+    }
+
     @Override
     public void opened(Host.Link opened) {
         link = opened;
@@ -83,28 +93,46 @@
 
     @Override
     public void message(byte[] message) {
-        String line = new String(message, StandardCharsets.ISO_8859_1);
-        if (line.startsWith("ERROR ")) {
+        if (answer.isDone()) {
+            return;
+        }
+        boolean connected = answers.connected();
+        Answers.Answer is;
+        try {
+            is = answers.read(message);
+        } catch (Answers.OutOfStep bad) {
+            end(new Unanswered(bad.getMessage(), true));
+            return;
+        }
+        if (is == null) {
+            return;
+        }
+        if (is.code() != null) {
             // WRONGNODE: another is there, and this one is not.
-            end(new Unanswered(line, !line.startsWith("ERROR WRONGNODE")));
-        } else if (line.startsWith("ROW ")) {
-            row = read(line.substring(4));
-        } else if (line.startsWith("READY ")) {
-            if (!started) {
-                started = true;
-                say("QUERY - STATUS");
-            } else if (row == null) {
-                end(new Unanswered("no state in its answer", true));
-            } else if (!second && then != null && then.apply(row) != null) {
-                second = true;
-                Row first = row;
-                row = null;
-                say("QUERY - " + then.apply(first));
-            } else if (!answer.isDone()) {
-                say("GOODBYE");
-                link.close();
-                answer.complete(row);
-            }
+            end(new Unanswered(is.code() + " " + is.text(), !is.code().equals("WRONGNODE")));
+        } else if (core.host.now() >= until) {
+            // This process was away: what it would say now was decided long ago.
+            end(new Unanswered("answered too late", true));
+        } else if (!connected) {
+            ask("STATUS");
+        } else {
+            answered(is.rows().isEmpty() ? null : read(is.rows().get(is.rows().size() - 1)));
+        }
+    }
+
+    private void answered(Row row) {
+        String next = row == null || second || then == null ? null : then.apply(row);
+        if (row == null) {
+            end(new Unanswered("no state in its answer", true));
+        } else if (next == null) {
+            say("GOODBYE");
+            link.close();
+            answer.complete(row);
+        } else if (core.lease.number() != lease || !core.lease.holds()) {
+            end(new Unanswered("the lease is over", true));
+        } else {
+            second = true;
+            ask(next);
         }
     }
 
--- a/src/main/java/dillfront/front/Connection.java
+++ b/src/main/java/dillfront/front/Connection.java
@@ -1,5 +1,6 @@
 package dillfront.front;
 
+import dillfront.host.Answers;
 import dillfront.host.Host;
 import dillfront.host.Position;
 import java.nio.charset.StandardCharsets;
@@ -24,7 +25,10 @@
         void ended(List<String> rows, String stamp, String code, String text, char state, Position position);
     }
 
-    private record Ask(Ended ended, long at) { }
+    private record Ask(Ended ended, long at, long until) { }
+
+    /** A word of this front's own that is not answered by then is lost, and with it the order of what follows. */
+    private static final long OWN_MS = 1_500;
 
     /** Names and values that one connection remembers at the most. */
     private static final int MOST = 500;
@@ -32,15 +36,11 @@
     final Server server;
     boolean held;
     private Host.Link link;
-    private boolean started;
+    private final Answers answers = new Answers();
     private boolean over;
     private final Map<String, String> values = new HashMap<>();
     private final Set<String> prepared = new HashSet<>();
     private final ArrayDeque<Ask> asks = new ArrayDeque<>();
-    private List<String> rows = new ArrayList<>();
-    private String stamp;
-    private String code;
-    private String text = "";
 
     Connection(Server server) {
         this.server = server;
@@ -50,7 +50,7 @@
         server.front.counts.dialed++;
         link = server.host().dial(server.address, Host.Form.LINES, Server.DIAL_MS, this);
         server.host().after(Server.DIAL_MS, () -> {
-            if (!started && !over) {
+            if (!answers.connected() && !over) {
                 closed("silent");
                 link.close();
             }
@@ -96,21 +96,33 @@
 
     private void own(StringBuilder out, String line) {
         out.append("QUERY - ").append(line).append("\r\n");
-        asks.add(new Ask((r, s, failed, t, state, p) -> {
+        asked(new Ask((r, s, failed, t, state, p) -> {
             if (failed != null && !failed.equals("CUT")) {
                 // What follows would run with other values than its client was told of.
                 cut("out of step");
             }
-        }, server.host().now()));
+        }, server.host().now(), Long.MAX_VALUE));
+    }
+
+    private void asked(Ask ask) {
+        asks.add(ask);
+        answers.asked();
+    }
+
+    /** Asks this front's own word, with nothing ahead of it. */
+    void ask(String line, Ended ended) {
+        ask(null, null, "-", line, server.host().now() + OWN_MS, ended);
     }
 
     /**
      * Asks once what goes ahead is set. Ends with UNSENT where the connection was over before anything was written.
      *
      * @param shape what must be prepared, as "READ shape" or "WRITE shape"; null where nothing must
+     * @param until without an answer by then the connection is left
      */
-    void ask(Map<String, String> wanted, String shape, String id, String line, Ended ended) {
+    void ask(Map<String, String> wanted, String shape, String id, String line, long until, Ended ended) {
         StringBuilder out = new StringBuilder();
+        boolean rested = asks.isEmpty();
         if (wanted != null) {
             values(wanted, out);
         }
@@ -122,8 +134,8 @@
             ended.ended(List.of(), null, "UNSENT", "", 'I', null);
             return;
         }
-        asks.add(new Ask(ended, server.host().now()));
-        server.out++;
+        asked(new Ask(ended, server.host().now(), until));
+        server.out += rested ? 1 : 0;
         send(out.toString());
     }
 
@@ -138,64 +150,42 @@
         return first == null ? Long.MAX_VALUE : first.at();
     }
 
+    /** Where what is out should have been answered by now, whatever else was heard of the server. */
+    void overdue(long now) {
+        for (Ask ask : asks) {
+            if (now >= ask.until()) {
+                cut("not answered");
+                return;
+            }
+        }
+    }
+
     @Override
     public void message(byte[] bytes) {
-        String line = new String(bytes, StandardCharsets.ISO_8859_1);
-        int blank = line.indexOf(' ');
-        String word = blank < 0 ? line : line.substring(0, blank);
-        String rest = blank < 0 ? "" : line.substring(blank + 1);
         server.heard();
-        switch (word) {
-            case "ROW":
-                rows.add(rest);
-                break;
-            case "COMPLETE":
-                stamp = rest;
-                break;
-            case "ERROR": {
-                int gap = rest.indexOf(' ');
-                code = gap < 0 ? rest : rest.substring(0, gap);
-                text = gap < 0 ? "" : rest.substring(gap + 1);
-                if (!started) {
-                    String why = code;
-                    cut(why);
-                }
-                break;
-            }
-            case "READY": {
-                char state = rest.isEmpty() ? '?' : rest.charAt(0);
-                int gap = rest.indexOf(' ');
-                Position position = gap < 0 ? null : Position.of(rest.substring(gap + 1));
-                if (!started) {
-                    started = true;
-                    server.dialing--;
-                    server.free(this);
-                    break;
-                }
-                Ask ask = asks.poll();
-                if (ask == null) {
-                    cut("an answer to nothing");
-                    break;
-                }
-                List<String> answered = rows;
-                String stamped = stamp;
-                String failed = code;
-                String said = text;
-                rows = new ArrayList<>();
-                stamp = null;
-                code = null;
-                text = "";
-                if (stamped == null && failed == null) {
-                    failed = "CUT";
-                }
-                if (asks.isEmpty()) {
-                    server.out = Math.max(0, server.out - 1);
-                }
-                ask.ended().ended(answered, stamped, failed, said, state, position);
-                break;
+        boolean started = answers.connected();
+        Answers.Answer is;
+        try {
+            is = answers.read(bytes);
+        } catch (Answers.OutOfStep bad) {
+            server.host().note("left a connection to " + server.id + ": " + bad.getMessage());
+            cut(bad.getMessage());
+            return;
+        }
+        if (is == null) {
+            return;
+        }
+        if (!started && is.code() != null) {
+            cut(is.code());
+        } else if (!started) {
+            server.dialing--;
+            server.free(this);
+        } else {
+            Ask ask = asks.poll();
+            if (asks.isEmpty()) {
+                server.out = Math.max(0, server.out - 1);
             }
-            default:
-                cut("no word of the wire");
+            ask.ended().ended(is.rows(), is.stamp(), is.code(), is.text(), is.state(), is.position());
         }
     }
 
@@ -221,8 +211,8 @@
             return;
         }
         over = true;
-        boolean was = started;
-        if (!started) {
+        boolean was = answers.connected();
+        if (!was) {
             server.dialing--;
         }
         if (!asks.isEmpty()) {
--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -60,6 +60,7 @@
             for (Server s : new ArrayList<>(service.servers.values())) {
                 s.tryAgain();
                 s.leaveDark();
+                s.leaveOverdue();
             }
             service.changed();
             service.hopeful();
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -172,6 +172,14 @@
         }
     }
 
+    /** Connections whose answers to this front's own words were lost: else they would be nobody's for ever. */
+    void leaveOverdue() {
+        if (out > 0) {
+            long now = front.host.now();
+            new ArrayList<>(all).forEach(c -> c.overdue(now));
+        }
+    }
+
     /** It is started, or free again. */
     void free(Connection c) {
         c.held = false;
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -317,7 +317,7 @@
     }
 
     private static void back(Connection on) {
-        on.ask(null, null, "-", "ROLLBACK", (rows, stamp, code, text, state, position) -> {
+        on.ask("ROLLBACK", (rows, stamp, code, text, state, position) -> {
             if (on.over()) {
                 return;
             }
@@ -562,7 +562,7 @@
         long sent = front.host.now();
         boolean after = !of.writes && of.route.kind() != Kind.PRIMARY && need != null;
         String line = (after ? "AFTER " + need + " " : "") + line(of);
-        on.ask(values, of.shape, of.id, line, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, of.shape, of.id, line, Long.MAX_VALUE, (rows, stamp, code, text, state, position) -> {
             of.on = null;
             if (code == null) {
                 server.fresh();
@@ -616,7 +616,7 @@
             Position position) {
         front.counts.verified++;
         of.on = on;
-        on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
+        on.ask("STATUS", (answer, done, code, text, state, at) -> {
             of.on = null;
             release(on, state);
             boolean leads = code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
@@ -772,7 +772,7 @@
     private void begin(Txn of, Service service, Server server, Connection on, Position need) {
         String line = (need == null ? "" : "AFTER " + need + " ") + (of.reads ? "BEGIN READ" : "BEGIN");
         long sent = front.host.now();
-        on.ask(values, null, of.id, line, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, null, of.id, line, sent + of.route.timeout(), (rows, stamp, code, text, state, position) -> {
             if (of.over || over) {
                 release(on, on.over() ? 'I' : state);
                 return;
@@ -814,7 +814,7 @@
 
     private void verifyOpen(Txn of, Service service, Server server, Connection on) {
         front.counts.verified++;
-        on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
+        on.ask("STATUS", (answer, done, code, text, state, at) -> {
             boolean leads = code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
             boolean before = server.proven;
             server.proven |= leads;
@@ -851,7 +851,7 @@
         of.wrote = wrote;
         long sent = front.host.now();
         // Values may have been set within the transaction; what would need a RESET cannot come here.
-        on.ask(values, asked.shape, asked.id, line(asked), (rows, stamp, code, text, state, position) -> {
+        on.ask(values, asked.shape, asked.id, line(asked), Long.MAX_VALUE, (rows, stamp, code, text, state, position) -> {
             asked.on = null;
             if (asked.over || over || txn != of) {
                 return;
--- /dev/null
+++ b/src/test/java/dillfront/core/QuestionTest.java
@@ -0,0 +1,155 @@
+package dillfront.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillfront.host.ScriptedHost;
+import dillfront.host.Settings;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** STATUS and the word that follows from it: whose answer counts, and when nothing is said any more. */
+class QuestionTest {
+
+    private static final String REPLICA = "ROW replica 3 3.7 0 12 2 17";
+
+    private final ScriptedHost host = new ScriptedHost();
+    private Core core;
+    private final Member to = new Member("i-1", "db");
+
+    @BeforeEach
+    void holder() throws Exception {
+        Settings settings = new Settings("c", "z", "r", Map.of("z", "r"), "10.0.0.1", null, null, "10.0.0.1:80", 7_440,
+                List.of("10.0.0.1:80"), true, "unused", 0, 1_200, 7_000, 6_000, null);
+        core = new Core(host, settings, new Store() {
+            @Override
+            public Map<String, String> all() {
+                return Map.of();
+            }
+
+            @Override
+            public CompletableFuture<Void> put(Map<String, String> texts) {
+                return CompletableFuture.completedFuture(null);
+            }
+        });
+        core.start();
+        host.pass(6_000);
+        assertTrue(core.lease.holds(), "alone, it holds the lease");
+        to.address = "10.0.0.9:5432";
+    }
+
+    private ScriptedHost.Line ask(Function<Question.Row, String> then, CompletableFuture<Question.Row> into) {
+        Question.ask(core, to, 500, then).whenComplete((row, fault) -> {
+            if (fault == null) {
+                into.complete(row);
+            } else {
+                into.completeExceptionally(fault);
+            }
+        });
+        ScriptedHost.Line line = host.lastDialed();
+        line.open();
+        assertEquals("CONNECT db control i-1", line.last());
+        return line;
+    }
+
+    private static String fault(CompletableFuture<Question.Row> of) {
+        assertTrue(of.isDone(), "nothing came of it");
+        try {
+            return "answered " + of.join();
+        } catch (CompletionException is) {
+            return is.getCause().getMessage();
+        }
+    }
+
+    @Test
+    void theSecondWordsOwnAnswerCounts() {
+        CompletableFuture<Question.Row> is = new CompletableFuture<>();
+        ScriptedHost.Line line = ask(row -> "PAUSE " + row.next(), is);
+        line.say("READY I -");
+        assertEquals("QUERY - STATUS", line.last());
+        line.say(REPLICA, "COMPLETE -", "READY I 3.7");
+        assertEquals("QUERY - PAUSE 4", line.last());
+        assertFalse(is.isDone());
+        line.say("ROW replica 3 3.9 4 0 0 17", "COMPLETE -", "READY I 3.9");
+        assertEquals(9, is.join().position().number());
+        assertTrue(line.closed);
+    }
+
+    /** Guards against a row that was there before anything was asked, and against half an answer. */
+    @Test
+    void whatIsNoAnswerToItCountsForNothing() {
+        CompletableFuture<Question.Row> early = new CompletableFuture<>();
+        ask(null, early).say("ROW primary 9 9.9 0 0 0 1", "READY I -", "COMPLETE -", "READY I 3.7");
+        assertTrue(fault(early).contains("row out of place"), fault(early));
+        CompletableFuture<Question.Row> half = new CompletableFuture<>();
+        ask(null, half).say("READY I -", REPLICA, "READY I 3.7");
+        assertTrue(fault(half).contains("half an answer"), fault(half));
+        CompletableFuture<Question.Row> twice = new CompletableFuture<>();
+        ScriptedHost.Line line = ask(row -> "PAUSE " + row.next(), twice);
+        line.say("READY I -", REPLICA, "COMPLETE -", "READY I 3.7", "READY I 3.7");
+        assertTrue(fault(twice).contains("half an answer"), fault(twice));
+    }
+
+    @Test
+    void aRefusalEndsItAndTellsWhetherItLives() {
+        for (String[] one : new String[][] {{"ERROR WRONGNODE i-2", "false"}, {"ERROR TOOMANY", "true"}}) {
+            CompletableFuture<Question.Row> is = new CompletableFuture<>();
+            ask(null, is).say(one[0]);
+            is.exceptionally(fault -> {
+                assertEquals(Boolean.parseBoolean(one[1]), ((Question.Unanswered) fault).alive);
+                return null;
+            });
+            assertTrue(is.isCompletedExceptionally());
+        }
+        CompletableFuture<Question.Row> busy = new CompletableFuture<>();
+        ScriptedHost.Line line = ask(row -> "PAUSE 4", busy);
+        line.say("READY I -", "ERROR BUSY later", "READY I -");
+        assertTrue(busy.isCompletedExceptionally());
+        assertFalse(line.sent.contains("QUERY - PAUSE 4"));
+    }
+
+    /** Guards against a word that goes out once the process runs again: by then another holds the lease. */
+    @Test
+    void whoWasAwayTooLongSaysNoSecondWord() {
+        CompletableFuture<Question.Row> is = new CompletableFuture<>();
+        ScriptedHost.Line line = ask(row -> "STEPDOWN " + row.next(), is);
+        line.say("READY I -");
+        host.freeze(20_000);
+        line.say("ROW primary 3 3.7 0 0 0 17", "COMPLETE -", "READY I 3.7");
+        assertFalse(line.sent.contains("QUERY - STEPDOWN 4"), "said 20 s late: " + line.sent);
+        assertTrue(is.isCompletedExceptionally());
+    }
+
+    /** The same where its time is not over, but the lease is. */
+    @Test
+    void withoutTheLeaseThereIsNoSecondWord() {
+        CompletableFuture<Question.Row> is = new CompletableFuture<>();
+        Question.ask(core, to, 60_000, row -> "STEPDOWN " + row.next()).whenComplete((row, fault) -> is.complete(row));
+        ScriptedHost.Line line = host.lastDialed();
+        line.open();
+        line.say("READY I -");
+        core.lease.leave();
+        assertFalse(core.lease.holds());
+        line.say("ROW primary 3 3.7 0 0 0 17", "COMPLETE -", "READY I 3.7");
+        assertFalse(line.sent.contains("QUERY - STEPDOWN 4"), "said without the lease: " + line.sent);
+        assertTrue(is.isDone());
+    }
+
+    /** An answer after its time finds nobody; the connection is left. */
+    @Test
+    void anAnswerAfterItsTimeIsNone() {
+        CompletableFuture<Question.Row> is = new CompletableFuture<>();
+        ScriptedHost.Line line = ask(null, is);
+        line.say("READY I -");
+        host.pass(600);
+        assertEquals("no answer in 500 ms", fault(is));
+        assertTrue(line.closed);
+        assertEquals("GOODBYE", line.last());
+    }
+}
--- /dev/null
+++ b/src/test/java/dillfront/front/ConnectionTest.java
@@ -0,0 +1,200 @@
+package dillfront.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillfront.host.Configuration;
+import dillfront.host.Host;
+import dillfront.host.ScriptedHost;
+import dillfront.host.Settings;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A client's session, a connection to one database server, and what that one may answer: to whom it goes, and what is sent again. */
+class ConnectionTest {
+
+    private final ScriptedHost host = new ScriptedHost();
+    private Front front;
+    private Service service;
+    private ScriptedHost.Line client;
+
+    @BeforeEach
+    void open() throws Configuration.Invalid {
+        Settings settings = new Settings("f", "z", "r", Map.of("z", "r"), "10.0.0.1", "10.0.0.1:80", "10.0.0.1:81", null, 7_440,
+                List.of(), true, null, 0, 1_200, 7_000, 6_000, null);
+        front = new Front(host, settings);
+        front.start();
+        front.configured(Configuration.read(("{'revision_number':1,'routes':[{'name':'r','host_name':'h','route_kind':'primary',"
+                + "'timeout_ms':800,'target_latency_ms':300,'service':'s','max_attempts':2}],'services':[{'name':'s',"
+                + "'connection_limit':100}]}").replace('\'', '"').getBytes(StandardCharsets.UTF_8)));
+        service = front.service("s");
+        service.servers.put("i-1", new Server(front, service, "i-1", "10.0.0.9:1", "z"));
+        service.primary = "i-1";
+        service.record = 1;
+        client = client();
+    }
+
+    private ScriptedHost.Line client() {
+        ScriptedHost.Line line = new ScriptedHost.Line("client", Host.Form.LINES, front.accept());
+        line.open();
+        line.say("CONNECT h me");
+        assertEquals("READY I -", line.last());
+        line.sent.clear();
+        return line;
+    }
+
+    private ScriptedHost.Line server() {
+        ScriptedHost.Line line = host.lastDialed();
+        if (line.sent.isEmpty()) {
+            line.open();
+            assertEquals("CONNECT s f i-1", line.last());
+            line.say("READY I 1.1");
+        }
+        return line;
+    }
+
+    private List<String> answer(ScriptedHost.Line to) {
+        List<String> is = List.copyOf(to.sent);
+        to.sent.clear();
+        return is;
+    }
+
+    @Test
+    void anAnswerGoesToWhoAsked() {
+        client.say("QUERY a1 WRITE k d");
+        ScriptedHost.Line line = server();
+        assertEquals("QUERY a1 WRITE k d", line.last());
+        ScriptedHost.Line other = client();
+        other.say("QUERY b1 WRITE k e");
+        line.say("COMPLETE s1", "READY I 1.2");
+        assertEquals(List.of("COMPLETE s1", "READY I 1.2"), answer(client));
+        assertTrue(other.sent.isEmpty());
+        assertEquals("QUERY b1 WRITE k e", line.last(), "the connection is used again");
+        line.say("COMPLETE s2", "READY I 1.3");
+        assertEquals(List.of("COMPLETE s2", "READY I 1.3"), answer(other));
+    }
+
+    /** Guards against words of a server that lie in a connection at rest, and are handed to whoever asks there next. */
+    @Test
+    void whatIsSaidUnaskedIsNobodysAnswer() {
+        for (String unasked : new String[] {"ROW other", "COMPLETE other", "ERROR ABORTED it ends", "READY I 1.9"}) {
+            client.say("QUERY a1 WRITE k d");
+            ScriptedHost.Line line = server();
+            line.say("COMPLETE s1", "READY I 1.2");
+            answer(client);
+            line.say(unasked);
+            client.say("QUERY a2 WRITE k d");
+            ScriptedHost.Line next = server();
+            assertTrue(line.closed && next != line, unasked + ": the connection is left");
+            next.say("COMPLETE s2", "READY I 1.3");
+            assertEquals(List.of("COMPLETE s2", "READY I 1.3"), answer(client), unasked);
+            next.reset();
+        }
+    }
+
+    /** Guards against the same while the connection is made. */
+    @Test
+    void whatIsSaidBeforeItIsReadyIsNobodysAnswer() {
+        client.say("QUERY a1 READ k");
+        ScriptedHost.Line line = host.lastDialed();
+        line.open();
+        line.say("ROW other", "READY I 1.1");
+        assertTrue(line.closed);
+        assertFalse(line.sent.toString().contains("QUERY"), line.sent.toString());
+    }
+
+    /** Guards against half an answer, or a second one, behind which the next statement on the connection would get this one's. */
+    @Test
+    void halfAnAnswerAndASecondEndTheConnection() {
+        for (String[] bad : new String[][] {{"ROW r", "READY I 1.2"}, {"READY I 1.2"}, {"COMPLETE s", "COMPLETE t"},
+            {"ERROR BUSY x", "COMPLETE t"}, {"COMPLETE s", "ROW r"}, {"NOTHING of the wire"}}) {
+            client.say("QUERY a1 WRITE k d");
+            ScriptedHost.Line line = server();
+            line.say(bad);
+            assertTrue(line.closed, String.join(", ", bad));
+            assertEquals("ERROR UNCERTAIN the connection ended", client.sent.get(0), String.join(", ", bad));
+            answer(client);
+        }
+    }
+
+    /** Guards against a write that runs twice: where its connection was reset, nobody can say whether it ran. */
+    @Test
+    void aWriteThatWasResetIsNotSentAgain() {
+        client.say("QUERY a1 WRITE k d");
+        server().reset();
+        host.pass(3_000);
+        assertEquals("ERROR UNCERTAIN the connection ended", answer(client).get(0));
+        for (ScriptedHost.Line line : host.dialed) {
+            assertEquals(line == host.dialed.get(0) ? 1 : 0, line.sent.stream().filter(l -> l.startsWith("QUERY a1")).count());
+        }
+    }
+
+    /** A read may run twice; what promises that it did not run may be sent again as well. */
+    @Test
+    void aReadThatWasResetAndAWriteThatDidNotRunAre() {
+        client.say("QUERY a1 READ k");
+        ScriptedHost.Line line = server();
+        line.reset();
+        ScriptedHost.Line next = server();
+        assertEquals("QUERY a1 READ k", next.last());
+        next.say("ROW r", "COMPLETE s1", "READY I 1.2");
+        assertEquals("QUERY - STATUS", next.last(), "who leads is not sure");
+        next.say("ERROR BUSY later", "READY I -");
+        host.pass(900);
+        answer(client);
+        client.say("QUERY a2 WRITE k d");
+        ScriptedHost.Line third = server();
+        third.say("ERROR BUSY later", "READY I 1.2");
+        host.pass(60);
+        assertEquals(2, third.sent.stream().filter(l -> l.equals("QUERY a2 WRITE k d")).count());
+        third.say("COMPLETE s2", "READY I 1.3");
+        assertEquals(List.of("COMPLETE s2", "READY I 1.3"), answer(client));
+    }
+
+    /** Guards against an answer after the time-out that reaches the next statement. */
+    @Test
+    void anAnswerAfterItsTimeIsNobodys() {
+        client.say("QUERY a1 WRITE k d");
+        ScriptedHost.Line line = server();
+        host.pass(800);
+        assertTrue(answer(client).get(0).startsWith("ERROR TIMEOUT"));
+        assertTrue(line.closed);
+        client.say("QUERY a2 WRITE k d");
+        ScriptedHost.Line next = server();
+        line.say("COMPLETE s1", "READY I 1.2");
+        assertTrue(client.sent.isEmpty());
+        next.say("COMPLETE s2", "READY I 1.3");
+        assertEquals(List.of("COMPLETE s2", "READY I 1.3"), answer(client));
+    }
+
+    /** Guards against connections that nobody has any more, because the answer to this front's own word was lost. */
+    @Test
+    void aWordOfItsOwnThatIsNeverAnsweredIsGivenUp() {
+        client.say("QUERY a1 BEGIN", "QUERY a2 WRITE k d");
+        ScriptedHost.Line line = server();
+        line.say("COMPLETE -", "READY T 1.1");
+        assertEquals("QUERY a2 WRITE k d", line.last());
+        line.say("COMPLETE s1", "READY T 1.1");
+        client.say("QUERY a3 ROLLBACK");
+        assertEquals("QUERY - ROLLBACK", line.last());
+        host.pass(2_500);
+        assertTrue(line.closed, "its answer was lost, and the connection with it");
+        assertTrue(service.servers.get("i-1").all.stream().allMatch(c -> c.oldest() == Long.MAX_VALUE));
+    }
+
+    /** The same for the opening of a transaction: at the server it would stay open. */
+    @Test
+    void soIsATransactionWhoseOpeningIsNeverAnswered() {
+        client.say("QUERY a1 BEGIN", "QUERY a2 WRITE k d");
+        ScriptedHost.Line line = server();
+        assertEquals("QUERY a1 BEGIN", line.last());
+        host.pass(2_500);
+        assertTrue(client.sent.toString().contains("ERROR "), client.sent.toString());
+        assertTrue(line.closed, "its answer was lost, and the connection with it");
+        assertEquals(0, service.servers.get("i-1").out);
+    }
+}
--- /dev/null
+++ b/src/test/java/dillfront/host/ScriptedHost.java
@@ -0,0 +1,144 @@
+package dillfront.host;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/** A machine whose time goes on by the test's word, and whose connections are the test's. */
+public final class ScriptedHost implements Host {
+
+    private record Event(long at, long order, Runnable run) { }
+
+    /** One end of a connection: what the program sent there, and what the test says to it. */
+    public static final class Line implements Link {
+        public final String address;
+        public final List<String> sent = new ArrayList<>();
+        public boolean closed;
+        private final Form form;
+        private final Ear ear;
+
+        public Line(String address, Form form, Ear ear) {
+            this.address = address;
+            this.form = form;
+            this.ear = ear;
+        }
+
+        public void open() {
+            ear.opened(this);
+        }
+
+        /** Lines, as they come one after the other; none once the program has closed. */
+        public void say(String... lines) {
+            for (String line : lines) {
+                if (!closed) {
+                    ear.message(line.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        }
+
+        public void reset() {
+            if (!closed) {
+                closed = true;
+                ear.closed("broken");
+            }
+        }
+
+        @Override
+        public void send(byte[] message) {
+            if (!closed) {
+                String text = new String(message, StandardCharsets.ISO_8859_1);
+                sent.addAll(form == Form.LINES ? Arrays.asList(text.split("\r\n")) : List.of(text));
+            }
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+
+        @Override
+        public long waiting() {
+            return 0;
+        }
+
+        public String last() {
+            return sent.isEmpty() ? "" : sent.get(sent.size() - 1);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final SplittableRandom random = new SplittableRandom(1);
+    private long order;
+    private long now = 1_000;
+    public final List<Line> dialed = new ArrayList<>();
+    public final List<String> noted = new ArrayList<>();
+
+    /** Time goes on, and what is due happens. */
+    public void pass(long ms) {
+        long end = now + ms;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event next = events.poll();
+            now = Math.max(now, next.at());
+            next.run().run();
+        }
+        now = end;
+    }
+
+    /** The process stands still for so long: what was due meanwhile comes only after what the test says next. */
+    public void freeze(long ms) {
+        now += ms;
+    }
+
+    public Line lastDialed() {
+        return dialed.get(dialed.size() - 1);
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public Timer after(long ms, Runnable run) {
+        boolean[] off = new boolean[1];
+        events.add(new Event(now + Math.max(0, ms), order++, () -> {
+            if (!off[0]) {
+                run.run();
+            }
+        }));
+        return () -> off[0] = true;
+    }
+
+    @Override
+    public Link dial(String address, Form form, int timeoutMs, Ear ear) {
+        dialed.add(new Line(address, form, ear));
+        return lastDialed();
+    }
+
+    @Override
+    public CompletableFuture<Answer> post(String address, String path, String json, Map<String, String> headers, int timeoutMs) {
+        return new CompletableFuture<>();
+    }
+
+    @Override
+    public RandomGenerator chance() {
+        return random;
+    }
+
+    @Override
+    public void note(String event) {
+        noted.add(event);
+    }
+
+    @Override
+    public void wrong(String event) {
+        noted.add(event);
+    }
+}
