Platform calls count whole answers only; messages claim no more than they hold

Found by reading: a 100 passed for the platform's answer, and the one behind it was dropped; a 200 whose body broke off within a chunk counted; and a call begun before the process stood still was sent when it ran again, after its time, for what is ready on sockets goes before timers. Six bytes between the system's processes that claim 2 GB had them allocated, and an OutOfMemoryError ends a program that is started with ExitOnOutOfMemoryError.

NettyHost.post passes over 1xx, fails on what is no whole answer, and sends nothing after its time. Pack checks what a message claims against its bytes before there is room made, and takes a million parts at the most.

--- a/src/main/java/dillfront/host/NettyHost.java
+++ b/src/main/java/dillfront/host/NettyHost.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -250,6 +251,7 @@
             }));
             return answer;
         }
+        long until = now() + timeoutMs;
         Ears ears = new Ears() {
             @Override
             public void handlerAdded(ChannelHandlerContext ctx) {
@@ -259,6 +261,12 @@
 
             @Override
             public void channelActive(ChannelHandlerContext ctx) {
+                if (now() >= until) {
+                    // This process stood still: what it asks for was decided long ago, and given up.
+                    answer.completeExceptionally(new IOException("not sent in " + timeoutMs + " ms"));
+                    ctx.close();
+                    return;
+                }
                 ByteBuf body = Unpooled.wrappedBuffer(json.getBytes(StandardCharsets.UTF_8));
                 DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path, body);
                 request.headers().set("Host", address).set("Content-Type", "application/json")
@@ -270,10 +278,20 @@
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object in) {
                 FullHttpResponse is = (FullHttpResponse) in;
-                byte[] body = new byte[is.content().readableBytes()];
-                is.content().readBytes(body);
-                answer.complete(new Answer(is.status().code(), body));
-                is.release();
+                try {
+                    if (is.decoderResult().isFailure()) {
+                        answer.completeExceptionally(new IOException("no whole answer"));
+                    } else if (is.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                        // The answer is still to come.
+                        return;
+                    } else {
+                        byte[] body = new byte[is.content().readableBytes()];
+                        is.content().readBytes(body);
+                        answer.complete(new Answer(is.status().code(), body));
+                    }
+                } finally {
+                    is.release();
+                }
                 ctx.close();
             }
 
--- a/src/main/java/dillfront/host/Pack.java
+++ b/src/main/java/dillfront/host/Pack.java
@@ -15,6 +15,8 @@
 
     private static final int DEEPEST = 8;
     private static final int MOST = 1 << 18;
+    /** Of all lists and maps of a message together. */
+    private static final int MOST_PARTS = 1 << 20;
 
     /** A message that is none: what was wrong with it. */
     public static final class Bad extends Exception {
@@ -67,7 +69,7 @@
     /** @throws Bad where the bytes are no map of this form, or hold more than any message does */
     public static Fields read(byte[] bytes) throws Bad {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-            Object all = read(in, 0);
+            Object all = new Reading(in, bytes.length).read(0);
             if (!(all instanceof Map<?, ?>) || in.hasNext()) {
                 throw new Bad("no map, or more than one value");
             }
@@ -79,46 +81,68 @@
         }
     }
 
-    private static Object read(MessageUnpacker in, int depth) throws IOException, Bad {
-        if (depth > DEEPEST) {
-            throw new Bad("too deep");
+    /** A message that is being read: what it claims to hold is checked before there is room made for it. */
+    private static final class Reading {
+        private final MessageUnpacker in;
+        private final int length;
+        private int parts;
+
+        Reading(MessageUnpacker in, int length) {
+            this.in = in;
+            this.length = length;
         }
-        switch (in.getNextFormat().getValueType()) {
-            case NIL:
-                in.unpackNil();
-                return null;
-            case BOOLEAN:
-                return in.unpackBoolean();
-            case INTEGER:
-                return in.unpackLong();
-            case STRING:
-                return in.unpackString();
-            case BINARY:
-                return in.readPayload(in.unpackBinaryHeader());
-            case ARRAY: {
-                int size = in.unpackArrayHeader();
-                if (size > MOST) {
-                    throw new Bad("a list of " + size);
-                }
-                List<Object> list = new ArrayList<>();
-                for (int i = 0; i < size; i++) {
-                    list.add(read(in, depth + 1));
-                }
-                return list;
+
+        private int size(int claimed, int bytesEach) throws Bad {
+            parts += claimed;
+            if (claimed < 0 || claimed > MOST || parts > MOST_PARTS) {
+                throw new Bad("too many parts: " + claimed);
+            }
+            if ((long) claimed * bytesEach > length - in.getTotalReadBytes()) {
+                throw new Bad("more parts than bytes: " + claimed);
+            }
+            return claimed;
+        }
+
+        Object read(int depth) throws IOException, Bad {
+            if (depth > DEEPEST) {
+                throw new Bad("too deep");
             }
-            case MAP: {
-                int size = in.unpackMapHeader();
-                if (size > MOST) {
-                    throw new Bad("a map of " + size);
+            switch (in.getNextFormat().getValueType()) {
+                case NIL:
+                    in.unpackNil();
+                    return null;
+                case BOOLEAN:
+                    return in.unpackBoolean();
+                case INTEGER:
+                    return in.unpackLong();
+                case STRING:
+                    return in.unpackString();
+                case BINARY: {
+                    int size = in.unpackBinaryHeader();
+                    if (size < 0 || size > length - in.getTotalReadBytes()) {
+                        throw new Bad("more bytes than there are: " + size);
+                    }
+                    return in.readPayload(size);
                 }
-                Map<String, Object> map = new HashMap<>();
-                for (int i = 0; i < size; i++) {
-                    map.put(in.unpackString(), read(in, depth + 1));
+                case ARRAY: {
+                    int size = size(in.unpackArrayHeader(), 1);
+                    List<Object> list = new ArrayList<>();
+                    for (int i = 0; i < size; i++) {
+                        list.add(read(depth + 1));
+                    }
+                    return list;
+                }
+                case MAP: {
+                    int size = size(in.unpackMapHeader(), 2);
+                    Map<String, Object> map = new HashMap<>();
+                    for (int i = 0; i < size; i++) {
+                        map.put(in.unpackString(), read(depth + 1));
+                    }
+                    return map;
                 }
-                return map;
+                default:
+                    throw new Bad("a value of no kind that is used");
             }
-            default:
-                throw new Bad("a value of no kind that is used");
         }
     }
 
--- a/src/test/java/dillfront/host/ReadersTest.java
+++ b/src/test/java/dillfront/host/ReadersTest.java
@@ -93,6 +93,25 @@
         assertThrows(Pack.Bad.class, () -> Pack.read(new byte[] {(byte) 0xdf, 127, 127, 127, 127}));
     }
 
+    /** Guards against a few bytes that ask for more memory than there is: the process would end. */
+    @Test
+    void aMessageThatClaimsMoreThanItHasIsNone() {
+        for (int kind : new int[] {0xc6, 0xdb, 0xdd, 0xdf}) {
+            byte[] claims = {(byte) kind, 127, (byte) 255, (byte) 255, (byte) 255, 1};
+            assertThrows(Pack.Bad.class, () -> Pack.read(claims), Integer.toHexString(kind));
+            byte[] within = {(byte) 0x81, (byte) 0xa1, 'n', (byte) kind, 127, (byte) 255, (byte) 255, (byte) 255, 1};
+            assertThrows(Pack.Bad.class, () -> Pack.read(within), Integer.toHexString(kind));
+        }
+    }
+
+    /** Guards against lists of lists of nothing, of which a message of 8 MB holds eight million. */
+    @Test
+    void aMessageOfTooManyPartsIsNone() {
+        List<Object> nothing = java.util.Collections.nCopies(200_000, null);
+        byte[] many = Pack.write(Map.of("l", java.util.Collections.nCopies(40, nothing)));
+        assertTrue(assertThrows(Pack.Bad.class, () -> Pack.read(many)).getMessage().contains("too many"));
+    }
+
     @Test
     void settingsAndWhatIsWrongWithThem(@TempDir Path dir) throws IOException, Settings.Bad {
         String good = "{'node_name':'n','zone_name':'a','region':'r','ip_address':'10.0.0.1','zones':{'a':'r','b':'q'},'new':1,"
