--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -26,7 +26,7 @@
  * One control process. It and its like tell each other what they have, often and at once where something changed; there is
  * no log and no leader. One loop calls all of it.
  */
-public final class Core implements Register.Ground {
+public final class Core implements Lease.Ground {
 
     private static final long TICK_MS = 400;
     private static final long LOOK_MS = 50;
@@ -218,21 +218,25 @@
     }
 
     /** The number of the set of members that this process goes by; 0 before there is one. */
-    long epoch() {
+    @Override
+    public long epoch() {
         return register.held() == null ? 0 : register.held().epoch();
     }
 
-    boolean member(String of) {
+    @Override
+    public boolean member(String of) {
         Value is = register.held();
         return is != null && (is.members().contains(of) || is.outgoing().contains(of));
     }
 
     /** Whether its own word counts. */
-    boolean votes() {
+    @Override
+    public boolean votes() {
         return member(id);
     }
 
-    int rank() {
+    @Override
+    public int rank() {
         return register.held() == null ? 0 : register.held().members().headSet(id).size();
     }
 
@@ -254,7 +258,18 @@
                 : peerOf(of) == null ? Long.MIN_VALUE / 2 : moment.applyAsLong(peerOf(of)));
     }
 
-    long stalledFor() {
+    @Override
+    public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
+        return reached(itself, moment::applyAsLong);
+    }
+
+    @Override
+    public Iterable<Peer> voters() {
+        return peers.values();
+    }
+
+    @Override
+    public long stalledFor() {
         return store.stalledFor();
     }
 
@@ -263,7 +278,8 @@
     }
 
     /** No majority has answered it of late: it may know less than others do. */
-    boolean alone() {
+    @Override
+    public boolean alone() {
         return reached(host.now(), p -> p.echo) < host.now() - TOUCH_MS;
     }
 
@@ -595,6 +611,7 @@
         p.toldAt = now + 1;
         out.put("p", lease.promised());
         out.put("pt", lease.promisedTo());
+        out.put("pg", lease.granted());
         out.put("w", lease.wanted());
         out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
@@ -701,6 +718,7 @@
         }
         p.promised = in.number("p", 0);
         p.promisedTo = in.text("pt");
+        p.granted = in.number("pg", Lease.NEVER);
         p.record = in.number("k", -1);
         for (Pack.Fields row : in.list("l")) {
             lead(Lead.of(row));
@@ -724,7 +742,7 @@
         if (in.bit("h")) {
             suspects(new TreeSet<>(in.texts("sq")));
         }
-        lease.wants(p, in.number("w", 0));
+        lease.wants(p, in.number("w", 0), p.itsNow);
         lease.released(p, in.number("rl", 0));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
             sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
--- /dev/null
+++ b/src/main/java/dillfront/core/Defence.java
@@ -0,0 +1,45 @@
+package dillfront.core;
+
+/** What keeps the control side sound, each by name, so that a small world can be run without one and shown to break. */
+public enum Defence {
+    /** A promise is on the disk before it is told. */
+    PROMISE_ON_DISK,
+    /** What is accepted is on the disk before it is told. */
+    ACCEPTED_ON_DISK,
+    /** A proposer's ballot is on its disk before it is told, so it is never used twice. */
+    BALLOT_ON_DISK,
+    /** Nothing is accepted below what was promised. */
+    PROMISE_KEPT,
+    /** A value is offered only once a majority has promised. */
+    PROMISES_OF_MAJORITY,
+    /** A proposer goes on from the value of the highest ballot that was accepted. */
+    HIGHEST_ACCEPTED,
+    /** Only acceptances of one ballot count together. */
+    ONE_BALLOT,
+    /** Sets change only on top of a decided value. */
+    SETS_ON_DECIDED,
+    /** Only the holder of the lease changes sets. */
+    SETS_BY_HOLDER,
+    /** While sets change, a majority of each is needed. */
+    JOINT_MAJORITIES,
+    /** The set that goes still accepts the value that drops it. */
+    DROPPED_ACCEPTS,
+    /** One number has one content for ever. */
+    ONE_CONTENT,
+    /** Orders are answered by what is decided. */
+    ANSWER_BY_DECIDED,
+    /** After a loss of its disk a process is another. */
+    NEW_ID,
+    /** The founder has heard of every seed that it belongs to nothing. */
+    FOUNDER_HEARS_ALL,
+    /** Reads wait for answers of a majority that were asked for after they began. */
+    FRESH_MAJORITY,
+    /** A promise of the lease is on the disk before it is told. */
+    LEASE_ON_DISK,
+    /** After a start, whoever had the promise of the lease before may still hold it. */
+    LEASE_AFTER_START,
+    /** The holder counts from when it asked, not from when it was answered. */
+    LEASE_FROM_ASKED,
+    /** A voter's promise stands for its time, whoever else asks. */
+    LEASE_PROMISE_STANDS
+}
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -1,6 +1,7 @@
 package dillfront.core;
 
 import java.util.Map;
+import java.util.function.ToLongFunction;
 
 /**
  * Who does the duty. A number is promised to one process by each voter, on its disk before it says so, so a majority's
@@ -8,7 +9,47 @@
  * which it was asked for, so that no two sets give out the same. The holder counts its time from before it asked, each voter from
  * when it promised: the holder's ends first.
  */
-final class Lease {
+public final class Lease {
+
+    /** What it needs of the process that it is part of. */
+    public interface Ground extends Register.Ground {
+
+        /** The number of the set of members that it goes by. */
+        long epoch();
+
+        boolean member(String id);
+
+        boolean votes();
+
+        /** No majority has answered it of late. */
+        boolean alone();
+
+        /** Its place among the members. */
+        int rank();
+
+        /** For how long its disk has done nothing, with work to do. */
+        long stalledFor();
+
+        Iterable<? extends Voter> voters();
+
+        /** The latest moment that a majority of each set in force has reached. */
+        long reachedBy(long itself, ToLongFunction<Voter> moment);
+    }
+
+    /** Another process, as its last message told of it. */
+    public interface Voter {
+
+        String id();
+
+        long epoch();
+
+        long promised();
+
+        String promisedTo();
+
+        /** This one's clock when it sent the last message that the promise was given for or held on. */
+        long granted();
+    }
 
     static final long SPAN_MS = 2_500;
     /** Bits for the numbers within an epoch. */
@@ -18,11 +59,15 @@
     /** A holder whose disk has done nothing for so long leaves the duty to others. */
     private static final long DISK_MS = 1_000;
 
-    private final Core core;
+    public static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final Ground core;
     /** What this process promised, as it is on its disk. */
     private long promised;
     private String promisedTo = "";
     private long promisedUntil;
+    /** The clock of the one that has the promise, in the last message of it that was granted. */
+    private long granted = NEVER;
     /** What it wants or holds itself; 0 for nothing. */
     private long mine;
     private long heldSince = -1;
@@ -30,84 +75,94 @@
     private long candidateAt;
     private boolean leaving;
 
-    Lease(Core core) {
+    public Lease(Ground core) {
         this.core = core;
     }
 
-    void load(Map<String, String> kept) {
+    public void load(Map<String, String> kept) {
         promised = Long.parseLong(kept.getOrDefault("promised", "0"));
         promisedTo = kept.getOrDefault("promised-to", "");
         // What ran when this process ended may still run, but for its own: that ended with it.
-        promisedUntil = core.host.now() + (promised > 0 && !promisedTo.equals(core.id()) ? SPAN_MS : 0);
+        boolean runs = promised > 0 && !promisedTo.equals(core.self()) && !core.without(Defence.LEASE_AFTER_START);
+        promisedUntil = core.now() + (runs ? SPAN_MS : 0);
         candidateAt = promisedUntil;
     }
 
-    long promised() {
+    public long promised() {
         return promised;
     }
 
     /** The id of the process that has this voter's promise. */
-    String promisedTo() {
+    public String promisedTo() {
         return promisedTo;
     }
 
-    long wanted() {
+    public long granted() {
+        return granted;
+    }
+
+    public long wanted() {
         return mine;
     }
 
     /** The number of the lease, which is the fencing token's upper part. */
-    long number() {
+    public long number() {
         return mine;
     }
 
-    /** Another wants this number, or goes on with it. What comes under an older epoch counts for nothing. */
-    void wants(Peer p, long number) {
-        if (!core.votes() || number <= 0 || p.epoch < core.epoch() || !core.member(p.id)) {
+    /**
+     * Another wants this number, or goes on with it. What comes under an older epoch counts for nothing.
+     *
+     * @param asked its clock when it asked
+     */
+    public void wants(Voter p, long number, long asked) {
+        if (!core.votes() || writing || number <= 0 || p.epoch() < core.epoch() || !core.member(p.id())) {
+            // Also what is promised to it no longer runs on while another's promise is on its way to the disk.
             return;
         }
-        long now = core.host.now();
-        if (number == promised && p.id.equals(promisedTo)) {
+        long now = core.now();
+        if (number == promised && p.id().equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
-        } else if (number > promised && (now >= promisedUntil || p.id.equals(promisedTo))) {
-            promise(number, p.id);
+            granted = Math.max(granted, asked);
+        } else if (number > promised && (now >= promisedUntil || p.id().equals(promisedTo) || core.without(Defence.LEASE_PROMISE_STANDS))) {
+            promise(number, p.id(), asked);
         }
     }
 
     /** The one that has the promise gives the duty back before its time. */
-    void released(Peer p, long number) {
-        if (number > 0 && number == promised && p.id.equals(promisedTo)) {
-            promisedUntil = Math.min(promisedUntil, core.host.now());
+    public void released(Voter p, long number) {
+        if (number > 0 && number == promised && p.id().equals(promisedTo)) {
+            promisedUntil = Math.min(promisedUntil, core.now());
         }
     }
 
-    private void promise(long number, String to) {
-        if (writing) {
-            return;
-        }
+    private void promise(long number, String to, long asked) {
         writing = true;
-        promisedUntil = core.host.now() + SPAN_MS;
+        promisedUntil = core.now() + SPAN_MS;
         core.store(Map.of("promised", Long.toString(number), "promised-to", to)).whenComplete((done, fault) -> {
             writing = false;
             if (fault == null) {
                 promised = number;
                 promisedTo = to;
-                promisedUntil = core.host.now() + SPAN_MS;
-                core.poke();
+                granted = asked;
+                promisedUntil = core.now() + SPAN_MS;
+                core.tell();
             }
         });
     }
 
     /** Until when this process holds it, on its own clock; in the past where it does not. */
     long until() {
-        if (mine == 0 || promised != mine || !promisedTo.equals(core.id()) || !core.votes()) {
+        if (mine == 0 || promised != mine || !promisedTo.equals(core.self()) || !core.votes()) {
             return -1;
         }
-        return core.reached(core.host.now(), p -> p.promised == mine && p.promisedTo.equals(core.id()) && p.epoch >= core.epoch()
-                ? p.echo : Long.MIN_VALUE / 2) + SPAN_MS - EARLY_MS;
+        long now = core.now();
+        return core.reachedBy(now, p -> p.promised() != mine || !p.promisedTo().equals(core.self()) ? NEVER
+                : core.without(Defence.LEASE_FROM_ASKED) ? now : p.granted()) + SPAN_MS - EARLY_MS;
     }
 
-    boolean holds() {
-        return core.host.now() < until();
+    public boolean holds() {
+        return core.now() < until();
     }
 
     /** Since when, without a gap; -1 where it does not. */
@@ -124,8 +179,8 @@
         return back;
     }
 
-    void look() {
-        long now = core.host.now();
+    public void look() {
+        long now = core.now();
         boolean unfit = leaving || core.stalledFor() > DISK_MS;
         if (holds() && !unfit) {
             heldSince = heldSince < 0 ? now : heldSince;
@@ -142,7 +197,7 @@
             candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
             return;
         }
-        if (now < promisedUntil && !promisedTo.equals(core.id())) {
+        if (now < promisedUntil && !promisedTo.equals(core.self())) {
             candidateAt = promisedUntil + core.rank() * STAGGER_MS;
             return;
         }
@@ -150,11 +205,11 @@
             return;
         }
         long highest = Math.max(promised, core.epoch() << WITHIN);
-        for (Peer p : core.peers()) {
-            highest = Math.max(highest, p.promised);
+        for (Voter p : core.voters()) {
+            highest = Math.max(highest, p.promised());
         }
-        candidateAt = now + 4 * STAGGER_MS + core.host.chance().nextInt((int) STAGGER_MS * 2);
+        candidateAt = now + 4 * STAGGER_MS + core.chance(STAGGER_MS * 2);
         mine = highest + 1;
-        promise(mine, core.id());
+        promise(mine, core.self(), now);
     }
 }
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** Another control process, as its last word told of it. */
-final class Peer {
+final class Peer implements Lease.Voter {
 
     final String ip;
     String zone = "";
@@ -36,6 +36,7 @@
     String placesTold = "";
     long promised;
     String promisedTo = "";
+    long granted = Lease.NEVER;
     long record = -1;
     /** Records that all of its fronts have, by service. */
     final Map<String, Long> cleared = new HashMap<>();
@@ -45,4 +46,29 @@
     Peer(String ip) {
         this.ip = ip;
     }
+
+    @Override
+    public String id() {
+        return id;
+    }
+
+    @Override
+    public long epoch() {
+        return epoch;
+    }
+
+    @Override
+    public long promised() {
+        return promised;
+    }
+
+    @Override
+    public String promisedTo() {
+        return promisedTo;
+    }
+
+    @Override
+    public long granted() {
+        return granted;
+    }
 }
--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -45,6 +45,11 @@
 
         /** Whether this process holds the lease, without which no set is changed. */
         boolean holds();
+
+        /** Whether it does without this, as only a small world does to show what breaks. */
+        default boolean without(Defence defence) {
+            return false;
+        }
     }
 
     private static final int PIECE = 16_000;
@@ -148,7 +153,7 @@
         return decided;
     }
 
-    Ballot accepted() {
+    public Ballot accepted() {
         return accepted;
     }
 
@@ -158,7 +163,7 @@
     }
 
     /** Nothing is accepted or promised here: a disk that was empty, and nobody has said anything yet. */
-    boolean blank() {
+    public boolean blank() {
         return value == null && promised == Ballot.NONE && !writing;
     }
 
@@ -176,11 +181,17 @@
         return id.equals(ground.self()) ? accepted : views.containsKey(id) ? views.get(id).accepted : Ballot.NONE;
     }
 
-    /** The first value of all; only the founder calls this, once. */
-    CompletableFuture<Void> found(SortedSet<String> members) {
-        Value first = Value.founded(members);
+    /** The first value of all, under the first ballot, offered once it is on this disk; only the founder calls this. */
+    public void found(SortedSet<String> members) {
         Ballot ballot = new Ballot(1, ground.self());
-        return accept(ballot, first).thenRun(() -> learn(ballot, first));
+        Value first = Value.founded(members);
+        accept(ballot, first).thenRun(() -> {
+            mine = ballot;
+            base = first;
+            proposed = first;
+            phase = Phase.ACCEPT;
+            proposer();
+        });
     }
 
     /** Completes with what became of it, once that is decided; fails at once where too many wait. */
@@ -252,7 +263,7 @@
     }
 
     /** What was sent to it may be lost: its connection is another. */
-    void again(String to) {
+    public void again(String to) {
         View v = views.get(to);
         if (v != null) {
             v.sent = Ballot.NONE;
@@ -326,7 +337,7 @@
     }
 
     /** Whoever is no longer there is forgotten, unless it is a member. */
-    void retain(Predicate<String> there) {
+    public void retain(Predicate<String> there) {
         views.keySet().removeIf(id -> !there.test(id) && (value == null || !value.members().contains(id) && !value.outgoing().contains(id)));
     }
 
@@ -370,7 +381,7 @@
         for (Ballot ballot : seen) {
             if (ballot.above(best)) {
                 Value is = of(ballot);
-                if (is != null && is.decidedBy(id -> acceptedBy(id).equals(ballot))) {
+                if (is != null && is.decidedBy(id -> counts(id, ballot))) {
                     best = ballot;
                 }
             }
@@ -399,12 +410,13 @@
     }
 
     private void answer() {
-        if (decidedValue == null) {
+        Value by = ground.without(Defence.ANSWER_BY_DECIDED) ? value : decidedValue;
+        if (by == null) {
             return;
         }
         List<Order> over = new ArrayList<>();
-        orders.removeIf(o -> decidedValue.outcome(o.content()) != Value.Outcome.OPEN && over.add(o));
-        over.forEach(o -> o.done().complete(decidedValue.outcome(o.content())));
+        orders.removeIf(o -> by.outcome(o.content()) != Value.Outcome.OPEN && over.add(o));
+        over.forEach(o -> o.done().complete(by.outcome(o.content())));
     }
 
     // ---- acceptor
@@ -421,7 +433,7 @@
         View of = null;
         for (View v : views.values()) {
             boolean offer = v.accepting && v.valueBallot.equals(v.wants);
-            boolean news = v.wants.above(best) || of == null && v.wants.equals(best) && offer && v.wants.above(accepted);
+            boolean news = v.wants.above(best) || ground.without(Defence.PROMISE_KEPT) && offer && v.wants.above(accepted) || of == null && v.wants.equals(best) && offer && v.wants.above(accepted);
             if (news && (offer || !v.accepting)) {
                 best = v.wants;
                 of = v;
@@ -559,22 +571,23 @@
     private void prepared() {
         Ballot highest = accepted;
         for (Map.Entry<String, View> one : views.entrySet()) {
-            if (promisedTo(one.getKey())) {
+            if (promisedTo(one.getKey()) && !ground.without(Defence.HIGHEST_ACCEPTED)) {
                 highest = Ballot.highest(highest, one.getValue().accepted);
             }
         }
         Value follows = of(highest);
-        if (follows == null || writing || !follows.quorum(this::promisedTo)) {
+        boolean promises = ground.without(Defence.PROMISES_OF_MAJORITY) || follows != null && follows.quorum(this::promisedTo);
+        if (follows == null || writing || !promises) {
             return;
         }
-        boolean known = highest.equals(decided);
+        boolean known = highest.equals(decided) || ground.without(Defence.SETS_ON_DECIDED);
         Value next = known ? follows.clean() : follows;
         for (Order order : orders) {
-            next = order.done().isDone() ? next : next.with(order.content());
+            next = order.done().isDone() ? next : fold(next, order.content());
         }
         if (known && step != null) {
             boolean may = ground.holds() && step.epoch() == next.epoch() && next.joint() == (step.members() == null);
-            next = !may ? next : next.joint() ? next.settled() : next.towards(step.members());
+            next = !may ? next : next.joint() ? drop(next) : join(next, step.members());
             step = null;
         }
         base = follows;
@@ -587,9 +600,27 @@
         });
     }
 
+    private Value fold(Value into, Configuration order) {
+        return (ground.without(Defence.ONE_CONTENT) ? into.without(order.version()) : into).with(order);
+    }
+
+    private Value join(Value on, SortedSet<String> next) {
+        return ground.without(Defence.JOINT_MAJORITIES) ? on.towards(next).settled().clean() : on.towards(next);
+    }
+
+    private Value drop(Value joint) {
+        return ground.without(Defence.DROPPED_ACCEPTS) ? joint.settled().clean() : joint.settled();
+    }
+
+    private boolean counts(String id, Ballot ballot) {
+        Ballot is = acceptedBy(id);
+        return is.equals(ballot) || ground.without(Defence.ONE_BALLOT) && is.above(ballot);
+    }
+
     private void counted() {
         Ballot ballot = mine;
-        if (proposed.decidedBy(id -> acceptedBy(id).equals(ballot)) && base.quorum(id -> acceptedBy(id).equals(ballot))) {
+        if (proposed.decidedBy(id -> counts(id, ballot))
+                && (ground.without(Defence.DROPPED_ACCEPTS) || base.quorum(id -> counts(id, ballot)))) {
             phase = Phase.NONE;
             lost = 0;
             learn(ballot, proposed);
--- a/src/main/java/dillfront/core/Value.java
+++ b/src/main/java/dillfront/core/Value.java
@@ -47,7 +47,7 @@
         return crc.getValue();
     }
 
-    boolean joint() {
+    public boolean joint() {
         return !outgoing.isEmpty();
     }
 
@@ -97,6 +97,13 @@
         return next.containsKey(order.version()) ? new Value(epoch, members, outgoing, dropped, configuration, next) : this;
     }
 
+    /** The same, as if this number had never had a content. */
+    Value without(long version) {
+        TreeMap<Long, Long> left = new TreeMap<>(past);
+        left.remove(version);
+        return new Value(epoch, members, outgoing, dropped, configuration, left);
+    }
+
     /** What this value, decided, says of an order. */
     public Outcome outcome(Configuration order) {
         Long digest = past.get(order.version());
--- /dev/null
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -0,0 +1,898 @@
+package dillfront.lab;
+
+import dillfront.core.Ballot;
+import dillfront.core.Defence;
+import dillfront.core.Lease;
+import dillfront.core.Register;
+import dillfront.core.Value;
+import dillfront.host.Configuration;
+import dillfront.host.Pack;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+
+/**
+ * A few control processes by their real {@link Register} and {@link Lease}, two operators, their disks and what lies between them,
+ * all of it moved by steps that are chosen from outside. After each step it is looked at whether all still holds:
+ *
+ * <ul>
+ * <li>one ballot has one value; values that enough disks accepted are one line: past numbers keep their contents, the number in
+ * force never falls, sets change by one step of two at a time; what a process takes for decided is one of them;
+ * <li>what was acknowledged stands in that line, what was refused stands there with another content, for ever;
+ * <li>the calls of the operators are linearizable ({@link History});
+ * <li>one process at a time holds the lease, and a number of it belongs to one life of one process.
+ * </ul>
+ */
+final class ControlWorld {
+
+    /** What may happen. */
+    enum Kind {
+        /** a says its message to b, which hears it. */
+        MESSAGE,
+        /** a says its message to b; it is on its way. */
+        SENT,
+        /** The message that was put on its way as the a-th comes, be it again. */
+        OLD,
+        /** The first write of a's disk is done. */
+        DISK,
+        /** The first write of a's disk fails; b = 1: yet it is there after a loss of power before the next one is done. */
+        REFUSED,
+        /** a loses its power; the first b of its writes were done. */
+        CRASH, START,
+        /** a's disk is gone. */
+        EMPTY,
+        /** Milliseconds pass. */
+        TIME,
+        /** Operator a sends an order to process b % 8, with number b / 8. */
+        ORDER,
+        /** Operator a has no answer. */
+        GIVE_UP,
+        /** A read at a. */
+        READ,
+        /** a, if it holds the lease, wants the processes of the bits of b as members; without bits, the second step. */
+        SETS,
+        /** What a says does not reach b, until it does. */
+        CUT, JOIN
+    }
+
+    record Step(Kind kind, int a, int b) {
+        @Override
+        public String toString() {
+            return kind + " " + a + " " + b;
+        }
+    }
+
+    /**
+     * What there is, and how often each thing may happen.
+     *
+     * @param first nothing is on the disks, and the first process founds; else the first ones are members
+     * @param lease whether the real lease runs; else the first process holds it
+     * @param numbers orders have numbers from 1 to this
+     */
+    record Scene(int processes, int members, boolean first, boolean lease, int numbers, int orders, int reads, int sent, int crashes, int empties,
+            int refusals, int ticks, int sets, int cuts) { }
+
+    private static final int OPERATORS = 2;
+    private static final int[] TIMES = {10, 50, 250, 1_000};
+
+    final Scene scene;
+    private final Defence without;
+    private final long seed;
+    final Process[] processes;
+    final List<Step> steps = new ArrayList<>();
+    final History history = new History();
+    private final List<String> told = new ArrayList<>();
+    private final List<Sent> sent = new ArrayList<>();
+    private final boolean[][] cut;
+    private final Asked[] asked = new Asked[OPERATORS];
+    private final int[] left;
+    private final TreeMap<Ballot, Value> values = new TreeMap<>();
+    private final TreeMap<Ballot, TreeSet<String>> accepted = new TreeMap<>();
+    /** What enough disks accepted. */
+    private final TreeMap<Ballot, Value> chosen = new TreeMap<>();
+    private final TreeMap<String, Boolean> answered = new TreeMap<>();
+    private final TreeMap<Long, String> fences = new TreeMap<>();
+    private final Map<String, Configuration> contents = new HashMap<>();
+    long now = 1_000_000;
+    /** Something was answered or chosen in this step. */
+    private boolean ended;
+    /** What did not hold first. */
+    String broken;
+
+    private record Sent(int from, int to, Map<String, Object> message) { }
+
+    private record Asked(int operation, int at, String content) { }
+
+    private record Write(Map<String, String> texts, CompletableFuture<Void> done) { }
+
+    private static final class Reading {
+        final int operation;
+        final long token;
+        Ballot least;
+
+        Reading(int operation, long token) {
+            this.operation = operation;
+            this.token = token;
+        }
+    }
+
+    ControlWorld(Scene scene, Defence without, long seed) {
+        this.scene = scene;
+        this.without = without;
+        this.seed = seed;
+        processes = new Process[scene.processes];
+        cut = new boolean[scene.processes][scene.processes];
+        left = new int[Kind.values().length];
+        Arrays.fill(left, Integer.MAX_VALUE);
+        limit(Kind.ORDER, scene.orders);
+        limit(Kind.READ, scene.reads);
+        limit(Kind.SENT, scene.sent);
+        limit(Kind.CRASH, scene.crashes);
+        limit(Kind.EMPTY, scene.empties);
+        limit(Kind.REFUSED, scene.refusals);
+        limit(Kind.TIME, scene.ticks);
+        limit(Kind.SETS, scene.sets);
+        limit(Kind.CUT, scene.cuts);
+        TreeSet<String> members = new TreeSet<>();
+        for (int i = 0; i < scene.processes; i++) {
+            processes[i] = new Process(i);
+            if (i < scene.members) {
+                members.add(ip(i) + "/0");
+            }
+        }
+        for (Process p : processes) {
+            if (!scene.first) {
+                p.disk.put("promised-ballot", "1 " + ip(0) + "/0");
+                p.disk.put("accepted-ballot", "1 " + ip(0) + "/0");
+                p.disk.put("epoch", "1");
+                p.disk.put("members", String.join(",", members));
+            }
+            p.start();
+        }
+        look();
+    }
+
+    private void limit(Kind kind, int times) {
+        left[kind.ordinal()] = times;
+    }
+
+    private static String ip(int index) {
+        return "10.0.0." + index;
+    }
+
+    private boolean lacks(Defence defence) {
+        return without == defence;
+    }
+
+    private void breaks(String what) {
+        broken = broken == null ? what : broken;
+    }
+
+    private Configuration content(long number, int by) {
+        return contents.computeIfAbsent(number + "/" + by, key -> {
+            try {
+                return Configuration.read(("{\"revision_number\":" + number + ",\"by\":" + by + ",\"services\":[],\"routes\":[]}")
+                        .getBytes(StandardCharsets.UTF_8));
+            } catch (Configuration.Invalid never) {
+                throw new IllegalStateException(never);
+            }
+        });
+    }
+
+    private static String digest(Configuration of) {
+        String body = new String(of.body(), StandardCharsets.UTF_8);
+        int at = body.indexOf("\"by\":");
+        return at < 0 ? "" : body.substring(at + 5, at + 6);
+    }
+
+    // ---- steps
+
+    boolean can(Step step) {
+        if (left[step.kind.ordinal()] <= 0) {
+            return false;
+        }
+        boolean operator = step.kind == Kind.ORDER || step.kind == Kind.GIVE_UP;
+        Process p = operator || step.kind == Kind.TIME || step.kind == Kind.OLD ? null : processes[step.a];
+        boolean up = p != null && p.register != null;
+        switch (step.kind) {
+            case MESSAGE:
+            case SENT:
+                return step.a != step.b && up && !cut[step.a][step.b] && processes[step.b].register != null;
+            case OLD:
+                return step.a < sent.size() && processes[sent.get(step.a).to].register != null;
+            case DISK:
+            case REFUSED:
+                return up && !p.disk().isEmpty();
+            case CRASH:
+                return up && step.b <= p.disk().size();
+            case START:
+                return !up;
+            case EMPTY:
+                return !up && !p.disk.isEmpty();
+            case ORDER:
+                return asked[step.a] == null && processes[step.b % 8].register != null;
+            case GIVE_UP:
+                return asked[step.a] != null;
+            case READ:
+                return up;
+            case SETS:
+                return up && p.changes(step.b);
+            case CUT:
+                return step.a != step.b && !cut[step.a][step.b];
+            case JOIN:
+                return cut[step.a][step.b];
+            default:
+                return true;
+        }
+    }
+
+    void step(Step step) {
+        steps.add(step);
+        left[step.kind.ordinal()]--;
+        switch (step.kind) {
+            case MESSAGE -> processes[step.b].hear(processes[step.a].say(step.b));
+            case SENT -> sent.add(new Sent(step.a, step.b, processes[step.a].say(step.b)));
+            case OLD -> processes[sent.get(step.a).to].hear(sent.get(step.a).message);
+            case DISK -> processes[step.a].written();
+            case REFUSED -> processes[step.a].refused(step.b == 1);
+            case CRASH -> processes[step.a].crash(step.b);
+            case START -> processes[step.a].start();
+            case EMPTY -> processes[step.a].empty();
+            case TIME -> now += step.a;
+            case ORDER -> order(step.a, step.b % 8, step.b / 8);
+            case GIVE_UP -> {
+                history.end(asked[step.a].operation, now, History.Outcome.UNKNOWN);
+                told.add("gives up " + step.a);
+                asked[step.a] = null;
+            }
+            case READ -> processes[step.a].read();
+            case SETS -> processes[step.a].sets(step.b);
+            case CUT -> cut[step.a][step.b] = true;
+            case JOIN -> {
+                cut[step.a][step.b] = false;
+                if (processes[step.a].register != null) {
+                    processes[step.a].register.again(processes[step.b].id);
+                }
+            }
+            default -> throw new IllegalStateException();
+        }
+        for (Process p : processes) {
+            if (p.register != null) {
+                p.look(step.kind == Kind.TIME);
+            }
+        }
+        look();
+    }
+
+    private void look() {
+        for (Process p : processes) {
+            if (p.register != null) {
+                observe(p);
+            }
+        }
+        accepted.forEach((ballot, by) -> {
+            Value value = values.get(ballot);
+            if (value != null && !chosen.containsKey(ballot) && value.decidedBy(by::contains)) {
+                choose(ballot, value);
+            }
+        });
+        for (Process p : processes) {
+            if (p.register != null) {
+                believes(p);
+            }
+        }
+        holders();
+        if (ended) {
+            ended = false;
+            String fault = history.check();
+            if (fault != null) {
+                breaks(fault);
+            }
+            stands();
+        }
+    }
+
+    /** All that may happen next. */
+    List<Step> choices() {
+        List<Step> all = new ArrayList<>();
+        int n = scene.processes;
+        for (int i = 0; i < n; i++) {
+            for (int j = 0; j < n; j++) {
+                may(all, Kind.MESSAGE, i, j);
+                may(all, Kind.SENT, i, j);
+                if (i != j) {
+                    may(all, cut[i][j] ? Kind.JOIN : Kind.CUT, i, j);
+                }
+            }
+            may(all, Kind.DISK, i, 0);
+            may(all, Kind.REFUSED, i, 0);
+            may(all, Kind.REFUSED, i, 1);
+            for (int done = 0; processes[i].register != null && done <= processes[i].disk().size(); done++) {
+                may(all, Kind.CRASH, i, done);
+            }
+            may(all, Kind.START, i, 0);
+            may(all, Kind.EMPTY, i, 0);
+            may(all, Kind.READ, i, 0);
+            for (int mask = 0; mask < 1 << n; mask++) {
+                if (mask == 0 || Integer.bitCount(mask) >= 2) {
+                    may(all, Kind.SETS, i, mask);
+                }
+            }
+        }
+        for (int o = 0; o < OPERATORS; o++) {
+            for (int i = 0; i < n; i++) {
+                for (int number = 1; number <= scene.numbers; number++) {
+                    may(all, Kind.ORDER, o, i + 8 * number);
+                }
+            }
+            may(all, Kind.GIVE_UP, o, 0);
+        }
+        for (int k = 0; k < sent.size(); k++) {
+            may(all, Kind.OLD, k, 0);
+        }
+        for (int time : TIMES) {
+            may(all, Kind.TIME, time, 0);
+        }
+        return all;
+    }
+
+    private void may(List<Step> all, Kind kind, int a, int b) {
+        Step step = new Step(kind, a, b);
+        if (can(step)) {
+            all.add(step);
+        }
+    }
+
+    private void order(int operator, int at, long number) {
+        Configuration content = content(number, operator);
+        String digest = Integer.toString(operator);
+        Asked one = new Asked(history.begin(now, "operator " + operator, number, digest), at, number + "/" + digest);
+        asked[operator] = one;
+        told.add("asks " + operator + " " + one.content);
+        processes[at].register.order(content).whenComplete((outcome, fault) -> {
+            if (asked[operator] == one && fault == null) {
+                asked[operator] = null;
+                boolean taken = outcome == Value.Outcome.TAKEN;
+                history.end(one.operation, now, taken ? History.Outcome.ACKNOWLEDGED : History.Outcome.REFUSED);
+                told.add(operator + " is told " + outcome);
+                if (!Boolean.valueOf(taken).equals(answered.getOrDefault(one.content, taken))) {
+                    breaks("order " + one.content + " is refused and acknowledged");
+                }
+                answered.put(one.content, taken);
+                ended = true;
+            }
+        });
+    }
+
+    // ---- what must hold
+
+    /** What was answered stands in the newest chosen value. */
+    private void stands() {
+        if (chosen.isEmpty()) {
+            if (!answered.isEmpty()) {
+                breaks("answered, with nothing chosen: " + answered);
+            }
+            return;
+        }
+        Value newest = chosen.lastEntry().getValue();
+        answered.forEach((content, taken) -> {
+            String[] parts = content.split("/");
+            Configuration is = content(Long.parseLong(parts[0]), Integer.parseInt(parts[1]));
+            Value.Outcome outcome = newest.outcome(is);
+            if (outcome != (taken ? Value.Outcome.TAKEN : Value.Outcome.CONFLICT)) {
+                breaks("order " + content + " was " + (taken ? "acknowledged" : "refused") + ", and in the newest value it is "
+                        + outcome + ": " + text(newest));
+            }
+        });
+    }
+
+    private static String text(Value of) {
+        return "epoch " + of.epoch() + " of " + of.members() + (of.outgoing().isEmpty() ? "" : " and " + of.outgoing())
+                + (of.dropped().isEmpty() ? "" : " without " + of.dropped()) + " number " + of.configuration().version() + "/"
+                + digest(of.configuration()) + " past " + of.past();
+    }
+
+    private void observe(Process p) {
+        Ballot ballot = p.register.accepted();
+        if (!ballot.equals(p.seen)) {
+            p.seen = ballot;
+            known(ballot, p.register.held());
+            accepted.computeIfAbsent(ballot, b -> new TreeSet<>()).add(p.id);
+        }
+        if (!p.register.decidedBallot().equals(p.seenDecided)) {
+            known(p.register.decidedBallot(), p.register.decided());
+        }
+    }
+
+    private void known(Ballot ballot, Value value) {
+        Value other = values.putIfAbsent(ballot, value);
+        if (other != null && !text(other).equals(text(value))) {
+            breaks("two values under ballot " + ballot + ": " + text(other) + "; " + text(value));
+        }
+    }
+
+    private void believes(Process p) {
+        Ballot decided = p.register.decidedBallot();
+        if (!decided.equals(p.seenDecided)) {
+            p.seenDecided = decided;
+            if (!chosen.containsKey(decided)) {
+                breaks(p.id + " takes for decided what is not: " + decided + " " + text(p.register.decided()));
+            }
+        }
+        if (scene.lease && p.lease.holds()) {
+            String life = p.id + " life " + p.life;
+            if (!life.equals(fences.computeIfAbsent(p.lease.number(), n -> life))) {
+                breaks("the lease's number " + p.lease.number() + " is of " + fences.get(p.lease.number()) + " and of " + life);
+            }
+        }
+    }
+
+    private void choose(Ballot ballot, Value value) {
+        Map.Entry<Ballot, Value> lower = chosen.lowerEntry(ballot);
+        Map.Entry<Ballot, Value> higher = chosen.higherEntry(ballot);
+        chosen.put(ballot, value);
+        String fault = lower == null ? null : follows(lower.getValue(), value);
+        fault = fault == null && higher != null ? follows(value, higher.getValue()) : fault;
+        if (fault != null) {
+            breaks("two lines of decided values: " + fault);
+        }
+        ended = true;
+    }
+
+    /** Null where this value may be the next one, or one after a few of the same sets. */
+    private String follows(Value before, Value after) {
+        String both = text(before) + ", then " + text(after);
+        boolean steps = after.epoch() == before.epoch() && after.members().equals(before.members()) && after.outgoing().equals(before.outgoing());
+        boolean joins = after.epoch() == before.epoch() + 1 && !before.joint() && after.outgoing().equals(before.members());
+        boolean drops = after.epoch() == before.epoch() + 1 && before.joint() && !after.joint() && after.members().equals(before.members());
+        // Without a defence only what does harm counts, not that the steps are others.
+        boolean harmless = without != null && after.epoch() > before.epoch();
+        if (!steps && !joins && !drops && !harmless) {
+            return "sets: " + both;
+        }
+        if (!after.past().entrySet().containsAll(before.past().entrySet())) {
+            return "numbers: " + both;
+        }
+        long rises = after.configuration().version() - before.configuration().version();
+        return rises < 0 || rises == 0 && !digest(before.configuration()).equals(digest(after.configuration())) ? "in force: " + both : null;
+    }
+
+    private void holders() {
+        Process holder = null;
+        for (Process p : processes) {
+            if (scene.lease && p.register != null && p.lease.holds()) {
+                if (holder != null) {
+                    breaks("two hold the lease: " + holder.id + " with " + holder.lease.number() + ", " + p.id + " with " + p.lease.number());
+                }
+                holder = p;
+            }
+        }
+    }
+
+    /** The value in force, for whoever looks from outside. */
+    Value newest() {
+        return chosen.isEmpty() ? null : chosen.lastEntry().getValue();
+    }
+
+    /** All that the future depends on. */
+    String state() {
+        Dump dump = new Dump();
+        dump.add(now).add(left).add(told).add(cut).add(asked).add(chosen).add(accepted).add(fences).add(answered);
+        TreeSet<String> ways = new TreeSet<>();
+        for (Sent one : sent) {
+            ways.add(new Dump().add(one.from).add(one.to).add(one.message).toString());
+        }
+        dump.add(ways);
+        for (Process p : processes) {
+            dump.add(p.disk).add(p.doubtful).add(p.empties).add(p.life).add(p.id).add(p.register == null);
+            if (p.register != null) {
+                dump.add(p.writes.stream().map(Write::texts).toList()).add(p.register).add(p.lease).add(p.views).add(p.token)
+                        .add(p.readings);
+            }
+        }
+        return dump.toString();
+    }
+
+    // ---- a process
+
+    /** Another process, as its last message told; as {@code core.Peer}. */
+    private static final class View implements Lease.Voter {
+        String id = "";
+        int life = -1;
+        long itsNow;
+        long echo = Long.MIN_VALUE / 2;
+        long epoch;
+        long promised;
+        String promisedTo = "";
+        long granted = Lease.NEVER;
+        boolean fresh;
+        boolean answers;
+        long itsToken;
+        long token = -1;
+
+        @Override
+        public String id() {
+            return id;
+        }
+
+        @Override
+        public long epoch() {
+            return epoch;
+        }
+
+        @Override
+        public long promised() {
+            return promised;
+        }
+
+        @Override
+        public String promisedTo() {
+            return promisedTo;
+        }
+
+        @Override
+        public long granted() {
+            return granted;
+        }
+    }
+
+    /** One control process: what {@code core.Core} does around register and lease, and no more. */
+    final class Process implements Lease.Ground {
+        private static final long LOOK_MS = 50;
+        final int index;
+        final TreeMap<String, String> disk = new TreeMap<>();
+        final ArrayDeque<Write> writes = new ArrayDeque<>();
+        /** What the disk refused, and may hold all the same. */
+        Map<String, String> doubtful = Map.of();
+        int empties;
+        int life = -1;
+        String id = "";
+        /** Null while it is down. */
+        Register register;
+        Lease lease;
+        View[] views;
+        long token;
+        List<Reading> readings;
+        Ballot seen = Ballot.NONE;
+        Ballot seenDecided = Ballot.NONE;
+        private long chances;
+
+        Process(int index) {
+            this.index = index;
+        }
+
+        void start() {
+            life++;
+            if (disk.isEmpty() || !disk.containsKey("id")) {
+                disk.put("id", ip(index) + "/" + (lacks(Defence.NEW_ID) ? 0 : empties));
+            }
+            id = disk.get("id");
+            writes.clear();
+            views = new View[scene.processes];
+            for (int i = 0; i < views.length; i++) {
+                views[i] = new View();
+            }
+            token = 0;
+            readings = new ArrayList<>();
+            seen = Ballot.NONE;
+            seenDecided = Ballot.NONE;
+            Register fresh = new Register(this);
+            lease = new Lease(this);
+            try {
+                fresh.load(new TreeMap<>(disk));
+            } catch (Configuration.Invalid bad) {
+                breaks(id + " cannot read its disk: " + bad.getMessage());
+            }
+            register = fresh;
+            lease.load(new TreeMap<>(disk));
+            look(true);
+        }
+
+        void crash(int done) {
+            if (done == 0) {
+                disk.putAll(doubtful);
+            }
+            for (int i = 0; i < done; i++) {
+                disk.putAll(writes.poll().texts);
+            }
+            doubtful = Map.of();
+            writes.clear();
+            register = null;
+        }
+
+        void empty() {
+            disk.clear();
+            empties++;
+        }
+
+        ArrayDeque<Write> disk() {
+            return writes;
+        }
+
+        void written() {
+            Write first = writes.poll();
+            disk.putAll(first.texts);
+            doubtful = Map.of();
+            first.done.complete(null);
+        }
+
+        void refused(boolean there) {
+            Write first = writes.poll();
+            doubtful = there ? first.texts : Map.of();
+            first.done.completeExceptionally(new IllegalStateException("the disk refuses"));
+        }
+
+        void look(boolean time) {
+            if (time && scene.lease) {
+                lease.look();
+            }
+            register.look();
+            found();
+            readings();
+        }
+
+        /** As {@code core.Core.found}. */
+        private void found() {
+            if (!scene.first || index != 0 || !register.blank()) {
+                return;
+            }
+            TreeSet<String> ids = new TreeSet<>();
+            ids.add(id);
+            for (int i = 0; i < scene.members; i++) {
+                if (i != index && views[i].fresh && views[i].answers) {
+                    ids.add(views[i].id);
+                }
+            }
+            if (ids.size() == scene.members || lacks(Defence.FOUNDER_HEARS_ALL) && ids.size() > scene.members / 2) {
+                register.found(ids);
+            }
+        }
+
+        Map<String, Object> say(int to) {
+            View v = views[to];
+            Map<String, Object> out = new LinkedHashMap<>();
+            out.put("i", (long) index);
+            out.put("b", (long) life);
+            out.put("n", now);
+            out.put("e", v.itsNow);
+            out.put("eb", (long) v.life);
+            out.put("eid", v.id);
+            out.put("id", id);
+            out.put("ep", epoch());
+            if (!v.id.isEmpty()) {
+                out.put("rg", register.say(v.id));
+            }
+            out.put("fs", scene.first && register.blank());
+            out.put("tk", token);
+            out.put("te", v.itsToken);
+            out.put("p", lease.promised());
+            out.put("pt", lease.promisedTo());
+            out.put("pg", lease.granted());
+            out.put("w", lease.wanted());
+            return out;
+        }
+
+        /** As {@code core.Core.heard}. */
+        void hear(Map<String, Object> message) {
+            Pack.Fields in = new Pack.Fields(message);
+            View v = views[(int) in.number("i", 0)];
+            int from = (int) in.number("b", 0);
+            if (from == v.life && in.number("n", 0) < v.itsNow) {
+                return;
+            }
+            if (from != v.life || !in.text("id").equals(v.id)) {
+                v.life = from;
+                v.id = in.text("id");
+                v.promised = 0;
+                v.promisedTo = "";
+                v.echo = Long.MIN_VALUE / 2;
+                v.answers = false;
+                v.token = -1;
+                v.itsToken = 0;
+            }
+            v.itsNow = in.number("n", 0);
+            v.itsToken = Math.max(v.itsToken, in.number("tk", 0));
+            if (in.number("eb", -1) == life && in.text("eid").equals(id)) {
+                v.echo = Math.max(v.echo, in.number("e", 0));
+                v.token = Math.max(v.token, in.number("te", 0));
+                v.answers = true;
+            }
+            v.epoch = in.number("ep", 0);
+            v.fresh = in.bit("fs");
+            if (in.all().get("rg") instanceof Map<?, ?> map) {
+                @SuppressWarnings("unchecked")
+                Map<String, Object> fields = (Map<String, Object>) map;
+                try {
+                    register.hear(v.id, new Pack.Fields(fields));
+                } catch (Configuration.Invalid bad) {
+                    breaks("a message is not understood: " + bad.getMessage());
+                }
+            }
+            v.promised = in.number("p", 0);
+            v.promisedTo = in.text("pt");
+            v.granted = in.number("pg", Lease.NEVER);
+            if (scene.lease) {
+                lease.wants(v, in.number("w", 0), v.itsNow);
+            }
+        }
+
+        void read() {
+            readings.add(new Reading(history.begin(now, "reader at " + index), ++token));
+            told.add("reads " + index);
+        }
+
+        /** As {@code core.Core.read}. */
+        private void readings() {
+            for (Reading one : List.copyOf(readings)) {
+                Value is = register.held();
+                if (one.least == null && is != null && (lacks(Defence.FRESH_MAJORITY)
+                        || is.quorum(of -> of.equals(id) || view(of) != null && view(of).token >= one.token))) {
+                    one.least = lacks(Defence.FRESH_MAJORITY) ? register.decidedBallot() : register.highest();
+                }
+                if (one.least != null && register.decidedBallot().compareTo(one.least) >= 0 && register.decided() != null) {
+                    readings.remove(one);
+                    Configuration got = register.committed();
+                    history.end(one.operation, now, got.version(), digest(got));
+                    told.add(index + " reads " + got.version() + "/" + digest(got));
+                    ended = true;
+                }
+            }
+        }
+
+        private SortedSet<String> set(int mask) {
+            TreeSet<String> set = new TreeSet<>();
+            for (int i = 0; i < scene.processes; i++) {
+                String known = i == index ? id : views[i].id;
+                if ((mask >> i & 1) == 1 && !known.isEmpty()) {
+                    set.add(known);
+                }
+            }
+            return set;
+        }
+
+        boolean changes(int mask) {
+            Value is = base();
+            if (is == null || !holds()) {
+                return false;
+            }
+            return is.joint() ? mask == 0 : mask != 0 && set(mask).size() == Integer.bitCount(mask) && !set(mask).equals(is.members());
+        }
+
+        private Value base() {
+            return lacks(Defence.SETS_ON_DECIDED) ? register.held() : register.decided();
+        }
+
+        void sets(int mask) {
+            if (mask == 0) {
+                register.settle(base().epoch());
+            } else {
+                register.members(base().epoch(), set(mask));
+            }
+        }
+
+        private View view(String of) {
+            for (View v : views) {
+                if (v.id.equals(of)) {
+                    return v;
+                }
+            }
+            return null;
+        }
+
+        // ---- what register and lease ask
+
+        @Override
+        public String self() {
+            return id;
+        }
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public CompletableFuture<Void> store(Map<String, String> texts) {
+            Write write = new Write(texts, new CompletableFuture<>());
+            writes.add(write);
+            boolean ballot = texts.containsKey("promised-ballot") && !texts.containsKey("accepted-ballot");
+            boolean own = ballot && Ballot.of(texts.get("promised-ballot")).proposer().equals(id);
+            boolean early = lacks(Defence.BALLOT_ON_DISK) && own || lacks(Defence.PROMISE_ON_DISK) && ballot && !own
+                    || lacks(Defence.ACCEPTED_ON_DISK) && texts.containsKey("accepted-ballot")
+                    || lacks(Defence.LEASE_ON_DISK) && texts.containsKey("promised");
+            if (early) {
+                if (texts.containsKey("accepted-ballot")) {
+                    accepted.computeIfAbsent(Ballot.of(texts.get("accepted-ballot")), b -> new TreeSet<>()).add(id);
+                }
+                write.done.complete(null);
+            }
+            return write.done;
+        }
+
+        @Override
+        public void tell() {
+            // Who says what, and when, is chosen from outside.
+        }
+
+        @Override
+        public void decided(Value value) {
+            // Seen after the step.
+        }
+
+        @Override
+        public long chance(long below) {
+            long mixed = seed * 0x9E3779B97F4A7C15L + index * 0xBF58476D1CE4E5B9L + chances++ * 0x94D049BB133111EBL;
+            mixed = (mixed ^ mixed >>> 31) * 0xD6E8FEB86659FD93L;
+            return seed == 0 ? 0 : Long.remainderUnsigned(mixed ^ mixed >>> 32, below);
+        }
+
+        @Override
+        public boolean holds() {
+            return lacks(Defence.SETS_BY_HOLDER) || (scene.lease ? lease.holds() : index == 0);
+        }
+
+        @Override
+        public boolean without(Defence defence) {
+            return lacks(defence);
+        }
+
+        @Override
+        public long epoch() {
+            return register == null || register.held() == null ? 0 : register.held().epoch();
+        }
+
+        @Override
+        public boolean member(String of) {
+            Value is = register.held();
+            return is != null && (is.members().contains(of) || is.outgoing().contains(of));
+        }
+
+        @Override
+        public boolean votes() {
+            return member(id);
+        }
+
+        @Override
+        public boolean alone() {
+            return reached(now, v -> v.echo) < now - 1_300;
+        }
+
+        @Override
+        public int rank() {
+            return register.held() == null ? 0 : register.held().members().headSet(id).size();
+        }
+
+        @Override
+        public long stalledFor() {
+            return 0;
+        }
+
+        @Override
+        public Iterable<? extends Lease.Voter> voters() {
+            List<View> others = new ArrayList<>(Arrays.asList(views));
+            others.remove(index);
+            return others;
+        }
+
+        @Override
+        public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
+            return reached(itself, moment::applyAsLong);
+        }
+
+        private long reached(long itself, ToLongFunction<View> moment) {
+            Value is = register.held();
+            return is == null ? Lease.NEVER : is.reached(of -> of.equals(id) ? itself : view(of) == null ? Lease.NEVER
+                    : moment.applyAsLong(view(of)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillfront/lab/ControlWorlds.java
@@ -0,0 +1,298 @@
+package dillfront.lab;
+
+import dillfront.core.Defence;
+import dillfront.lab.ControlWorld.Kind;
+import dillfront.lab.ControlWorld.Scene;
+import dillfront.lab.ControlWorld.Step;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Small worlds of the control side gone through: all that may happen up to a depth, nearest first, and random walks far beyond it;
+ * and the same without one defence after the other, where it must break.
+ */
+public final class ControlWorlds {
+
+    /**
+     * @param worlds states that were reached by breadth and walks that were taken, with all defences
+     * @param steps that the walks took
+     * @param broken what did not hold with all defences, and how it came about; null where all held
+     * @param caught for each defence that broke something when it was taken out, the trace
+     * @param missed those that broke nothing in the time that there was
+     */
+    public record Result(long worlds, long steps, String broken, TreeMap<Defence, String> caught, List<Defence> missed) { }
+
+    /** States that were looked at, the deepest path to one, whether there was no more to see, and what broke. */
+    record Found(int states, int depth, boolean whole, String broken) { }
+
+    /** Two operators and one number at three processes that found themselves members; no trouble. */
+    static final Scene DUEL = new Scene(3, 3, false, false, 1, 2, 1, 0, 0, 0, 0, 0, 0, 0);
+    /** The same with one loss of power, and a message that comes late. */
+    static final Scene LOSSES = new Scene(3, 3, false, false, 1, 2, 1, 1, 1, 0, 1, 0, 0, 0);
+    /** One member gives its place to another, while an order is under way. */
+    static final Scene REPLACED = new Scene(4, 3, false, false, 1, 1, 0, 0, 0, 0, 0, 2, 0, 0);
+    /** The first start, with a disk that is emptied. */
+    static final Scene FIRST = new Scene(3, 3, true, false, 1, 1, 0, 0, 1, 1, 0, 0, 0, 0);
+
+    private static final int MANY = 1_000;
+    /** Members that stay, two operators, power and disks. */
+    static final Scene POWER = new Scene(3, 3, false, false, 2, MANY, MANY, MANY, 8, 2, 3, MANY, 0, MANY);
+    /** Sets change, and the first process may ask for it. */
+    static final Scene SETS = new Scene(4, 3, false, false, 2, MANY, MANY, MANY, 3, 1, 1, MANY, MANY, MANY);
+    /** All of it. */
+    static final Scene ALL = new Scene(5, 3, false, true, 3, MANY, MANY, MANY, 6, 3, 2, MANY, MANY, MANY);
+    /** From empty disks; one of them is emptied again. */
+    static final Scene FOUNDED = new Scene(3, 3, true, true, 2, MANY, MANY, MANY, 6, 1, 2, MANY, MANY, MANY);
+    static final Scene FIVE = new Scene(5, 5, false, true, 2, MANY, MANY, MANY, 4, 1, 2, MANY, MANY, MANY);
+    /** Who holds the lease, and nothing else: with members that stay, and with others. */
+    static final Scene LEASE = new Scene(3, 3, false, true, 1, 0, 0, MANY, 3, 0, 1, MANY, 0, MANY);
+    static final Scene LEASE_SETS = new Scene(4, 3, false, true, 1, 0, 0, MANY, 2, 0, 1, MANY, MANY, MANY);
+
+    /** A scene, and how long a walk through it is. */
+    private record Walk(Scene scene, int length) { }
+
+    private static final List<Walk> WALKS = List.of(new Walk(POWER, 200), new Walk(SETS, 300), new Walk(ALL, 800), new Walk(FOUNDED, 300),
+            new Walk(FIVE, 800), new Walk(LEASE, 300), new Walk(LEASE_SETS, 600), new Walk(POWER, 1_000));
+
+    private ControlWorlds() { }
+
+    /** All states up to this depth, nearest first. */
+    static Found explore(Scene scene, Defence without, int depth, int most) {
+        Set<Long> seen = new HashSet<>();
+        ArrayDeque<Step[]> next = new ArrayDeque<>(Collections.singleton(new Step[0]));
+        int deepest = 0;
+        while (!next.isEmpty() && seen.size() < most) {
+            Step[] path = next.poll();
+            ControlWorld world = played(scene, without, 0, Arrays.asList(path));
+            if (world.broken != null) {
+                return new Found(seen.size(), path.length, false, told(world));
+            }
+            if (!seen.add(hash(world.state()))) {
+                continue;
+            }
+            deepest = Math.max(deepest, path.length);
+            if (path.length < depth) {
+                for (Step step : world.choices()) {
+                    Step[] longer = Arrays.copyOf(path, path.length + 1);
+                    longer[path.length] = step;
+                    next.add(longer);
+                }
+            }
+        }
+        return new Found(seen.size(), deepest, next.isEmpty(), null);
+    }
+
+    private static long hash(String of) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < of.length(); i++) {
+            hash = (hash ^ of.charAt(i)) * 0x100000001b3L;
+            hash ^= hash >>> 29;
+        }
+        return hash;
+    }
+
+    private static ControlWorld played(Scene scene, Defence without, long seed, List<Step> steps) {
+        ControlWorld world = new ControlWorld(scene, without, seed);
+        for (Step step : steps) {
+            if (world.broken == null && world.can(step)) {
+                world.step(step);
+            }
+        }
+        return world;
+    }
+
+    /** Steps as {@link #told} writes them, played again. */
+    static ControlWorld played(Scene scene, long seed, String steps) {
+        List<Step> path = new ArrayList<>();
+        for (String one : steps.split(", ")) {
+            String[] parts = one.split(" ");
+            path.add(new Step(Kind.valueOf(parts[0]), Integer.parseInt(parts[1]), Integer.parseInt(parts[2])));
+        }
+        return played(scene, null, seed, path);
+    }
+
+    static String told(ControlWorld world) {
+        return world.broken + " after " + world.steps;
+    }
+
+    /** How likely each kind is on one walk: drawn anew for each, so that some walks do little but one thing. */
+    private static double[] weights(Scene scene, SplittableRandom random) {
+        double[] weights = new double[Kind.values().length];
+        weights[Kind.MESSAGE.ordinal()] = 50;
+        weights[Kind.DISK.ordinal()] = 25;
+        weights[Kind.TIME.ordinal()] = 12;
+        weights[Kind.ORDER.ordinal()] = 3;
+        weights[Kind.GIVE_UP.ordinal()] = 1;
+        weights[Kind.READ.ordinal()] = 2;
+        weights[Kind.SENT.ordinal()] = 3;
+        weights[Kind.OLD.ordinal()] = 3;
+        weights[Kind.CRASH.ordinal()] = 1;
+        weights[Kind.START.ordinal()] = 6;
+        weights[Kind.EMPTY.ordinal()] = 1;
+        weights[Kind.REFUSED.ordinal()] = 0.5;
+        weights[Kind.SETS.ordinal()] = 3;
+        weights[Kind.CUT.ordinal()] = 1;
+        weights[Kind.JOIN.ordinal()] = 2;
+        double[] factors = {0.2, 1, 1, 3};
+        for (int i = 0; i < weights.length; i++) {
+            weights[i] *= factors[random.nextInt(factors.length)];
+        }
+        weights[Kind.ORDER.ordinal()] *= Math.min(1, scene.orders());
+        weights[Kind.READ.ordinal()] *= Math.min(1, scene.reads());
+        weights[Kind.SETS.ordinal()] *= Math.min(1, scene.sets());
+        weights[Kind.EMPTY.ordinal()] *= Math.min(1, scene.empties());
+        return weights;
+    }
+
+    /** One random walk. */
+    static ControlWorld walk(Scene scene, Defence without, long seed, int length) {
+        SplittableRandom random = new SplittableRandom(seed);
+        double[] weights = weights(scene, random);
+        double all = 0;
+        for (double weight : weights) {
+            all += weight;
+        }
+        ControlWorld world = new ControlWorld(scene, without, seed);
+        Kind[] kinds = Kind.values();
+        for (int i = 0; i < length && world.broken == null; i++) {
+            double dice = random.nextDouble() * all;
+            int kind = 0;
+            while (kind < kinds.length - 1 && dice >= weights[kind]) {
+                dice -= weights[kind++];
+            }
+            Step step = drawn(world, kinds[kind], random);
+            if (world.can(step)) {
+                world.step(step);
+            }
+        }
+        return world;
+    }
+
+    private static Step drawn(ControlWorld world, Kind kind, SplittableRandom random) {
+        int n = world.scene.processes();
+        int a = random.nextInt(n);
+        int b = 0;
+        switch (kind) {
+            case MESSAGE, SENT, CUT, JOIN -> b = random.nextInt(n);
+            case OLD -> a = random.nextInt(world.steps.size() + 1);
+            case REFUSED -> b = random.nextInt(2);
+            case CRASH -> b = world.processes[a].register == null ? 0 : random.nextInt(world.processes[a].disk().size() + 1);
+            case TIME -> {
+                int dice = random.nextInt(20);
+                a = dice < 12 ? 10 : dice < 17 ? 50 : dice < 19 ? 250 : 1_000;
+            }
+            case ORDER -> {
+                a = random.nextInt(2);
+                b = random.nextInt(n) + 8 * (1 + random.nextInt(world.scene.numbers()));
+            }
+            case GIVE_UP -> a = random.nextInt(2);
+            case SETS -> b = random.nextBoolean() ? 0 : random.nextInt(1 << n);
+            default -> { }
+        }
+        return new Step(kind, a, b);
+    }
+
+    /** The same break with as few of the steps as may be: those that can be left out are left out, later ones first. */
+    static ControlWorld shortest(Scene scene, Defence without, long seed, ControlWorld broken) {
+        List<Step> steps = new ArrayList<>(broken.steps);
+        ControlWorld best = broken;
+        for (int size = Math.max(1, steps.size() / 2); size > 0; size = size > 1 ? size / 2 : 0) {
+            boolean again = true;
+            while (again) {
+                again = false;
+                for (int at = steps.size() - size; at >= 0; at -= size) {
+                    List<Step> fewer = new ArrayList<>(steps.subList(0, at));
+                    fewer.addAll(steps.subList(at + size, steps.size()));
+                    ControlWorld world = played(scene, without, seed, fewer);
+                    if (world.broken != null) {
+                        best = world;
+                        steps = new ArrayList<>(world.steps);
+                        at = Math.min(at, steps.size() - size + 1);
+                        again = size == 1;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Walks without this defence until one breaks; null where none does in the walks or the time that there is. */
+    static String hunt(Defence without, long seed, int walks, long until) {
+        for (int i = 0; i < walks && System.nanoTime() < until; i++) {
+            Walk walk = WALKS.get(i % WALKS.size());
+            ControlWorld world = walk(walk.scene, without, seed + i, walk.length);
+            if (world.broken != null) {
+                return told(shortest(walk.scene, without, seed + i, world));
+            }
+        }
+        return null;
+    }
+
+    /** Within about this time: a fifth by breadth, two fifths walks with all defences, the rest without one after the other. */
+    public static Result run(long seed, long budgetMs) {
+        long begun = System.nanoTime();
+        long budget = budgetMs * 1_000_000;
+        long worlds = 0;
+        long steps = 0;
+        String broken = null;
+        for (Scene scene : List.of(DUEL, LOSSES, REPLACED, FIRST)) {
+            Found found = explore(scene, null, 40, (int) Math.max(200, budgetMs / 10));
+            worlds += found.states;
+            broken = broken == null ? found.broken : broken;
+        }
+        for (long i = 0; broken == null && System.nanoTime() - begun < budget * 3 / 5; i++) {
+            Walk walk = WALKS.get((int) (i % WALKS.size()));
+            ControlWorld world = walk(walk.scene, null, seed + i, walk.length);
+            worlds++;
+            steps += world.steps.size();
+            if (world.broken != null) {
+                broken = told(shortest(walk.scene, null, seed + i, world));
+            }
+        }
+        TreeMap<Defence, String> caught = new TreeMap<>();
+        List<Defence> missed = new ArrayList<>();
+        Defence[] all = Defence.values();
+        for (int i = 0; i < all.length; i++) {
+            long now = System.nanoTime();
+            long until = now + (begun + budget - now) / (all.length - i);
+            String trace = hunt(all[i], seed, Integer.MAX_VALUE, until);
+            if (trace == null) {
+                missed.add(all[i]);
+            } else {
+                caught.put(all[i], trace);
+            }
+        }
+        return new Result(worlds, steps, broken, caught, missed);
+    }
+
+    /** Arguments: the seed, the time in milliseconds, and one defence alone, or ALL for walks with all of them. */
+    public static void main(String[] args) {
+        long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
+        long budget = args.length > 1 ? Long.parseLong(args[1]) : 15_000;
+        if (args.length > 2) {
+            Defence one = args[2].equals("ALL") ? null : Defence.valueOf(args[2]);
+            long begun = System.nanoTime();
+            String trace = hunt(one, seed, Integer.MAX_VALUE, begun + budget * 1_000_000);
+            System.out.println((System.nanoTime() - begun) / 1_000_000 + " ms, " + one + ": " + trace);
+            return;
+        }
+        Result result = run(seed, budget);
+        result.caught.forEach((defence, trace) -> System.out.println("without " + defence + ": " + trace));
+        result.missed.forEach(defence -> System.out.println("without " + defence + ": nothing broke"));
+        if (result.broken != null) {
+            System.out.println("BROKEN with all defences: " + result.broken);
+        }
+        System.out.println("steps=" + result.steps);
+        System.out.println("worlds=" + result.worlds + " defences=" + Defence.values().length + " defences_caught=" + result.caught.size());
+        if (result.broken != null) {
+            System.exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -0,0 +1,37 @@
+package dillfront.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class ControlWorldsTest {
+
+    /** While its promise to another was on its way to the disk, a voter went on with the one before, and said so: two held the lease. */
+    @Test
+    void aVoterThatTurnsToAnotherGoesOnWithNobody() {
+        ControlWorld world = ControlWorlds.played(ControlWorlds.LEASE, 15,
+                "MESSAGE 0 1, MESSAGE 1 0, CRASH 1 0, TIME 1000 0, START 1 0, DISK 2 0, MESSAGE 1 2, MESSAGE 0 1, DISK 1 0, TIME 1000 0, "
+                        + "MESSAGE 2 1, MESSAGE 1 2, DISK 1 0, TIME 1000 0, DISK 2 0, TIME 1000 0, DISK 0 0, MESSAGE 2 1, MESSAGE 0 1, "
+                        + "MESSAGE 1 0, DISK 1 0, MESSAGE 1 2");
+        assertNull(world.broken);
+    }
+
+    /** The founder's first ballot was told before it was on its disk, and was used for another set after a loss of power. */
+    @Test
+    void theFirstBallotIsOnTheDiskBeforeItIsTold() {
+        ControlWorld world = ControlWorlds.played(ControlWorlds.FOUNDED, 1,
+                "MESSAGE 0 1, MESSAGE 0 2, MESSAGE 2 0, MESSAGE 1 0, MESSAGE 0 1, DISK 1 0, CRASH 0 0, START 0 0, MESSAGE 0 2, MESSAGE 2 0, "
+                        + "CRASH 1 0, EMPTY 1 0, START 1 0, MESSAGE 0 1, MESSAGE 1 0, DISK 0 0");
+        assertNull(world.broken);
+    }
+
+    @Test
+    void allHolds() {
+        ControlWorlds.Found found = ControlWorlds.explore(ControlWorlds.DUEL, null, 12, 3_000);
+        assertNull(found.broken());
+        assertEquals(3_000, found.states());
+        assertTrue(found.depth() >= 6, "depth " + found.depth());
+    }
+}
