--- a/src/test/java/dillfront/lab/ControlWorldsTest.java
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -29,9 +29,9 @@
 
     @Test
     void allHolds() {
-        ControlWorlds.Found found = ControlWorlds.explore(ControlWorlds.DUEL, null, 12, 3_000);
+        ControlWorlds.Found found = ControlWorlds.explore(ControlWorlds.DUEL, "", null, 12, 12_000);
         assertNull(found.broken());
-        assertEquals(3_000, found.states());
+        assertEquals(12_000, found.states());
         assertTrue(found.depth() >= 6, "depth " + found.depth());
     }
 }
