lab.ChangesMeasure: bytes for each of 200 changes, and a process that was away for 600

Change: three real control processes, a front that only asks, changes of a configuration of 300 routes (69 KB), from this text's jar or from another's; then a process killed and back after 600 changes, with its disk and without; and 600 puts of 304 KB on a disk of its own.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # A command as the operators have it.
 deployed = sh -c "$$(sed -n 's/^$(1) = "\(.*\)"   \#.*/\1/p' deploy/balancer.toml)"
 
-.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power measure-site measure-system measure-capacity
+.PHONY: build test lint run clean measure-cost measure-gossip measure-identity measure-power measure-site measure-system measure-capacity measure-changes
 
 # The text that a measurement compares with, built into a folder of its own.
 BEFORE ?= 6172edf
@@ -57,3 +57,7 @@
 # What the control plane spends and says with 50, 200 and 800 hollow fronts; real control processes; under 50 s.
 measure-capacity: build
 	java -Xmx1g -cp target/dillfront.jar dillfront.lab.CapacityMeasure
+
+# Bytes for each of 200 changes of 300 routes, and a process that was away for 600; real control processes; one to two minutes.
+measure-changes: build
+	java -Xmx512m -cp target/dillfront.jar dillfront.lab.ChangesMeasure
--- /dev/null
+++ b/src/main/java/dillfront/lab/ChangesMeasure.java
@@ -0,0 +1,312 @@
+package dillfront.lab;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
+import dillfront.host.Host;
+import dillfront.host.NettyHost;
+import dillfront.host.Pack;
+import dillfront.memory.Keep;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+
+/**
+ * Three real control processes on loopback, a front that only asks, and hundreds of changes of a configuration of 300 routes: what
+ * the front and a control process hear for each, how long each takes, and how long a process is behind that was away for 600.
+ * Before that, what a disk takes for such changes. The first argument is another jar to measure, which may be of a text that sends
+ * each configuration whole, or "disk" for the disk alone.
+ */
+public final class ChangesMeasure {
+
+    private static final int INNER = 17_700;
+    private static final int CONTROL = 17_600;
+    private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
+    private static final int ROUTES = 300;
+    private static final int CHANGES = 200;
+    private static final int AWAY = 600;
+    private static final long WITHIN_MS = 30_000;
+
+    private final NettyHost host = new NettyHost(1);
+    private final Process[] processes = new Process[IPS.length];
+    private final Path folder = Files.createTempDirectory("changes");
+    private final String jar;
+    private final AtomicLong heard = new AtomicLong();
+    private final AtomicLong has = new AtomicLong(-1);
+    private final List<Long> took = new ArrayList<>();
+    private long version;
+    private int length;
+
+    private ChangesMeasure(String jar) throws IOException {
+        this.jar = jar;
+    }
+
+    public static void main(String[] args) throws Exception {
+        ChangesMeasure one = new ChangesMeasure(args.length > 0 ? args[0] : "target/dillfront.jar");
+        try {
+            one.disk();
+            if (!(args.length > 0 && args[0].equals("disk"))) {
+                one.run();
+            }
+        } finally {
+            one.end();
+        }
+        System.exit(0);
+    }
+
+    private void start(int which) throws IOException {
+        String ip = IPS[which];
+        JsonArray seeds = Json.array().asArray();
+        for (String one : IPS) {
+            seeds.add(one + ":" + CONTROL);
+        }
+        Path data = Files.createDirectories(folder.resolve(ip));
+        JsonObject settings = Json.object().add("node_name", "core-" + ip).add("ip_address", ip).add("zone_name", ip).add("region", ip)
+                .add("zones", Json.object().add(ip, ip)).add("listen_addresses", Json.object().add("control_address", ip + ":" + CONTROL))
+                .add("internal_port_range", Json.array(INNER, INNER + 9)).add("seed_addresses", seeds).add("first_start", version == 0)
+                .add("data_directory", data.toString()).add("tolerated_losses", Json.object().add("machines", 1))
+                .add("heartbeat_interval_ms", 1_200).add("bounds", Json.object()).add("cloud_api", Json.object().add("address", "127.0.0.1:1"));
+        Path file = folder.resolve(ip + ".json");
+        Files.writeString(file, settings.toString());
+        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms40m", "-Xmx40m",
+                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", jar, "control-plane");
+        start.environment().put("DILLFRONT_SETTINGS", file.toString());
+        start.redirectErrorStream(true).redirectOutput(folder.resolve(ip + ".log").toFile());
+        processes[which] = start.start();
+    }
+
+    private void run() throws Exception {
+        for (int i = 0; i < IPS.length; i++) {
+            start(i);
+        }
+        TimeUnit.MILLISECONDS.sleep(2_500);
+        configure();
+        host.loop().submit(() -> new Front().dial()).get();
+        await(() -> has.get() == version);
+        long front = heard.get();
+        long read = io(1, "rchar");
+        long written = io(1, "write_bytes");
+        long cpu = cpu(1);
+        took.clear();
+        for (int i = 0; i < CHANGES; i++) {
+            configure();
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        await(() -> has.get() == version);
+        Collections.sort(took);
+        System.out.printf("changes: routes=%d bytes=%d changes=%d front_bytes_a_change=%d control_read_a_change=%d control_disk_a_change=%d "
+                + "control_cpu_ms_a_change=%.1f acknowledged_ms_p50=%d acknowledged_ms_p99=%d%n", ROUTES, length, CHANGES,
+                (heard.get() - front) / CHANGES, (io(1, "rchar") - read) / CHANGES, (io(1, "write_bytes") - written) / CHANGES,
+                (cpu(1) - cpu) / 1e6 / CHANGES, took.get(CHANGES / 2), took.get(CHANGES * 99 / 100));
+        for (boolean emptied : new boolean[] {false, true}) {
+            processes[2].destroyForcibly().waitFor();
+            for (int i = 0; i < AWAY; i++) {
+                configure();
+            }
+            if (emptied) {
+                delete(folder.resolve(IPS[2]));
+            }
+            long from = System.nanoTime();
+            start(2);
+            await(() -> status(2).contains("version=" + version + " "));
+            System.out.printf("changes: behind=%d emptied=%b catch_up_ms=%d read=%d peak_mb=%.0f%n", AWAY, emptied,
+                    (System.nanoTime() - from) / 1_000_000, io(2, "rchar"), peak(2));
+        }
+        System.out.println("changes: " + status(0));
+    }
+
+    /** A configuration of some 300 KB, kept as a control process keeps it: how long a put takes, and how long the file gets. */
+    private void disk() throws Exception {
+        Path data = Files.createDirectories(folder.resolve("disk"));
+        Keep keep = Keep.open(data, "measure");
+        List<Long> puts = new ArrayList<>();
+        long most = 0;
+        for (int i = 0; i < AWAY; i++) {
+            Map<String, String> texts = new LinkedHashMap<>();
+            for (int piece = 0; piece < 19; piece++) {
+                texts.put("piece" + piece, (i + " " + piece + ",").repeat(16_000 / (i + " " + piece + ",").length()));
+            }
+            long from = System.nanoTime();
+            keep.put(texts);
+            puts.add((System.nanoTime() - from) / 1_000);
+            most = Math.max(most, Files.size(data.resolve("memory.log")));
+        }
+        Collections.sort(puts);
+        Runtime run = Runtime.getRuntime();
+        System.out.printf("changes: disk_bytes=%d puts=%d put_us_p50=%d put_us_p99=%d put_us_most=%d file_most=%d heap_most_mb=%d%n", 19 * 16_000, AWAY,
+                puts.get(AWAY / 2), puts.get(AWAY * 99 / 100), puts.get(AWAY - 1), most, run.maxMemory() >> 20);
+    }
+
+    private interface Is {
+        boolean so() throws Exception;
+    }
+
+    private static void await(Is is) throws Exception {
+        long from = System.nanoTime();
+        while (!is.so()) {
+            if (System.nanoTime() - from > WITHIN_MS * 1_000_000) {
+                throw new IllegalStateException("not within " + WITHIN_MS + " ms");
+            }
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private String status(int of) {
+        try {
+            return new String(host.post(IPS[of] + ":" + CONTROL, "/status", "{}", Map.of(), 1_000).join().body(), StandardCharsets.UTF_8);
+        } catch (CompletionException notYet) {
+            return "";
+        }
+    }
+
+    /** One time-out changes, and every tenth time a route goes and another comes. Sent until it is taken. */
+    private void configure() throws Exception {
+        version++;
+        JsonArray routes = Json.array().asArray();
+        JsonArray services = Json.array().asArray();
+        for (int i = 0; i < ROUTES; i++) {
+            long number = i + ROUTES * (version / 10 > i ? 1 : 0);
+            routes.add(Json.object().add("name", "r-" + Long.toHexString(number * 7_919)).add("host_name", "host" + number * 104_729)
+                    .add("path_prefix", "/").add("route_kind", "read_your_writes").add("timeout_ms", i == version % ROUTES ? 950 : 800)
+                    .add("target_latency_ms", 600).add("priority", 2).add("service", "service" + i % 40).add("max_attempts", 2)
+                    .add("max_staleness_ms", 2_500));
+        }
+        for (int i = 0; i < 40; i++) {
+            services.add(Json.object().add("name", "service" + i).add("health_path", "/health").add("connection_limit", 68)
+                    .add("protocol", "h1").add("tls_enabled", false).add("synchronous_replicas", 1));
+        }
+        String body = Json.object().add("revision_number", version).add("routes", routes).add("services", services).toString();
+        length = body.length();
+        long from = System.nanoTime();
+        for (int tries = 0; tries < 50; tries++) {
+            try {
+                Host.Answer answer = host.post(IPS[tries % 2] + ":" + CONTROL, "/Configuration.Replace", body, Map.of(), 5_000).join();
+                if (answer.status() == 200) {
+                    took.add((System.nanoTime() - from) / 1_000_000);
+                    return;
+                }
+            } catch (CompletionException again) {
+                // To the next.
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        throw new IllegalStateException("version " + version + " was not taken");
+    }
+
+    /** Asks the second process, which takes no orders here, and keeps the bytes alone. */
+    private final class Front implements Host.Ear {
+        private Host.Link link;
+        private String boot = "";
+        private long table;
+        private long question;
+        private long suspects = -1;
+        private byte[] body = new byte[0];
+        private boolean told;
+
+        void dial() {
+            link = host.dial(IPS[1] + ":" + INNER, Host.Form.FRAMES, 1_000, this);
+        }
+
+        @Override
+        public void opened(Host.Link opened) {
+            link = opened;
+            ask();
+        }
+
+        private void ask() {
+            Map<String, Object> out = new LinkedHashMap<>();
+            out.put("t", "news");
+            out.put("n", "front-1");
+            out.put("q", ++question);
+            out.put("b", boot);
+            out.put("r", table);
+            out.put("c", has.get());
+            if (!told) {
+                told = true;
+                out.put("cd", Delta.digest(body));
+            }
+            out.put("sn", suspects);
+            link.send(Pack.write(out));
+        }
+
+        @Override
+        public void message(byte[] message) {
+            heard.addAndGet(message.length + 4L);
+            try {
+                Pack.Fields in = Pack.read(message);
+                if (in.has("b")) {
+                    boot = in.text("b");
+                    table = in.number("r", 0);
+                }
+                suspects = in.number("sn", suspects);
+                byte[] next = in.has("cb") ? in.bytes("cb") : in.has("cx") ? Delta.apply(body, in.bytes("cx"))
+                        : in.has("cz") ? Deflate.back(in.bytes("cz"), Delta.MOST) : body;
+                if (next != body) {
+                    body = next;
+                    told = false;
+                    has.set(Json.parse(new String(body, StandardCharsets.UTF_8)).asObject().getLong("revision_number", -1));
+                }
+                if (in.bit("alone")) {
+                    host.after(100, this::ask);
+                } else if (in.number("q", -1) == question) {
+                    ask();
+                }
+            } catch (Pack.Bad | Delta.Bad | Deflate.Bad bad) {
+                throw new IllegalStateException(bad);
+            }
+        }
+
+        @Override
+        public void closed(String why) {
+            host.after(200, this::dial);
+        }
+    }
+
+    private long io(int of, String name) throws IOException {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(processes[of].pid()), "io"))) {
+            return lines.filter(l -> l.startsWith(name + ":")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+        }
+    }
+
+    private double peak(int of) throws IOException {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(processes[of].pid()), "status"))) {
+            return lines.filter(l -> l.startsWith("VmHWM:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D", "")) / 1_024).sum();
+        }
+    }
+
+    private long cpu(int of) {
+        return processes[of].toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
+    }
+
+    private static void delete(Path of) throws IOException {
+        try (Stream<Path> all = Files.walk(of)) {
+            for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(one);
+            }
+        }
+    }
+
+    private void end() throws IOException, InterruptedException {
+        for (Process p : processes) {
+            if (p != null) {
+                p.destroyForcibly().waitFor();
+            }
+        }
+        host.loop().parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(3, TimeUnit.SECONDS);
+        delete(folder);
+    }
+}
