--- a/src/test/java/dillfront/core/DurableTest.java
+++ b/src/test/java/dillfront/core/DurableTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dillfront.host.ManualHost;
+import dillfront.host.Settings;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -176,6 +178,27 @@
         assertEquals("10049", disk.there.get("n" + 10_049 % 7), "and what it held is kept all the same");
     }
 
+    /** The process itself: a record of who leads that the disk refused is in its next life, though no other record follows. */
+    @Test
+    void aRecordThatTheDiskRefusedIsThereLater() throws Exception {
+        Hand disk = new Hand();
+        Core core = new Core(host, new Settings("core-1", "a", "ra", Map.of("a", "ra"), "10.0.0.1", null, null, "10.0.0.1:8002", 7400,
+                List.of("10.0.0.1:8002"), true, "/", 1, 1_200, 7_000, 6_000, null), disk);
+        core.start();
+        host.until(8_000);
+        for (int i = 1; i <= 6; i++) {
+            disk.refuses = i <= 1;
+            core.call("POST", "/Instances.Heartbeat/i-1", ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone_name\":\"a\",\"state\":\"ready\","
+                    + "\"database_role\":\"primary\",\"call_sequence\":" + i + "}").getBytes(StandardCharsets.UTF_8));
+            host.until(host.now() + 500);
+            assertTrue(i > 1 || !disk.there.containsKey("lead:s"));
+        }
+        assertTrue(core.status().contains(" | s primary=i-1"), core.status());
+        assertEquals(1, disk.given.stream().map(put -> put.get("lead:s")).filter(java.util.Objects::nonNull).distinct().count());
+        assertTrue(disk.there.getOrDefault("lead:s", "").contains("i-1"), disk.there.toString());
+        assertTrue(disk.there.containsKey("server:i-1"), disk.there.toString());
+    }
+
     /** Any order of puts, refusals and pauses: whoever was told has it on the disk, in the order of the puts, and in the end all have. */
     @Test
     void whoeverWasToldHasItOnTheDisk() {
