Real control processes on loopback: five harms once each; calls of a connection one after the other

RealControlTest starts three of them, with folders and addresses of their own, a platform and hollow servers in the test: two frozen so that the third runs without a majority; one frozen with calls in its sockets; the holder frozen in the midst of a promotion; two contents under one number, a lost answer, all killed; an emptied disk and a replaced machine, each with a loss right after; a hundred changes by eight operators while one is down; calls that share a connection.

It found that reads sent at once on one connection went back, 3 and then 2: each was right by itself, for they ran beside each other. A door now begins a call once the one before is answered; Turns is gone.

A cut by a relay was not played: processes bind the address that they are known by.

--- a/src/main/java/dillfront/host/HttpDoor.java
+++ b/src/main/java/dillfront/host/HttpDoor.java
@@ -14,22 +14,23 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutException;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
- * One HTTP connection: calls in, each answered in its turn. Bodies, silence, calls that are under way and answers that
- * nobody reads are bounded; what is sent beyond that stays in the socket.
+ * One HTTP connection: calls in, one after the other. Answers are told apart by nothing but their order, so the next call
+ * begins once the one before has its answer, and whoever sends several at once sees them done in that order. Bodies, silence,
+ * the time of a call and answers that nobody reads are bounded; what is sent beyond that stays in the socket.
  */
 public final class HttpDoor extends Ears {
 
     private static final int LONGEST_BODY = 1 << 20;
     private static final int SILENT_S = 60;
-    static final int MOST_CALLS = 8;
     /** Above all that a call may take by itself. */
     static final long LONGEST_MS = 10_000;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -41,28 +42,48 @@
 
     private final Host host;
     private final Calls calls;
-    private final Turns turns;
+    private final long longestMs;
     private ChannelHandlerContext ctx;
-    /** What was read while too much was under way. */
+    /** The call that is not answered yet; null where none is. */
+    private Turn turn;
+    /** What was read meanwhile. */
     private final ArrayDeque<HttpObject> ahead = new ArrayDeque<>();
     /** The call that is being read. */
     private HttpRequest head;
     private ByteBuf body;
-    /** It waits to be told that its body may come. */
-    private boolean expects;
     /** After a call that is the last one, or no HTTP: whatever follows is no call. */
     private boolean ends;
 
     HttpDoor(Host host, Calls calls, long longestMs) {
         this.host = host;
         this.calls = calls;
-        turns = new Turns(host, longestMs, this::write);
+        this.longestMs = longestMs;
+    }
+
+    /** One call's turn to be answered: once, and not after the connection is over. */
+    private final class Turn {
+        private final boolean last;
+        private final Host.Timer limit;
+
+        Turn(boolean last) {
+            this.last = last;
+            turn = this;
+            limit = host.after(longestMs, () -> answer(said(503, "no answer in " + longestMs + " ms")));
+        }
+
+        void answer(Host.Answer is) {
+            if (turn == this) {
+                limit.cancel();
+                turn = null;
+                write(is, last);
+            }
+        }
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
-        ctx.pipeline().addBefore(ctx.name(), "silence", new ReadTimeoutHandler(SILENT_S));
+        ctx.pipeline().addBefore(ctx.name(), "silence", new IdleStateHandler(true, 0, 0, SILENT_S, TimeUnit.SECONDS));
         ctx.pipeline().addBefore(ctx.name(), "codec", new HttpServerCodec());
     }
 
@@ -74,15 +95,12 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        goOn();
-    }
-
-    private boolean room() {
-        return turns.size() < MOST_CALLS && ctx.channel().isWritable();
+        // Not at once: it may be an answer that is just being written.
+        ctx.channel().eventLoop().execute(this::goOn);
     }
 
     private void goOn() {
-        while (!ahead.isEmpty() && (ends || room())) {
+        while (!ahead.isEmpty() && (ends || turn == null && ctx.channel().isWritable())) {
             HttpObject next = ahead.poll();
             try {
                 read(next);
@@ -129,15 +147,6 @@
         } else if (large) {
             refuse(413, "a body of more than " + LONGEST_BODY + " bytes", !HttpUtil.isKeepAlive(request));
         } else if (expected != null) {
-            expects = true;
-            mayGoOn();
-        }
-    }
-
-    /** In its turn as well: before, it would pass for a word on an earlier call. */
-    private void mayGoOn() {
-        if (expects && turns.size() == 0) {
-            expects = false;
             // Not through the codec, which would take it for the answer.
             ctx.pipeline().context("codec").writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
         }
@@ -147,17 +156,15 @@
     private void refuse(int status, String why, boolean last) {
         head = null;
         body = null;
-        expects = false;
         ends = last;
-        turns.take(last).answer(said(status, why));
+        new Turn(last).answer(said(status, why));
     }
 
     private void call() {
         HttpRequest request = head;
         head = null;
-        expects = false;
         ends = !HttpUtil.isKeepAlive(request);
-        Turns.Turn turn = turns.take(ends);
+        Turn its = new Turn(ends);
         byte[] all = new byte[body.readableBytes()];
         body.readBytes(all);
         body = null;
@@ -165,12 +172,12 @@
         int query = uri.indexOf('?');
         try {
             calls.call(request.method().name(), query < 0 ? uri : uri.substring(0, query), all).whenComplete((is, fault) ->
-                    turn.answer(fault != null ? said(503, String.valueOf(fault.getMessage()))
+                    its.answer(fault != null ? said(503, String.valueOf(fault.getMessage()))
                             : is == null || is.body() == null ? said(500, "no answer") : is));
         } catch (RuntimeException | StackOverflowError fault) {
             // This call alone pays for it, not those beside it on the connection.
             wrong(fault);
-            turn.answer(said(500, "fault in " + request.method().name()));
+            its.answer(said(500, "fault in " + request.method().name()));
         }
     }
 
@@ -185,13 +192,20 @@
         if (last) {
             sent.addListener(ChannelFutureListener.CLOSE);
         }
-        mayGoOn();
         if (!ahead.isEmpty()) {
             // Not at once: an answer may come while the next call is being read.
             ctx.channel().eventLoop().execute(this::goOn);
         }
     }
 
+    /** Nothing came or went for long. Whoever takes long to read an answer is not silent while he reads. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            ctx.close();
+        }
+    }
+
     /** An answer that says what was wrong. */
     public static Host.Answer said(int status, String fault) {
         return new Host.Answer(status, com.eclipsesource.json.Json.object().add("error_message", fault).toString()
@@ -201,7 +215,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         ends = true;
-        turns.end();
+        if (turn != null) {
+            turn.limit.cancel();
+            turn = null;
+        }
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
     }
@@ -212,7 +229,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof java.io.IOException) && !(cause instanceof ReadTimeoutException)) {
+        if (!(cause instanceof java.io.IOException)) {
             wrong(cause);
         }
         ctx.close();
--- /dev/null
+++ b/src/test/java/dillfront/programs/RealControlTest.java
@@ -0,0 +1,543 @@
+package dillfront.programs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.Json;
+import dillfront.host.Host;
+import dillfront.host.NettyHost;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Three real control processes on loopback, and each of five harms brought about once: a process out of contact, two orders
+ * under one number, a loss right after a repair, one that is far behind, and calls that share a connection.
+ */
+class RealControlTest {
+
+    @TempDir
+    Path dir;
+    private final List<Control> all = new ArrayList<>();
+    private Control a;
+    private Control b;
+    private Control c;
+    private int[] ports;
+    private String platform = "127.0.0.1:1";
+
+    @BeforeEach
+    void ports() throws IOException {
+        ports = Control.ports();
+    }
+
+    private Control control(int number) {
+        Control is = new Control("127.0.77." + number, dir, ports, platform);
+        all.add(is);
+        return is;
+    }
+
+    private void found() throws Exception {
+        a = control(1);
+        b = control(2);
+        c = control(3);
+        List<Control> seeds = List.copyOf(all);
+        for (Control one : seeds) {
+            one.start(true, seeds);
+        }
+        acknowledged(configuration(1, 500), seeds);
+        until("all three answer a read", () -> seeds.stream().allMatch(one -> one.read().status() == 200));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (Control one : all) {
+            if (one.runs()) {
+                one.signal("CONT");
+                one.kill();
+            }
+        }
+    }
+
+    private String told() {
+        StringBuilder text = new StringBuilder();
+        all.forEach(one -> text.append(one.ip).append(' ').append(one.runs() ? one.status() : "down").append('\n').append(one.log()));
+        return text.toString();
+    }
+
+    private void until(String what, Callable<Boolean> is) throws Exception {
+        for (long end = System.nanoTime() + 12_000_000_000L; !is.call();) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("waited 12 s in vain until " + what + "\n" + told());
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private static String configuration(long version, int timeout) {
+        return ("{'revision_number':" + version + ",'routes':[{'name':'r','host_name':'h','path_prefix':'/','route_kind':'primary',"
+                + "'timeout_ms':" + timeout + ",'service':'db'}],'services':[{'name':'db','connection_limit':50,"
+                + "'synchronous_replicas':1}]}").replace('\'', '"');
+    }
+
+    private static long version(Control.Answer of) {
+        return Json.parse(of.body()).asObject().getLong("revision_number", -1);
+    }
+
+    /** As an operator does: again, to one after the other, until it is acknowledged; no answer may be a refusal. */
+    private void acknowledged(String order, List<Control> at) throws Exception {
+        int[] next = new int[1];
+        until("an order is acknowledged by one of " + at.size(), () -> {
+            int status = at.get(next[0]++ % at.size()).replace(order).status();
+            assertTrue(status < 400 || status >= 500, () -> status + " for a valid order\n" + told());
+            return status == 200;
+        });
+    }
+
+    /** That one itself acknowledges it within some tries, each without a refusal. */
+    private void acknowledged(String order, Control at) throws Exception {
+        acknowledged(order, List.of(at));
+    }
+
+    // ---- 1: out of contact
+
+    /** Guards against a process that runs, and answers, but reaches no other: what it says is not current. */
+    @Test
+    void withoutAMajorityNothingIsConfirmedRefusedOrHandedOut() throws Exception {
+        found();
+        b.signal("STOP");
+        c.signal("STOP");
+        List<Integer> orders = new ArrayList<>();
+        List<Integer> reads = new ArrayList<>();
+        long from = System.nanoTime();
+        for (int i = 0; System.nanoTime() - from < 2_400_000_000L; i++) {
+            orders.add(a.replace(configuration(10 + i, 600)).status());
+            reads.add(a.read().status());
+        }
+        for (int status : orders) {
+            assertTrue(status == 0 || status == 503 || status == 307, "orders at the cut-off one: " + orders);
+        }
+        for (int status : reads) {
+            assertTrue(status == 0 || status == 503 || status == 307, "reads at the cut-off one: " + reads);
+        }
+        assertTrue(orders.size() >= 3, "it answers within a second each: " + orders);
+        b.signal("CONT");
+        c.signal("CONT");
+        acknowledged(configuration(1_000, 700), List.of(b, c, a));
+        until("a read at the one that was cut off is the newest", () -> {
+            Control.Answer is = a.read();
+            assertTrue(is.status() == 503 || is.status() == 0 || version(is) == 1_000, is.body());
+            return is.status() == 200;
+        });
+    }
+
+    /** Guards against old state from a process that stood still and does not know it yet: the calls lay in its sockets. */
+    @Test
+    void whoStoodStillAnswersNothingOld() throws Exception {
+        found();
+        a.signal("STOP");
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Socket read = a.connect();
+            read.getOutputStream().write(Control.request("GET", "/Configuration.Read", "", true));
+            waiting.add(read);
+        }
+        for (int v = 2; v <= 6; v++) {
+            acknowledged(configuration(v, 500 + v), List.of(b, c));
+        }
+        // The lease, had it one, is over, and others have it.
+        until("another holds the lease", () -> (b.status() + c.status()).contains(" held"));
+        a.signal("CONT");
+        for (Socket read : waiting) {
+            Control.Answer is = Control.hear(read);
+            assertTrue(is.status() == 0 || is.status() == 503 || is.status() == 307 || version(is) == 6, is.status() + " " + is.body());
+            read.close();
+        }
+        until("it answers a read with the newest", () -> {
+            Control.Answer is = a.read();
+            assertTrue(is.status() != 200 || version(is) == 6, is.body());
+            return is.status() == 200;
+        });
+    }
+
+    // ---- 1 and 5: an old lease
+
+    /** One call of the platform. */
+    private record Call(long fence, String holder, String instance) { }
+
+    /** The platform, and three hollow servers of one service: what they were told, in the order in which it came. */
+    private final class Cloud implements AutoCloseable {
+        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final NettyHost host = new NettyHost(7);
+        final List<Call> calls = Collections.synchronizedList(new ArrayList<>());
+        final List<String> words = Collections.synchronizedList(new ArrayList<>());
+        /** The next call is not answered before this is over. */
+        final AtomicReference<CountDownLatch> holds = new AtomicReference<>();
+        private final String[] addresses = new String[4];
+        volatile int leads = 1;
+        volatile boolean firstIsDead;
+        private volatile long fence;
+
+        Cloud() throws IOException {
+            Thread thread = new Thread(() -> {
+                while (!door.isClosed()) {
+                    try {
+                        Socket socket = door.accept();
+                        Thread one = new Thread(() -> meet(socket));
+                        one.setDaemon(true);
+                        one.start();
+                    } catch (IOException closed) {
+                        return;
+                    }
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+            for (int i = 1; i <= 3; i++) {
+                try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    addresses[i] = "127.0.0.1:" + free.getLocalPort();
+                }
+                int number = i;
+                host.listen(addresses[i], Host.Form.LINES, h -> new Server(number));
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + door.getLocalPort();
+        }
+
+        private void meet(Socket socket) {
+            try (socket) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+                long number = -1;
+                String holder = "";
+                int length = 0;
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                    String value = line.substring(line.indexOf(':') + 1).strip();
+                    String name = line.toLowerCase(java.util.Locale.ROOT);
+                    number = name.startsWith("dillfront-fence-number:") ? Long.parseLong(value) : number;
+                    holder = name.startsWith("dillfront-duty-holder:") ? value : holder;
+                    length = name.startsWith("content-length:") ? Integer.parseInt(value) : length;
+                }
+                char[] body = new char[length];
+                int read = 0;
+                while (read < length) {
+                    read += in.read(body, read, length - read);
+                }
+                String instance = Json.parse(new String(body)).asObject().getString("instance_id", "");
+                CountDownLatch held;
+                int status;
+                synchronized (this) {
+                    calls.add(new Call(number, holder, instance));
+                    held = holds.getAndSet(null);
+                    status = number < fence ? 409 : 200;
+                    fence = Math.max(fence, number);
+                    if (status == 200 && held == null) {
+                        leads = Integer.parseInt(instance.substring(2));
+                    }
+                }
+                if (held != null) {
+                    held.await();
+                }
+                socket.getOutputStream().write(("HTTP/1.1 " + status + " is\r\nContent-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException | InterruptedException over) {
+                // Whoever called has gone.
+            }
+        }
+
+        /** Each beats at all control processes, for as long as it lives. */
+        void beats(int number, long sequence) {
+            host.after(200, () -> {
+                if (number != 1 || !firstIsDead) {
+                    String body = Json.object().add("service", "db").add("address", addresses[number]).add("zone_name", "z").add("state", "ready")
+                            .add("database_role", leads == number ? "primary" : "replica").add("call_sequence", sequence).toString();
+                    for (Control one : List.of(a, b, c)) {
+                        host.post(one.ip + ":" + ports[0], "/Instances.Heartbeat/i-" + number, body, Map.of(), 1_000);
+                    }
+                }
+                beats(number, sequence + 1);
+            });
+        }
+
+        private final class Server implements Host.Ear {
+            private final int number;
+            private Host.Link link;
+
+            Server(int number) {
+                this.number = number;
+            }
+
+            @Override
+            public void opened(Host.Link opened) {
+                link = opened;
+            }
+
+            @Override
+            public void message(byte[] message) {
+                String line = new String(message, StandardCharsets.US_ASCII);
+                words.add(number + " " + line);
+                if (number == 1 && firstIsDead) {
+                    return;
+                }
+                boolean primary = leads == number;
+                link.send((line.startsWith("CONNECT") ? "READY I 1.1" : "ROW " + (primary ? "primary" : "replica")
+                        + " 1 1.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1").getBytes(StandardCharsets.US_ASCII));
+            }
+
+            @Override
+            public void closed(String why) {
+                // It comes again.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            door.close();
+            host.loop().parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private Control holder() {
+        return all.stream().filter(one -> one.status().contains(" held")).findFirst().orElse(null);
+    }
+
+    /** Guards against a holder that stood still in the midst of a promotion, and goes on with it under its old lease. */
+    @Test
+    void anOldLeaseActsNoMore() throws Exception {
+        try (Cloud cloud = new Cloud()) {
+            platform = cloud.address();
+            found();
+            for (int i = 1; i <= 3; i++) {
+                cloud.beats(i, 1);
+            }
+            until("the first is recorded as the primary", () -> {
+                Control holder = holder();
+                return holder != null && holder.status().matches(".*db primary=i-1(?! moving).*");
+            });
+            Control old = holder();
+            CountDownLatch held = new CountDownLatch(1);
+            int before = cloud.calls.size();
+            cloud.holds.set(held);
+            cloud.firstIsDead = true;
+            until("the platform has a call that it does not answer", () -> cloud.calls.size() > before);
+            old.signal("STOP");
+            List<Control> others = all.stream().filter(one -> one != old).toList();
+            until("another has named a primary, and it leads", () -> cloud.leads != 1
+                    && others.stream().allMatch(one -> one.status().matches(".*db primary=i-" + cloud.leads + "(?! moving).*")));
+            acknowledged(configuration(5, 900), others);
+            long promised = others.stream().mapToLong(one -> Long.parseLong(one.status().replaceAll(".* promised=(\\d+).*", "$1"))).max().orElseThrow();
+            int calls = cloud.calls.size();
+            int words = cloud.words.size();
+            int leads = cloud.leads;
+            // What the platform said then comes only now.
+            held.countDown();
+            old.signal("CONT");
+            until("the old holder knows of the newer lease, and of the primary", () -> old.status().matches(".* promised=" + promised + " .*")
+                    && old.status().matches(".*db primary=i-" + leads + "(?! moving).*"));
+            Control.Answer read = old.read();
+            assertTrue(read.status() != 200 || version(read) == 5, read.body());
+            List<Call> made = List.copyOf(cloud.calls);
+            List<String> said = List.copyOf(cloud.words).subList(words, cloud.words.size());
+            assertTrue(made.subList(calls, made.size()).stream().noneMatch(call -> call.holder().equals("core-" + old.ip)), "made " + made);
+            assertTrue(said.stream().noneMatch(word -> word.contains(" PAUSE ") || word.contains(" STEPDOWN ")), "said " + said);
+            for (int i = 1; i < made.size(); i++) {
+                Call is = made.get(i);
+                assertTrue(is.fence() >= made.get(i - 1).fence(), "a fence that falls: " + made);
+                assertTrue(made.stream().noneMatch(other -> other.fence() == is.fence() && !other.holder().equals(is.holder())), "one fence, two holders: " + made);
+            }
+            assertEquals(leads, cloud.leads);
+        }
+    }
+
+    // ---- 2: one number
+
+    /** Guards against two contents under one number, each confirmed; and against an order that is refused when it comes again. */
+    @Test
+    void oneNumberHasOneContentAndIsAcknowledgedForEver() throws Exception {
+        found();
+        ExecutorService two = Executors.newFixedThreadPool(2);
+        int refused = 0;
+        try {
+            for (int v = 2; v <= 8; v++) {
+                String one = configuration(v, 1_000 + v);
+                String other = configuration(v, 2_000 + v);
+                Future<Control.Answer> first = two.submit(() -> a.replace(one));
+                Future<Control.Answer> second = two.submit(() -> b.replace(other));
+                int statusOne = first.get(5, TimeUnit.SECONDS).status();
+                int statusOther = second.get(5, TimeUnit.SECONDS).status();
+                assertTrue(statusOne != 200 || statusOther != 200, "both are confirmed under " + v + "\n" + told());
+                String decided = statusOne == 200 ? one : statusOther == 200 ? other : null;
+                if (decided != null) {
+                    refused++;
+                    assertEquals(decided, c.read().body(), "what is in force under " + v);
+                }
+            }
+        } finally {
+            two.shutdownNow();
+        }
+        assertTrue(refused > 0, "no race was decided for either");
+        // The answer is lost on its way: nobody hears it.
+        String order = configuration(50, 800);
+        try (Socket lost = a.connect()) {
+            lost.getOutputStream().write(Control.request("POST", "/Configuration.Replace", order, true));
+            lost.setSoLinger(true, 0);
+        }
+        acknowledged(order, b);
+        acknowledged(order, c);
+        acknowledged(configuration(51, 801), a);
+        for (Control one : all) {
+            one.kill();
+        }
+        for (Control one : all) {
+            one.start(false, List.of(a, b, c));
+        }
+        for (Control one : all) {
+            acknowledged(order, one);
+            acknowledged(configuration(51, 801), one);
+        }
+        for (Control one : all) {
+            until("it reads the newest, which an older one sent again has not changed", () -> {
+                Control.Answer is = one.read();
+                assertTrue(is.status() != 200 || version(is) == 51, is.body());
+                return is.status() == 200;
+            });
+        }
+    }
+
+    // ---- 3: a loss right after a repair
+
+    private static long members(Control of) {
+        String list = of.status().replaceAll(".* members=\\[([^\\]]*)\\].*", "$1");
+        return list.isEmpty() ? 0 : Arrays.stream(list.split(", ")).count();
+    }
+
+    private static boolean memberOf(Control one, Control says) {
+        return says.status().matches(".* members=\\[[^\\]]*" + one.ip.replace(".", "\\.") + "/.*") && !says.status().contains(" outgoing=")
+                && !one.status().contains(" learner");
+    }
+
+    /** Guards against a repair that leaves a majority that is none: the next loss comes as soon as the repaired one counts. */
+    @Test
+    void theNextLossRightAfterARepairIsBorne() throws Exception {
+        found();
+        acknowledged(configuration(2, 502), List.of(a, b, c));
+        String was = c.status().replaceAll(".* members=(\\[[^\\]]*\\]).*", "$1");
+        c.kill();
+        c.empty();
+        acknowledged(configuration(3, 503), List.of(a, b));
+        c.start(false, List.of(a, b, c));
+        until("the one whose disk was lost is a member again, as another", () -> memberOf(c, a) && memberOf(c, b)
+                && !a.status().contains(was));
+        assertEquals(3, members(a));
+        a.kill();
+        acknowledged(configuration(4, 504), List.of(b, c));
+        until("both read what was acknowledged", () -> b.read().body().equals(configuration(4, 504)) && c.read().body().equals(configuration(4, 504)));
+        // Another machine takes the place of the one that is gone; only the living are told to it.
+        Control d = control(4);
+        d.start(false, List.of(b, c));
+        until("the new machine is a member", () -> memberOf(d, b) && memberOf(d, c) && !b.status().contains(a.ip + "/"));
+        b.kill();
+        acknowledged(configuration(5, 505), List.of(c, d));
+        for (Control one : List.of(c, d)) {
+            until("the two that are left read it", () -> one.read().body().equals(configuration(5, 505)));
+        }
+        // The first one comes back with its disk, and with what it knew when it went.
+        a.start(false, List.of(a, b, c));
+        until("who was away reads the newest, and never an older one", () -> {
+            Control.Answer is = a.read();
+            assertTrue(is.status() != 200 || version(is) == 5, is.body());
+            return is.status() == 200;
+        });
+    }
+
+    // ---- 4: far behind
+
+    /** Guards against a member that never catches up, or answers with what it had. */
+    @Test
+    void whoWasDownDuringAHundredChangesCatchesUp() throws Exception {
+        found();
+        c.kill();
+        ExecutorService operators = Executors.newFixedThreadPool(8);
+        List<Future<?>> orders = new ArrayList<>();
+        for (int v = 2; v <= 101; v++) {
+            String order = configuration(v, 500 + v);
+            orders.add(operators.submit(() -> {
+                acknowledged(order, List.of(a, b));
+                return null;
+            }));
+        }
+        operators.shutdown();
+        for (Future<?> order : orders) {
+            order.get(30, TimeUnit.SECONDS);
+        }
+        c.start(false, List.of(a, b, c));
+        long from = System.nanoTime();
+        until("it reads the newest, and never an older one", () -> {
+            Control.Answer is = c.read();
+            assertTrue(is.status() != 200 || version(is) == 101, is.body());
+            return is.status() == 200;
+        });
+        long took = (System.nanoTime() - from) / 1_000_000;
+        assertTrue(took < 6_000, took + " ms until it read the newest");
+        a.kill();
+        acknowledged(configuration(102, 900), List.of(b, c));
+    }
+
+    // ---- 5: calls on one connection
+
+    /** Guards against an answer that finds another call than its own, on one connection and beside others. */
+    @Test
+    void callsOnOneConnectionGetTheirOwnAnswersInOrder() throws Exception {
+        found();
+        acknowledged(configuration(2, 502), a);
+        try (Socket one = a.connect(); Socket other = a.connect()) {
+            byte[] long1 = Control.request("POST", "/Configuration.Replace", "x".repeat(1 << 20) + "x", false);
+            for (byte[] next : List.of(Control.request("POST", "/Configuration.Replace", configuration(3, 503), false),
+                    Control.request("GET", "/none", "", false), Control.request("POST", "/Configuration.Replace", "{", false),
+                    long1, Control.request("GET", "/status", "", false), Control.request("POST", "/Configuration.Replace", configuration(2, 502), false),
+                    Control.request("DELETE", "/Configuration.Read", "", false), Control.request("GET", "/Configuration.Read", "", true),
+                    Control.request("POST", "/Configuration.Replace", configuration(9, 509), true))) {
+                one.getOutputStream().write(next);
+                other.getOutputStream().write(Control.request("GET", "/Configuration.Read", "", false));
+            }
+            List<Integer> statuses = new ArrayList<>();
+            Control.Answer read = null;
+            for (int i = 0; i < 8; i++) {
+                read = Control.hear(one);
+                statuses.add(read.status());
+            }
+            assertEquals(List.of(200, 404, 400, 413, 200, 200, 405, 200), statuses);
+            assertEquals(configuration(3, 503), read.body());
+            assertEquals(0, Control.hear(one).status(), "nothing is taken behind the last call");
+            long newest = 0;
+            for (int i = 0; i < 9; i++) {
+                Control.Answer is = Control.hear(other);
+                assertEquals(200, is.status());
+                assertTrue(version(is) >= newest, "reads on one connection go back");
+                newest = version(is);
+            }
+            assertNotEquals(9, newest);
+        }
+    }
+}
