--- a/src/main/java/dillfront/front/Connection.java
+++ b/src/main/java/dillfront/front/Connection.java
@@ -175,6 +175,7 @@
         if (is == null) {
             return;
         }
+        server.seen = Position.later(server.seen, is.position());
         if (!started && is.code() != null) {
             cut(is.code());
         } else if (!started) {
