--- a/src/test/java/dillfront/programs/RealControlTest.java
+++ b/src/test/java/dillfront/programs/RealControlTest.java
@@ -196,6 +196,8 @@
         final AtomicReference<CountDownLatch> holds = new AtomicReference<>();
         private final String[] addresses = new String[4];
         volatile int leads = 1;
+        /** The term that a PAUSE named, by server, until it is resumed or another is promoted. */
+        private final long[] paused = new long[4];
         volatile boolean firstIsDead;
         private volatile long fence;
 
@@ -255,6 +257,7 @@
                     fence = Math.max(fence, number);
                     if (status == 200 && held == null) {
                         leads = Integer.parseInt(instance.substring(2));
+                        Arrays.fill(paused, 0);
                     }
                 }
                 if (held != null) {
@@ -300,9 +303,16 @@
                 if (number == 1 && firstIsDead) {
                     return;
                 }
-                boolean primary = leads == number;
-                link.send((line.startsWith("CONNECT") ? "READY I 1.1" : "ROW " + (primary ? "primary" : "replica")
-                        + " 1 1.1 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1").getBytes(StandardCharsets.US_ASCII));
+                long held;
+                synchronized (Cloud.this) {
+                    paused[number] = line.startsWith("QUERY - PAUSE ") ? Long.parseLong(line.substring(14))
+                            : line.equals("QUERY - RESUME") ? 0 : paused[number];
+                    held = paused[number];
+                }
+                if (!line.equals("GOODBYE")) {
+                    link.send((line.startsWith("CONNECT") ? "READY I 1.1" : "ROW " + (leads == number ? "primary" : "replica")
+                            + " 1 1.1 " + held + " 0 0 1\r\nCOMPLETE -\r\nREADY I 1.1").getBytes(StandardCharsets.US_ASCII));
+                }
             }
 
             @Override
