--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -27,13 +27,15 @@
  * One control process. It and its like tell each other what they have, often and at once where something changed; there is
  * no log and no leader. One loop calls all of it.
  */
-public final class Core implements Register.Ground {
+public final class Core implements Lease.Ground {
 
     private static final long TICK_MS = 400;
     private static final long LOOK_MS = 50;
     private static final long LATE_MS = 300;
     /** One that was not heard for so long is out of touch. */
     private static final long TOUCH_MS = 1_300;
+    /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
+    private static final long FRESH_MS = 850;
     /** That a primary leads is sure for so long after the duty's holder last said so. */
     static final long SURE_MS = 3_000;
     private static final int DIAL_MS = 700;
@@ -222,21 +224,25 @@
     }
 
     /** The number of the set of members that this process goes by; 0 before there is one. */
-    long epoch() {
+    @Override
+    public long epoch() {
         return register.held() == null ? 0 : register.held().epoch();
     }
 
-    boolean member(String of) {
+    @Override
+    public boolean member(String of) {
         Value is = register.held();
         return is != null && (is.members().contains(of) || is.outgoing().contains(of));
     }
 
     /** Whether its own word counts. */
-    boolean votes() {
+    @Override
+    public boolean votes() {
         return member(id);
     }
 
-    int rank() {
+    @Override
+    public int rank() {
         return register.held() == null ? 0 : register.held().members().headSet(id).size();
     }
 
@@ -258,7 +264,18 @@
                 : peerOf(of) == null ? Long.MIN_VALUE / 2 : moment.applyAsLong(peerOf(of)));
     }
 
-    long stalledFor() {
+    @Override
+    public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
+        return reached(itself, moment::applyAsLong);
+    }
+
+    @Override
+    public Iterable<Peer> voters() {
+        return peers.values();
+    }
+
+    @Override
+    public long stalledFor() {
         return store.stalledFor();
     }
 
@@ -267,7 +284,8 @@
     }
 
     /** No majority has answered it of late: it may know less than others do. */
-    boolean alone() {
+    @Override
+    public boolean alone() {
         return reached(host.now(), p -> p.echo) < host.now() - TOUCH_MS;
     }
 
@@ -609,6 +627,7 @@
         p.toldAt = now + 1;
         out.put("p", lease.promised());
         out.put("pt", lease.promisedTo());
+        out.put("pg", lease.granted());
         out.put("w", lease.wanted());
         out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
@@ -716,6 +735,7 @@
         }
         p.promised = in.number("p", 0);
         p.promisedTo = in.text("pt");
+        p.granted = in.number("pg", Lease.NEVER);
         p.record = in.number("k", -1);
         for (Pack.Fields row : in.list("l")) {
             lead(Lead.of(row));
@@ -740,7 +760,7 @@
         if (in.bit("h")) {
             suspects(new TreeSet<>(in.texts("sq")));
         }
-        lease.wants(p, in.number("w", 0));
+        lease.wants(p, in.number("w", 0), p.itsNow);
         lease.released(p, in.number("rl", 0));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
             sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
@@ -806,6 +826,23 @@
         over.forEach(w -> w.done().complete(null));
     }
 
+    /** Completes once a majority has answered what was sent since then; fails at once where it is out of contact. */
+    private CompletableFuture<Void> contact(long since) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        contact(since, done);
+        return done;
+    }
+
+    private void contact(long since, CompletableFuture<Void> done) {
+        if (reached(host.now(), p -> p.echo) >= since) {
+            done.complete(null);
+        } else if (alone()) {
+            done.completeExceptionally(new IllegalStateException(NOBODY));
+        } else {
+            host.after(TOGETHER_MS, () -> contact(since, done));
+        }
+    }
+
     /** Completes with what was decided at some moment from now on, as a majority that answers from now on says. */
     private CompletableFuture<Configuration> read() {
         CompletableFuture<Configuration> done = new CompletableFuture<>();
@@ -819,6 +856,10 @@
         if (done.isDone()) {
             return;
         }
+        if (alone()) {
+            done.completeExceptionally(new IllegalStateException(NOBODY));
+            return;
+        }
         if (least != null && register.decidedBallot().compareTo(least) >= 0 && register.decided() != null) {
             done.complete(register.committed());
         } else {
@@ -977,7 +1018,9 @@
         if (alone() || leaving) {
             return said(503, NOBODY);
         }
-        CompletableFuture<Value.Outcome> done = register.order(next);
+        CompletableFuture<Value.Outcome> order = register.order(next);
+        // What was decided before is said again only where a majority was heard just now.
+        CompletableFuture<Value.Outcome> done = order.isDone() ? contact(host.now() - FRESH_MS).thenCompose(is -> order) : order;
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
                 ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
     }
