A statement whose client has gone does not keep its connection for ever

Cause: when a client left while a single statement ran, its limit was cancelled with it, and the connection was heard to the end of the statement. Where that answer was lost, the end never came: one connection less, and one more at the server's limit, for good. Change: a statement's asking on a connection ends with the statement's own time, whoever still waits for it.

--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -564,7 +564,7 @@
         Position before = server.seen;
         boolean after = !of.writes && of.route.kind() != Kind.PRIMARY && need != null;
         String line = (after ? "AFTER " + need + " " : "") + line(of);
-        on.ask(values, of.shape, of.id, line, Long.MAX_VALUE, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, of.shape, of.id, line, of.until + EARLY_MS, (rows, stamp, code, text, state, position) -> {
             of.on = null;
             if (code == null) {
                 server.fresh();
@@ -857,7 +857,7 @@
         long sent = front.host.now();
         Position before = on.server.seen;
         // Values may have been set within the transaction; what would need a RESET cannot come here.
-        on.ask(values, asked.shape, asked.id, line(asked), Long.MAX_VALUE, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, asked.shape, asked.id, line(asked), asked.until + EARLY_MS, (rows, stamp, code, text, state, position) -> {
             asked.on = null;
             if (code == null && commit && wrote) {
                 service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
--- a/src/test/java/dillfront/front/ConnectionTest.java
+++ b/src/test/java/dillfront/front/ConnectionTest.java
@@ -197,4 +197,18 @@
         assertTrue(line.closed, "its answer was lost, and the connection with it");
         assertEquals(0, service.servers.get("i-1").out);
     }
+
+    /** The same for a statement whose client has gone, and whose answer was lost. */
+    @Test
+    void soIsAStatementThatNobodyWaitsForAnyMore() {
+        client.say("QUERY a1 WRITE k d");
+        ScriptedHost.Line line = server();
+        assertEquals("QUERY a1 WRITE k d", line.last());
+        client.reset();
+        host.pass(500);
+        assertFalse(line.closed, "what runs is heard to its end");
+        host.pass(1_000);
+        assertTrue(line.closed, "its answer was lost, and the connection with it");
+        assertEquals(0, service.servers.get("i-1").out);
+    }
 }
