--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -21,6 +21,8 @@
     /** A question is out no longer than it may be held and a little. */
     private static final int DIAL_MS = 700;
     private static final long SILENT_MS = 1_400;
+    /** However often it asks meanwhile. */
+    private static final long MOST_SILENT_MS = 2_000;
     private static final long PAUSE_MS = 100;
     private static final int MOST_PAUSES = 4;
     /** A configuration that it cannot read is not asked for again sooner. */
@@ -46,6 +48,8 @@
     private long asked;
     private long question;
     private Host.Timer silence;
+    /** When the first question was sent to which nothing came back; -1 for none. */
+    private long unanswered = -1;
     private String boot = "";
     private long has;
     /** The digest of its configuration was told on this connection; what turns it into the newest did not fit. */
@@ -160,6 +164,7 @@
     public void opened(Host.Link opened) {
         link = opened;
         up = true;
+        unanswered = -1;
         digestTold = false;
         ask();
     }
@@ -207,7 +212,8 @@
             out.put("s", sights);
         }
         link.send(Pack.write(out));
-        watch(SILENT_MS);
+        unanswered = unanswered < 0 ? asked : unanswered;
+        watch(Math.max(1, Math.min(SILENT_MS, unanswered + MOST_SILENT_MS - asked)));
     }
 
     /** What it sees of a primary has changed: worth a question now. */
@@ -227,6 +233,7 @@
             return;
         }
         long now = front.host.now();
+        unanswered = -1;
         if (in.has("b")) {
             boolean whole = in.bit("w");
             boot = in.text("b");
