The register remembers the contents of 512 numbers instead of 64

Change: 512 numbers with their digests, about 4 KB beside a configuration; an operator would have to be away for as many changes. Beyond that it remains so: docs/control.md should say it.

--- a/src/main/java/dillfront/core/Value.java
+++ b/src/main/java/dillfront/core/Value.java
@@ -23,7 +23,7 @@
 public record Value(long epoch, SortedSet<String> members, SortedSet<String> outgoing, SortedSet<String> dropped,
         Configuration configuration, SortedMap<Long, Long> past) {
 
-    private static final int MOST_PAST = 64;
+    private static final int MOST_PAST = 512;
     private static final SortedSet<String> NOBODY = Collections.unmodifiableSortedSet(new TreeSet<>());
 
     /** What became of an order, by a decided value. */
--- a/src/main/java/dillfront/lab/whole/ControlTroubles.java
+++ b/src/main/java/dillfront/lab/whole/ControlTroubles.java
@@ -71,6 +71,7 @@
             case "configure" -> day.orders.change(null, x -> { });
             case "order" -> day.orders.change(c, x -> { });
             case "repeat" -> day.orders.repeatOld();
+            case "repeat_refused" -> day.orders.repeatRefused();
             case "storm" -> storm(number(w, 1, 100), number(w, 2, 50));
             case "race" -> {
                 int gap = number(w, 2, 1_000);
--- a/src/main/java/dillfront/lab/whole/Orders.java
+++ b/src/main/java/dillfront/lab/whole/Orders.java
@@ -243,6 +243,14 @@
         }
     }
 
+    /** One that was refused for the other content of its number, as if that answer had been lost. */
+    void repeatRefused() {
+        List<Order> refused = all.stream().filter(o -> o.refused).toList();
+        if (!refused.isEmpty()) {
+            repeat(refused.get(sim.random.nextInt(refused.size())));
+        }
+    }
+
     /** Reads the configuration from any process, over and over. */
     void reading(long gapMs) {
         if (!day.ended()) {
--- a/src/main/java/dillfront/lab/whole/WorstDay.java
+++ b/src/main/java/dillfront/lab/whole/WorstDay.java
@@ -92,7 +92,7 @@
             day.at(seconds(FROM_S, 15), "race " + (3 + random.nextInt(8)) + " " + (200 + random.nextInt(1_500)));
         }
         for (double at = FROM_S; at < CLOSING_S + 4; at += seconds(0.5, 4)) {
-            day.at(at, pick("configure", "configure", "repeat", "order " + pick(WHICH)));
+            day.at(at, pick("configure", "configure", "repeat", "repeat_refused", "order " + pick(WHICH)));
         }
     }
 
