--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -1,6 +1,8 @@
 package dillfront.core;
 
 import dillfront.host.Configuration;
+import dillfront.host.Deflate;
+import dillfront.host.Delta;
 import dillfront.host.Pack;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -45,6 +47,11 @@
 
         /** Whether this process holds the lease, without which no set is changed. */
         boolean holds();
+
+        /** Whether it does without this, as only a small world does to show what breaks. */
+        default boolean without(Defence defence) {
+            return false;
+        }
     }
 
     private static final int PIECE = 16_000;
@@ -56,7 +63,7 @@
     private static final long STUCK_MS = 250;
     /** Who lacks a decided value is sent it by others than its proposer after so long; and again after this. */
     private static final long LACKS_MS = 300;
-    private static final long AGAIN_MS = 1_000;
+    private static final long AGAIN_MS = 350;
     private static final int MOST_ORDERS = 256;
 
     /** What another process said last; each field only ever rises. */
@@ -102,6 +109,9 @@
     /** What the sets are to become: the epoch that this is meant for, and the next members; null for the second step. */
     private Step step;
     private long stuckAt = -1;
+    /** The newest value that was told, as it went to those who have another; by the ballot of that. */
+    private Ballot rowsOf = Ballot.NONE;
+    private final TreeMap<Ballot, Map<String, Object>> rows = new TreeMap<>();
 
     public Register(Ground ground) {
         this.ground = ground;
@@ -148,7 +158,7 @@
         return decided;
     }
 
-    Ballot accepted() {
+    public Ballot accepted() {
         return accepted;
     }
 
@@ -158,7 +168,7 @@
     }
 
     /** Nothing is accepted or promised here: a disk that was empty, and nobody has said anything yet. */
-    boolean blank() {
+    public boolean blank() {
         return value == null && promised == Ballot.NONE && !writing;
     }
 
@@ -176,11 +186,17 @@
         return id.equals(ground.self()) ? accepted : views.containsKey(id) ? views.get(id).accepted : Ballot.NONE;
     }
 
-    /** The first value of all; only the founder calls this, once. */
-    CompletableFuture<Void> found(SortedSet<String> members) {
-        Value first = Value.founded(members);
+    /** The first value of all, under the first ballot, offered once it is on this disk; only the founder calls this. */
+    public void found(SortedSet<String> members) {
         Ballot ballot = new Ballot(1, ground.self());
-        return accept(ballot, first).thenRun(() -> learn(ballot, first));
+        Value first = Value.founded(members);
+        accept(ballot, first).thenRun(() -> {
+            mine = ballot;
+            base = first;
+            proposed = first;
+            phase = Phase.ACCEPT;
+            proposer();
+        });
     }
 
     /** Completes with what became of it, once that is decided; fails at once where too many wait. */
@@ -242,17 +258,19 @@
         if (is != null && lacks(v, ballot, offers)) {
             long now = ground.now();
             if (!v.sent.equals(ballot) || now - v.sentAt > AGAIN_MS) {
+                // Against what it has, once; where that did not help, whole.
+                Value has = v.sent.equals(ballot) ? null : of(v.accepted);
+                out.put("vb", ballot.kept());
+                out.put("v", row(ballot, is, has == null ? Ballot.NONE : v.accepted, has));
                 v.sent = ballot;
                 v.sentAt = now;
-                out.put("vb", ballot.kept());
-                out.put("v", row(is));
             }
         }
         return out;
     }
 
     /** What was sent to it may be lost: its connection is another. */
-    void again(String to) {
+    public void again(String to) {
         View v = views.get(to);
         if (v != null) {
             v.sent = Ballot.NONE;
@@ -271,31 +289,59 @@
         return prepares || behind;
     }
 
-    private static Map<String, Object> row(Value of) {
-        Map<String, Object> row = new LinkedHashMap<>();
-        row.put("e", of.epoch());
-        row.put("m", Value.text(of.members()));
-        row.put("o", Value.text(of.outgoing()));
-        row.put("x", Value.text(of.dropped()));
-        row.put("c", of.configuration().body());
-        List<Object> past = new ArrayList<>();
-        of.past().forEach((version, digest) -> {
-            past.add(version);
-            past.add(digest);
+    /** How a value goes to whoever has that other one; what is made for one serves all. */
+    private Map<String, Object> row(Ballot ballot, Value of, Ballot than, Value other) {
+        if (!ballot.equals(rowsOf)) {
+            rowsOf = ballot;
+            rows.clear();
+        }
+        return rows.computeIfAbsent(than, t -> {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("e", of.epoch());
+            row.put("m", Value.text(of.members()));
+            row.put("o", Value.text(of.outgoing()));
+            row.put("x", Value.text(of.dropped()));
+            List<Object> past = new ArrayList<>();
+            of.past().forEach((version, digest) -> {
+                if (other == null || !other.past().containsKey(version)) {
+                    past.add(version);
+                    past.add(digest);
+                }
+            });
+            row.put("p", past);
+            if (other == null) {
+                row.put("cz", Deflate.of(of.configuration().body()));
+            } else {
+                row.put("b", than.kept());
+                if (of.configuration().version() != other.configuration().version()) {
+                    row.put("cx", Delta.of(other.configuration().body(), of.configuration().body()));
+                }
+            }
+            return row;
         });
-        row.put("p", past);
-        return row;
     }
 
-    private static Value value(Pack.Fields row) throws Configuration.Invalid {
-        byte[] body = row.bytes("c");
+    /** Null where it says what it is by another value that is not known here. */
+    private Value value(Pack.Fields row) throws Configuration.Invalid {
+        Value other = row.has("b") ? of(Ballot.of(row.text("b"))) : null;
+        if (row.has("b") && other == null) {
+            return null;
+        }
         TreeMap<Long, Long> past = new TreeMap<>();
         List<String> numbers = row.texts("p");
         for (int i = 0; i + 1 < numbers.size(); i += 2) {
             past.put(Long.parseLong(numbers.get(i)), Long.parseLong(numbers.get(i + 1)));
         }
+        Configuration configuration = other == null ? Configuration.NONE : other.configuration();
+        try {
+            byte[] body = row.has("cx") ? Delta.apply(configuration.body(), row.bytes("cx"))
+                    : other == null ? Deflate.back(row.bytes("cz"), Delta.MOST) : null;
+            configuration = body == null || body.length == 0 ? configuration : Configuration.read(body);
+        } catch (Delta.Bad | Deflate.Bad bad) {
+            return null;
+        }
         return new Value(row.number("e", 0), Value.ids(row.text("m")), Value.ids(row.text("o")), Value.ids(row.text("x")),
-                body == null || body.length == 0 ? Configuration.NONE : Configuration.read(body), past);
+                configuration, other == null ? past : other.pastWith(past));
     }
 
     /** A message of that process; an old one changes nothing. */
@@ -318,15 +364,16 @@
             if (row instanceof Map<?, ?> map) {
                 @SuppressWarnings("unchecked")
                 Map<String, Object> fields = (Map<String, Object>) map;
-                v.value = value(new Pack.Fields(fields));
-                v.valueBallot = ballot;
+                Value is = value(new Pack.Fields(fields));
+                v.value = is == null ? v.value : is;
+                v.valueBallot = is == null ? v.valueBallot : ballot;
             }
         }
         consider();
     }
 
     /** Whoever is no longer there is forgotten, unless it is a member. */
-    void retain(Predicate<String> there) {
+    public void retain(Predicate<String> there) {
         views.keySet().removeIf(id -> !there.test(id) && (value == null || !value.members().contains(id) && !value.outgoing().contains(id)));
     }
 
@@ -370,7 +417,7 @@
         for (Ballot ballot : seen) {
             if (ballot.above(best)) {
                 Value is = of(ballot);
-                if (is != null && is.decidedBy(id -> acceptedBy(id).equals(ballot))) {
+                if (is != null && is.decidedBy(id -> counts(id, ballot))) {
                     best = ballot;
                 }
             }
@@ -399,12 +446,13 @@
     }
 
     private void answer() {
-        if (decidedValue == null) {
+        Value by = ground.without(Defence.ANSWER_BY_DECIDED) ? value : decidedValue;
+        if (by == null) {
             return;
         }
         List<Order> over = new ArrayList<>();
-        orders.removeIf(o -> decidedValue.outcome(o.content()) != Value.Outcome.OPEN && over.add(o));
-        over.forEach(o -> o.done().complete(decidedValue.outcome(o.content())));
+        orders.removeIf(o -> by.outcome(o.content()) != Value.Outcome.OPEN && over.add(o));
+        over.forEach(o -> o.done().complete(by.outcome(o.content())));
     }
 
     // ---- acceptor
@@ -421,7 +469,7 @@
         View of = null;
         for (View v : views.values()) {
             boolean offer = v.accepting && v.valueBallot.equals(v.wants);
-            boolean news = v.wants.above(best) || of == null && v.wants.equals(best) && offer && v.wants.above(accepted);
+            boolean news = v.wants.above(best) || ground.without(Defence.PROMISE_KEPT) && offer && v.wants.above(accepted) || of == null && v.wants.equals(best) && offer && v.wants.above(accepted);
             if (news && (offer || !v.accepting)) {
                 best = v.wants;
                 of = v;
@@ -559,22 +607,23 @@
     private void prepared() {
         Ballot highest = accepted;
         for (Map.Entry<String, View> one : views.entrySet()) {
-            if (promisedTo(one.getKey())) {
+            if (promisedTo(one.getKey()) && !ground.without(Defence.HIGHEST_ACCEPTED)) {
                 highest = Ballot.highest(highest, one.getValue().accepted);
             }
         }
         Value follows = of(highest);
-        if (follows == null || writing || !follows.quorum(this::promisedTo)) {
+        boolean promises = ground.without(Defence.PROMISES_OF_MAJORITY) || follows != null && follows.quorum(this::promisedTo);
+        if (follows == null || writing || !promises) {
             return;
         }
-        boolean known = highest.equals(decided);
+        boolean known = highest.equals(decided) || ground.without(Defence.SETS_ON_DECIDED);
         Value next = known ? follows.clean() : follows;
         for (Order order : orders) {
-            next = order.done().isDone() ? next : next.with(order.content());
+            next = order.done().isDone() ? next : fold(next, order.content());
         }
         if (known && step != null) {
             boolean may = ground.holds() && step.epoch() == next.epoch() && next.joint() == (step.members() == null);
-            next = !may ? next : next.joint() ? next.settled() : next.towards(step.members());
+            next = !may ? next : next.joint() ? drop(next) : join(next, step.members());
             step = null;
         }
         base = follows;
@@ -587,9 +636,27 @@
         });
     }
 
+    private Value fold(Value into, Configuration order) {
+        return (ground.without(Defence.ONE_CONTENT) ? into.without(order.version()) : into).with(order);
+    }
+
+    private Value join(Value on, SortedSet<String> next) {
+        return ground.without(Defence.JOINT_MAJORITIES) ? on.towards(next).settled().clean() : on.towards(next);
+    }
+
+    private Value drop(Value joint) {
+        return ground.without(Defence.DROPPED_ACCEPTS) ? joint.settled().clean() : joint.settled();
+    }
+
+    private boolean counts(String id, Ballot ballot) {
+        Ballot is = acceptedBy(id);
+        return is.equals(ballot) || ground.without(Defence.ONE_BALLOT) && is.above(ballot);
+    }
+
     private void counted() {
         Ballot ballot = mine;
-        if (proposed.decidedBy(id -> acceptedBy(id).equals(ballot)) && base.quorum(id -> acceptedBy(id).equals(ballot))) {
+        if (proposed.decidedBy(id -> counts(id, ballot))
+                && (ground.without(Defence.DROPPED_ACCEPTS) || base.quorum(id -> counts(id, ballot)))) {
             phase = Phase.NONE;
             lost = 0;
             learn(ballot, proposed);
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -1,6 +1,7 @@
 package dillfront.front;
 
 import dillfront.host.Host;
+import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -45,6 +46,8 @@
     boolean leads;
     /** It took a write, or said that it leads, and has denied it since by no answer. */
     boolean proven;
+    /** How far its log was at the least, by any of its answers. */
+    Position seen;
     final List<Connection> idle = new ArrayList<>();
     final List<Connection> all = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
@@ -172,6 +175,14 @@
         }
     }
 
+    /** Connections whose answers to this front's own words were lost: else they would be nobody's for ever. */
+    void leaveOverdue() {
+        if (out > 0) {
+            long now = front.host.now();
+            new ArrayList<>(all).forEach(c -> c.overdue(now));
+        }
+    }
+
     /** It is started, or free again. */
     void free(Connection c) {
         c.held = false;
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -263,7 +263,8 @@
         if (which.equals("primary")) {
             return leader;
         }
-        return db.servers.stream().filter(s -> s != leader && s.machine.up).findFirst().orElse(null);
+        List<Database.Server> replicas = db.servers.stream().filter(s -> s != leader && s.machine.up).toList();
+        return replicas.isEmpty() ? null : replicas.get(which.equals("last") ? replicas.size() - 1 : 0);
     }
 
     /** A server is down for a while; dark, or with its connections reset. */
@@ -648,6 +649,11 @@
         return sim.told;
     }
 
+    /** Servers that were told to stop receiving and never to go on. */
+    public List<String> paused() {
+        return databases.values().stream().flatMap(db -> db.servers.stream()).filter(s -> s.machine.up && s.held != 0).map(s -> s.id).toList();
+    }
+
     public ControlCounts control() {
         return new ControlCounts(audit, configAudit);
     }
