A lease that is given back, or a candidacy that is given up, frees its voters at once

Change: who is told that a promise is given back counts anew, and a number that was given up is said in each message, for it is never asked for again.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -77,7 +77,6 @@
     /** Its id is on the disk, so it may be told. */
     private boolean named;
     private boolean leaving;
-    private long released;
     /** While two sets count: the ballot that made it so, and this one's table when a majority of each had that. */
     private Ballot jointAt = Ballot.NONE;
     private long jointMark = -1;
@@ -593,7 +592,9 @@
         }
         if (leaving) {
             out.put("lv", true);
-            out.put("rl", released);
+        }
+        if (lease.given() > 0) {
+            out.put("rl", lease.given());
         }
         List<String> places = new ArrayList<>();
         peers.values().forEach(o -> {
@@ -800,7 +801,7 @@
             host.after(TOGETHER_MS, () -> leave(end, until));
             return;
         }
-        released = lease.leave();
+        lease.leave();
         peers.values().forEach(this::tell);
         host.after(LAST_WORD_MS, end);
     }
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -76,6 +76,8 @@
     private boolean writing;
     private long candidateAt;
     private boolean leaving;
+    /** The last number that it asked for and gave up; it never asks for it again. */
+    private long given;
 
     public Lease(Ground core) {
         this.core = core;
@@ -133,13 +135,25 @@
         }
     }
 
-    /** The one that has the promise gives the duty back before its time. */
+    /** The one that has the promise gives it back before its time. */
     public void released(Voter p, long number) {
-        if (number > 0 && number == promised && p.id().equals(promisedTo)) {
-            promisedUntil = Math.min(promisedUntil, core.now());
+        if (number > 0 && number == promised && p.id().equals(promisedTo) && promisedUntil > core.now()) {
+            promisedUntil = core.now();
+            candidateAt = Math.min(candidateAt, promisedUntil + core.rank() * STAGGER_MS);
         }
     }
 
+    /** What it asked for and gave up: whoever promised it that is free again; 0 for nothing. */
+    public long given() {
+        return given;
+    }
+
+    private void giveUp() {
+        given = Math.max(given, mine);
+        mine = 0;
+        heldSince = -1;
+    }
+
     private void promise(long number, String to, long asked) {
         writing = true;
         promisedUntil = core.now() + SPAN_MS;
@@ -150,7 +164,7 @@
                 promisedTo = to;
                 if (!to.equals(core.self())) {
                     // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
-                    mine = 0;
+                    giveUp();
                 }
                 granted = asked;
                 promisedUntil = core.now() + SPAN_MS;
@@ -179,13 +193,10 @@
         return heldSince;
     }
 
-    /** From now on it is not wanted here any more; returns the number to give back, 0 for none. */
-    long leave() {
+    /** From now on it is not wanted here any more. */
+    void leave() {
         leaving = true;
-        long back = mine;
-        mine = 0;
-        heldSince = -1;
-        return back;
+        giveUp();
     }
 
     public void look() {
@@ -199,8 +210,7 @@
         }
         if (heldSince >= 0) {
             // It ended: another number next time, so that whoever saw this one pass is not asked to take it again.
-            heldSince = -1;
-            mine = 0;
+            giveUp();
             // Another set is asked at once: nobody else may be promised anything before this one's time is over.
             candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
--- a/src/main/java/dillfront/lab/whole/ConfigAudit.java
+++ b/src/main/java/dillfront/lab/whole/ConfigAudit.java
@@ -17,6 +17,8 @@
     private static final long FRESH_MS = 1_000;
     private static final double LOOK_MS = 20;
     private static final long NEVER_MS = 99_999;
+    /** While all is settled, the lease is without a holder no longer than this. */
+    private static final long HELD_MS = 1_500;
 
     /** A read under way, and what it must not go below. */
     static final class Reading {
@@ -48,6 +50,8 @@
     private final Map<Long, String> fences = new TreeMap<>();
     private final Map<String, long[]> fronts = new LinkedHashMap<>();
     private boolean twoHold;
+    private long heldAt;
+    private boolean unheld;
     int losses;
     int acknowledged;
     int lost;
@@ -201,6 +205,11 @@
             audit.breach("LEASE", "held by" + who);
         }
         twoHold = holders > 1;
+        heldAt = holders > 0 || !day.controls.settled() ? sim.millis() : heldAt;
+        if (sim.millis() - heldAt > HELD_MS && !unheld) {
+            audit.breach("LEASE", "nobody has held it for " + HELD_MS + " ms though all is settled");
+        }
+        unheld = sim.millis() - heldAt > HELD_MS;
         overdue();
     }
 
