Front: nine faults in what is sent where, each caused by a test first; STATUS before a read

No call that may not be repeated was sent twice at any cut tried; found were: a COMMIT that wrote nothing, answered by a router that had lost the lead, gave a floor (stale reads); a read that was not sure ran first and was verified after; a control process back from a kill called fronts told, though it had told them 'sure' in its earlier life (STALE, scenario sure-by-a-killed-control); an answer that never came to a client that was gone held a connection for ever, and the server was taken for silent for ever; half an answer left its connection in use; the first statement of a transaction opened before went to a server past its drain; a primary that drains was used 4.7 s after a front was told, longer than a front that was told late is out of touch (4 s); connections to a former primary that drains stayed; a front that ends left a transaction at work without a word; news of a control process that was left counted. Change: each mended; Server.proven and the second STATUS go: one that led after a read's first byte has all that was acknowledged before, so STATUS comes first, and the read runs only where it says primary. SessionTest, NewsTest, AskersTest, FloorsTest, ScenarioTest pass.

--- a/src/main/java/dillfront/front/Connection.java
+++ b/src/main/java/dillfront/front/Connection.java
@@ -33,6 +33,8 @@
     boolean held;
     private Host.Link link;
     private boolean started;
+    /** As the last answer said. */
+    private char state = 'I';
     private boolean over;
     private final Map<String, String> values = new HashMap<>();
     private final Set<String> prepared = new HashSet<>();
@@ -81,7 +83,7 @@
 
     /** Makes the values those of this session; what is sent goes ahead of the next asking. */
     private void values(Map<String, String> wanted, StringBuilder out) {
-        if (!wanted.keySet().containsAll(values.keySet()) || prepared.size() > MOST) {
+        if (!wanted.keySet().containsAll(values.keySet()) || prepared.size() > MOST && state == 'I') {
             own(out, "RESET");
             values.clear();
             prepared.clear();
@@ -163,7 +165,7 @@
                 break;
             }
             case "READY": {
-                char state = rest.isEmpty() ? '?' : rest.charAt(0);
+                state = rest.isEmpty() ? '?' : rest.charAt(0);
                 int gap = rest.indexOf(' ');
                 Position position = gap < 0 ? null : Position.of(rest.substring(gap + 1));
                 server.seen = Position.later(server.seen, position);
@@ -186,12 +188,14 @@
                 stamp = null;
                 code = null;
                 text = "";
-                if (stamped == null && failed == null) {
-                    failed = "CUT";
-                }
                 if (asks.isEmpty()) {
                     server.out = Math.max(0, server.out - 1);
                 }
+                if (stamped == null && failed == null) {
+                    // Half an answer: nobody knows to what the next one belongs.
+                    failed = "CUT";
+                    cut("out of step");
+                }
                 ask.ended().ended(answered, stamped, failed, said, state, position);
                 break;
             }
--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -13,6 +13,7 @@
     /** How much of a connection limit is left for the control plane's own questions. */
     private static final int FOR_CONTROL = 8;
     private static final long LOOK_MS = 100;
+    private static final long MORE_MS = 500;
 
     /** What was done since the start. */
     public static final class Counts {
@@ -33,6 +34,7 @@
     private final TreeMap<String, Service> services = new TreeMap<>();
     private Configuration configuration = Configuration.NONE;
     private final List<Session> sessions = new ArrayList<>();
+    private long longest = MORE_MS;
     private boolean leaving;
     private boolean leftAll;
     private Runnable end = () -> { };
@@ -59,7 +61,7 @@
         for (Service service : services.values()) {
             for (Server s : new ArrayList<>(service.servers.values())) {
                 s.tryAgain();
-                s.leaveDark();
+                s.look();
             }
             service.changed();
             service.hopeful();
@@ -84,9 +86,15 @@
             return;
         }
         configuration = next;
+        longest = Math.max(longest, next.longestTimeout() + MORE_MS);
         next.services().values().forEach(is -> service(is.name()).connections = is.connections());
     }
 
+    /** What is out for longer is never answered, or to nobody. */
+    long longest() {
+        return longest;
+    }
+
     Service service(String name) {
         return services.computeIfAbsent(name, n -> {
             Service s = new Service(this, n);
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -117,7 +117,10 @@
 
             @Override
             public void message(byte[] message) {
-                News.this.message(message);
+                // What a source that was left said meanwhile answers no question of now.
+                if (link == mine[0]) {
+                    News.this.message(message);
+                }
             }
 
             @Override
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -44,8 +44,6 @@
     boolean gone;
     /** Leave to lead, as it said itself in its beat. */
     boolean leads;
-    /** It took a write, or said that it leads, and has denied it since by no answer. */
-    boolean proven;
     /** How far its log was at the least, by any of its answers. */
     Position seen;
     final List<Connection> idle = new ArrayList<>();
@@ -168,18 +166,34 @@
         }
     }
 
-    /** One that went dark forgets its connections: a write on one of them would be cut later, and nobody could say if it ran. */
-    void leaveDark() {
-        if (!idle.isEmpty() && silent()) {
+    /**
+     * One that went dark forgets its connections: a write on one of them would be cut later, and nobody could say if it ran. One
+     * that leaves may go on for long, and keeps none either. What is out for longer than anybody waits is never answered.
+     */
+    void look() {
+        long longest = front.longest();
+        for (Connection c : new ArrayList<>(all)) {
+            if (c.oldest() < front.host.now() - longest) {
+                c.cut("never answered");
+            }
+        }
+        if (!idle.isEmpty() && (leaves() || silent())) {
             new ArrayList<>(idle).forEach(Connection::close);
         }
+        if (leaves()) {
+            drop("leaves");
+        }
     }
 
     /** It is started, or free again. */
     void free(Connection c) {
         c.held = false;
-        boolean over = gone || draining && service.primary() != this;
-        if (over || all.size() > front.connectionsEach(service) && waiters.isEmpty()) {
+        if (leaves()) {
+            drop("leaves");
+            c.close();
+            return;
+        }
+        if (all.size() > front.connectionsEach(service) && waiters.isEmpty()) {
             c.close();
             return;
         }
@@ -258,7 +272,12 @@
 
     /** It drains, and what reached it now could be too late. */
     boolean drained() {
-        return draining && front.host.now() > drainedAt + front.settings.drain() * 2 / 3;
+        return draining && front.host.now() > drainedAt + front.settings.drain();
+    }
+
+    /** It drains or is gone, and is not the primary, or no longer to be used as such: nothing begins there. */
+    boolean leaves() {
+        return gone || draining && service.primary() != this;
     }
 
     /** How this front sees it: 1 heard just now, -1 out of reach, 0 not known. */
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -98,6 +98,7 @@
     private Job job;
     private boolean over;
     private boolean leaves;
+    private boolean leavesNow;
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
 
     Session(Front front) {
@@ -139,6 +140,8 @@
         }
         if (leaves && !over && job == null && txn == null) {
             end();
+        } else if (leavesNow && !over && job == null) {
+            leaveNow();
         }
     }
 
@@ -559,11 +562,19 @@
     }
 
     private void send(Job of, Service service, Server server, Connection on, Position need) {
+        boolean after = !of.writes && of.route.kind() != Kind.PRIMARY && need != null;
+        if (of.writes || after || service.sure(server)) {
+            sendNow(of, service, server, on, after ? need : null);
+        } else {
+            verify(of, on, () -> sendNow(of, service, server, on, null));
+        }
+    }
+
+    private void sendNow(Job of, Service service, Server server, Connection on, Position after) {
         of.on = on;
         long sent = front.host.now();
         Position before = server.seen;
-        boolean after = !of.writes && of.route.kind() != Kind.PRIMARY && need != null;
-        String line = (after ? "AFTER " + need + " " : "") + line(of);
+        String line = (after == null ? "" : "AFTER " + after + " ") + line(of);
         on.ask(values, of.shape, of.id, line, (rows, stamp, code, text, state, position) -> {
             of.on = null;
             if (code == null) {
@@ -573,13 +584,8 @@
                     service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
                 }
                 if (of.writes || sure) {
-                    server.proven |= of.writes;
                     service.floors.led(position, sent);
                 }
-                if (!of.over && !of.writes && !after && !sure) {
-                    verify(of, service, server, on, rows, stamp, position);
-                    return;
-                }
                 release(on, state);
                 paced(server, of, sent);
                 if (of.over || over) {
@@ -616,26 +622,29 @@
         }
     }
 
-    /** That it led when it answered is not sure by the record: it is asked, and counts if it has led before as well. */
-    private void verify(Job of, Service service, Server server, Connection on, List<String> rows, String stamp,
-            Position position) {
+    /** Whether a server led when it answered to STATUS. */
+    private static boolean leads(List<String> answer, String code) {
+        return code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
+    }
+
+    /**
+     * That it leads is not sure by the record, so it is asked first, on the same connection. One that led after a read's first
+     * byte came has all that was acknowledged before, whatever happens to it then.
+     */
+    private void verify(Job of, Connection on, Runnable then) {
         front.counts.verified++;
         of.on = on;
         on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
             of.on = null;
+            if (leads(answer, code) && !of.over && !over) {
+                then.run();
+                return;
+            }
             release(on, state);
-            boolean leads = code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
-            boolean before = server.proven;
-            server.proven |= leads;
             if (of.over || over) {
                 return;
             }
-            if (leads && before) {
-                answer(of, rows, stamp, position);
-            } else if (of.tries++ < 3 && front.host.now() < of.patience()) {
-                if (!leads && code == null) {
-                    server.proven = false;
-                }
+            if (of.tries++ < 3 && front.host.now() < of.patience()) {
                 later(of, () -> single(of));
             } else {
                 busy(of);
@@ -673,7 +682,6 @@
                 }
                 break;
             case "READONLY":
-                server.proven = false;
                 if (patient) {
                     later(of, () -> single(of));
                     return;
@@ -775,6 +783,14 @@
     }
 
     private void begin(Txn of, Service service, Server server, Connection on, Position need) {
+        if (!of.reads || need != null || service.sure(server)) {
+            beginNow(of, service, server, on, need);
+        } else {
+            verifyOpen(of, service, on, () -> beginNow(of, service, server, on, null));
+        }
+    }
+
+    private void beginNow(Txn of, Service service, Server server, Connection on, Position need) {
         String line = (need == null ? "" : "AFTER " + need + " ") + (of.reads ? "BEGIN READ" : "BEGIN");
         long sent = front.host.now();
         on.ask(values, null, of.id, line, (rows, stamp, code, text, state, position) -> {
@@ -784,11 +800,7 @@
             }
             if (code == null) {
                 if (!of.reads) {
-                    server.proven = true;
                     service.floors.led(position, sent);
-                } else if (need == null && !service.sure(server)) {
-                    verifyOpen(of, service, server, on);
-                    return;
                 }
                 opened(of, server, on);
                 return;
@@ -798,9 +810,6 @@
                 front.counts.lagging++;
                 server.lagging();
             }
-            if (code.equals("READONLY")) {
-                server.proven = false;
-            }
             of.tried.add(server);
             of.tries++;
             front.host.after(code.equals("LAGGING") ? 0 : BUSY_PAUSE_MS, () -> {
@@ -817,18 +826,15 @@
         });
     }
 
-    private void verifyOpen(Txn of, Service service, Server server, Connection on) {
+    private void verifyOpen(Txn of, Service service, Connection on, Runnable then) {
         front.counts.verified++;
         on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
-            boolean leads = code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
-            boolean before = server.proven;
-            server.proven |= leads;
-            if (of.over || over) {
-                release(on, 'T');
-            } else if (leads && before) {
-                opened(of, server, on);
-            } else {
-                release(on, 'T');
+            if (leads(answer, code) && !of.over && !over) {
+                then.run();
+                return;
+            }
+            release(on, state);
+            if (!of.over && !over) {
                 front.host.after(BUSY_PAUSE_MS, () -> openLater(of, service));
             }
         });
@@ -848,6 +854,11 @@
     private void inside(Txn of, Job asked) {
         Connection on = of.on;
         Service service = front.service(of.route.service());
+        if (!of.ran && on.server.leaves()) {
+            // Opened in time, but its first statement would be late.
+            elsewhere(of, asked, 0);
+            return;
+        }
         boolean commit = asked.statement.verb() == Statement.Verb.COMMIT;
         boolean first = !of.ran;
         boolean wrote = of.wrote || asked.writes;
@@ -866,7 +877,8 @@
                 return;
             }
             if (code == null) {
-                if (!of.reads) {
+                if (!of.reads && (!commit || of.wrote)) {
+                    // One that wrote nothing is committed by a router that has lost the lead, too.
                     service.floors.led(position, sent);
                 }
                 if (commit) {
@@ -900,19 +912,10 @@
             boolean promised = code.equals("BUSY") || code.equals("READONLY") || code.equals("LAGGING")
                     || code.equals("UNKNOWN") || cut;
             if (first && promised && front.host.now() < asked.patience() && asked.tries++ < 4) {
-                // Nothing of the transaction has been kept: it begins anew elsewhere.
-                of.ran = false;
-                of.wrote = false;
-                of.on = null;
-                counted(of, null);
-                if (!on.over()) {
-                    back(on);
-                }
-                of.first = asked;
                 if (cut || code.equals("READONLY")) {
                     of.tried.add(on.server);
                 }
-                front.host.after(cut ? 0 : BUSY_PAUSE_MS, () -> open(of));
+                elsewhere(of, asked, cut ? 0 : BUSY_PAUSE_MS);
                 return;
             }
             endsFailed();
@@ -920,6 +923,21 @@
         });
     }
 
+    /** Nothing of the transaction has been kept: it begins anew. */
+    private void elsewhere(Txn of, Job asked, long in) {
+        Connection on = of.on;
+        of.ran = false;
+        of.wrote = false;
+        of.on = null;
+        counted(of, null);
+        if (!on.over()) {
+            back(on);
+        }
+        of.first = asked;
+        of.opening = true;
+        front.host.after(in, () -> open(of));
+    }
+
     // ---- the end
 
     private void say(String lines) {
@@ -976,6 +994,7 @@
     /** The front ends now: what is open is told that nothing of it is kept, what runs is heard to its end. */
     void leaveNow() {
         leaves = true;
+        leavesNow = true;
         if (job == null) {
             if (txn != null) {
                 say("ERROR ABORTED the router ends; nothing of the transaction is kept");
--- a/src/main/java/dillfront/host/Configuration.java
+++ b/src/main/java/dillfront/host/Configuration.java
@@ -46,6 +46,7 @@
     private final Map<String, Route> routes = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private long transactionIdle = 3_000;
+    private long longestTimeout;
 
     private Configuration(long version, byte[] body) {
         this.version = version;
@@ -113,6 +114,7 @@
                 throw new Invalid(place + ".name: '" + route.name() + "' stands twice");
             }
             is.routes.put(route.host(), route);
+            is.longestTimeout = Math.max(is.longestTimeout, route.timeout());
         }
         JsonValue limits = all.get("limits");
         if (limits != null) {
@@ -181,6 +183,11 @@
         return routes.get(host);
     }
 
+    /** Of all routes; nobody waits longer for an answer. */
+    public long longestTimeout() {
+        return longestTimeout;
+    }
+
     public Map<String, Service> services() {
         return services;
     }
--- a/src/main/java/dillfront/host/Settings.java
+++ b/src/main/java/dillfront/host/Settings.java
@@ -20,6 +20,8 @@
  * @param seeds addresses of machines that serve control
  * @param folder where the disk is; null where there is none
  * @param losses how many machines that count may be lost at once
+ * @param drain for how long, from when it was told, a data plane goes on with a primary that drains: its last work there comes well
+ *     before the server's time is over, and before a data plane that was told late counts as in touch
  * @param platform null where there is none
  */
 public record Settings(String name, String zone, String region, java.util.Map<String, String> regions, String ip,
@@ -75,7 +77,7 @@
                     all.getBoolean("first_start", false), optional(all, "data_directory"),
                     all.get("tolerated_losses") == null ? 0
                             : Math.max(0, object(all, "tolerated_losses").getInt("machines", 0)),
-                    number(all, "heartbeat_interval_ms", 1_200), number(bounds, "drain_ms", 7_000),
+                    number(all, "heartbeat_interval_ms", 1_200), drain(bounds),
                     Math.round(bounds.getDouble("grace_period_s", 6) * 1_000),
                     platform == null || platform.isNull() ? null : optional(platform.asObject(), "address"));
         } catch (Bad bad) {
@@ -85,6 +87,10 @@
         }
     }
 
+    private static long drain(JsonObject bounds) throws Bad {
+        return Math.min(number(bounds, "drain_ms", 7_000) * 2 / 3, number(bounds, "in_touch_ms", 4_000) * 7 / 8);
+    }
+
     private static JsonObject object(JsonObject in, String name) throws Bad {
         JsonValue is = in.get(name);
         if (is == null || !is.isObject()) {
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -186,7 +186,7 @@
         }
         return new Settings(m.name, m.zone, "r" + m.zone, regions, m.ip, control ? null : m.ip + ":" + FRONT,
                 control ? null : m.ip + ":" + READY, control ? m.ip + ":" + Controls.HTTP : null, Controls.INNER, controls.seeds(), first,
-                control ? "/" : null, 1, BEAT_MS, 7_000, 6_000, platform.ip + ":" + PLATFORM);
+                control ? "/" : null, 1, BEAT_MS, 3_500, 6_000, platform.ip + ":" + PLATFORM);
     }
 
     private void startFront(FrontMachine f, boolean first) {
