--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -168,15 +168,9 @@
 
     /**
      * One that went dark forgets its connections: a write on one of them would be cut later, and nobody could say if it ran. One
-     * that leaves may go on for long, and keeps none either. What is out for longer than anybody waits is never answered.
+     * that leaves may go on for long, and keeps none either.
      */
     void look() {
-        long longest = front.longest();
-        for (Connection c : new ArrayList<>(all)) {
-            if (c.oldest() < front.host.now() - longest) {
-                c.cut("never answered");
-            }
-        }
         if (!idle.isEmpty() && (leaves() || silent())) {
             new ArrayList<>(idle).forEach(Connection::close);
         }
@@ -185,6 +179,14 @@
         }
     }
 
+    /** Connections whose answers were lost, and for which nobody waits any more: else they would be nobody's for ever. */
+    void leaveOverdue() {
+        if (out > 0) {
+            long now = front.host.now();
+            new ArrayList<>(all).forEach(c -> c.overdue(now));
+        }
+    }
+
     /** It is started, or free again. */
     void free(Connection c) {
         c.held = false;
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -81,6 +81,11 @@
             until = at + route.timeout() - EARLY_MS;
         }
 
+        /** Its client was answered before, or is gone. */
+        long overdue() {
+            return at + route.timeout();
+        }
+
         long patience() {
             return at + (long) (route.timeout() * PATIENCE);
         }
@@ -321,7 +326,7 @@
     }
 
     private static void back(Connection on) {
-        on.ask(null, null, "-", "ROLLBACK", (rows, stamp, code, text, state, position) -> {
+        on.ask("ROLLBACK", (rows, stamp, code, text, state, position) -> {
             if (on.over()) {
                 return;
             }
@@ -575,7 +580,7 @@
         long sent = front.host.now();
         Position before = server.seen;
         String line = (after == null ? "" : "AFTER " + after + " ") + line(of);
-        on.ask(values, of.shape, of.id, line, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, of.shape, of.id, line, of.overdue(), (rows, stamp, code, text, state, position) -> {
             of.on = null;
             if (code == null) {
                 server.fresh();
@@ -634,7 +639,7 @@
     private void verify(Job of, Connection on, Runnable then) {
         front.counts.verified++;
         of.on = on;
-        on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
+        on.ask("STATUS", (answer, done, code, text, state, at) -> {
             of.on = null;
             if (leads(answer, code) && !of.over && !over) {
                 then.run();
@@ -793,7 +798,7 @@
     private void beginNow(Txn of, Service service, Server server, Connection on, Position need) {
         String line = (need == null ? "" : "AFTER " + need + " ") + (of.reads ? "BEGIN READ" : "BEGIN");
         long sent = front.host.now();
-        on.ask(values, null, of.id, line, (rows, stamp, code, text, state, position) -> {
+        on.ask(values, null, of.id, line, sent + of.route.timeout(), (rows, stamp, code, text, state, position) -> {
             if (of.over || over) {
                 release(on, on.over() ? 'I' : state);
                 return;
@@ -828,7 +833,7 @@
 
     private void verifyOpen(Txn of, Service service, Connection on, Runnable then) {
         front.counts.verified++;
-        on.ask(null, null, "-", "STATUS", (answer, done, code, text, state, at) -> {
+        on.ask("STATUS", (answer, done, code, text, state, at) -> {
             if (leads(answer, code) && !of.over && !over) {
                 then.run();
                 return;
@@ -868,7 +873,7 @@
         long sent = front.host.now();
         Position before = on.server.seen;
         // Values may have been set within the transaction; what would need a RESET cannot come here.
-        on.ask(values, asked.shape, asked.id, line(asked), (rows, stamp, code, text, state, position) -> {
+        on.ask(values, asked.shape, asked.id, line(asked), asked.overdue(), (rows, stamp, code, text, state, position) -> {
             asked.on = null;
             if (code == null && commit && wrote) {
                 service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
--- a/src/main/java/dillfront/lab/whole/Audit.java
+++ b/src/main/java/dillfront/lab/whole/Audit.java
@@ -107,6 +107,12 @@
         return most;
     }
 
+    @Override
+    public void again(Database.Server at, String id) {
+        sentTwice++;
+        breach("TWICE", id + " takes effect a second time, at " + at.id);
+    }
+
     @Override
     public void runs(Database.Server at, Database.Connection by, String id, String text, boolean begins) {
         Try is = tries.get(id);
@@ -114,7 +120,8 @@
             breach("UNASKED", at.id + " runs " + id);
             return;
         }
-        boolean once = text.equals("COMMIT") || text.startsWith("WRITE");
+        // A write inside a transaction takes effect with its COMMIT; one that was rolled back does not count (see again).
+        boolean once = text.equals("COMMIT") || text.startsWith("WRITE") && by.state == 'I';
         if (once && !onceOnly.add(id)) {
             sentTwice++;
             breach("TWICE", id + " runs a second time, at " + at.id);
