A read counts a majority of the sets of the value it returns, not of a set that was dropped

Cause, found by reading and brought about by steps of the small world: a read counted a majority of whatever set its process went by when it began. Change: core.Reading; a read is answered once a majority of the sets of the very value it returns has answered since it began, and begins to count anew where the sets are others. Core and the small world use the same class. The walks come in spells of quick and dead links and disks, and messages go mostly where there is something to say.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -825,19 +825,19 @@
     private CompletableFuture<Configuration> read() {
         CompletableFuture<Configuration> done = new CompletableFuture<>();
         peers.values().forEach(this::tell);
-        read(host.now(), null, done);
+        read(host.now(), new Reading(), done);
         return done;
     }
 
-    private void read(long from, Ballot upTo, CompletableFuture<Configuration> done) {
-        Ballot least = upTo == null && reached(host.now(), p -> p.echo) >= from ? register.highest() : upTo;
+    private void read(long from, Reading reading, CompletableFuture<Configuration> done) {
         if (done.isDone()) {
             return;
         }
-        if (least != null && register.decidedBallot().compareTo(least) >= 0 && register.decided() != null) {
-            done.complete(register.committed());
+        Configuration is = reading.look(register, of -> of.equals(id) || peerOf(of) != null && peerOf(of).echo >= from);
+        if (is != null) {
+            done.complete(is);
         } else {
-            host.after(TOGETHER_MS, () -> read(from, least, done));
+            host.after(TOGETHER_MS, () -> read(from, reading, done));
         }
     }
 
--- a/src/main/java/dillfront/lab/ControlWorld.java
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -3,6 +3,7 @@
 import dillfront.core.Ballot;
 import dillfront.core.Defence;
 import dillfront.core.Lease;
+import dillfront.core.Reading;
 import dillfront.core.Register;
 import dillfront.core.Value;
 import dillfront.host.Configuration;
@@ -115,12 +116,12 @@
 
     private record Write(Map<String, String> texts, CompletableFuture<Void> done) { }
 
-    private static final class Reading {
+    private static final class Read {
         final int operation;
         final long token;
-        Ballot least;
+        final Reading reading = new Reading();
 
-        Reading(int operation, long token) {
+        Read(int operation, long token) {
             this.operation = operation;
             this.token = token;
         }
@@ -560,9 +561,11 @@
         /** Null while it is down. */
         Register register;
         Lease lease;
+        /** To whom there is something to say that was not yet said. */
+        final boolean[] news = new boolean[scene.processes];
         View[] views;
         long token;
-        List<Reading> readings;
+        List<Read> readings;
         Ballot seen = Ballot.NONE;
         Ballot seenDecided = Ballot.NONE;
         private long chances;
@@ -595,6 +598,7 @@
             }
             register = fresh;
             lease.load(new TreeMap<>(disk));
+            Arrays.fill(news, true);
             look(true);
         }
 
@@ -659,6 +663,7 @@
         }
 
         Map<String, Object> say(int to) {
+            news[to] = false;
             View v = views[to];
             Map<String, Object> out = new LinkedHashMap<>();
             out.put("i", (long) index);
@@ -727,21 +732,17 @@
         }
 
         void read() {
-            readings.add(new Reading(history.begin(now, "reader at " + index), ++token));
+            readings.add(new Read(history.begin(now, "reader at " + index), ++token));
             told.add("reads " + index);
         }
 
         /** As {@code core.Core.read}. */
         private void readings() {
-            for (Reading one : List.copyOf(readings)) {
-                Value is = register.held();
-                if (one.least == null && is != null && (lacks(Defence.FRESH_MAJORITY)
-                        || is.quorum(of -> of.equals(id) || view(of) != null && view(of).token >= one.token))) {
-                    one.least = lacks(Defence.FRESH_MAJORITY) ? register.decidedBallot() : register.highest();
-                }
-                if (one.least != null && register.decidedBallot().compareTo(one.least) >= 0 && register.decided() != null) {
+            for (Read one : List.copyOf(readings)) {
+                Configuration got = lacks(Defence.FRESH_MAJORITY) && register.decided() != null ? register.committed()
+                        : one.reading.look(register, of -> of.equals(id) || view(of) != null && view(of).token >= one.token);
+                if (got != null) {
                     readings.remove(one);
-                    Configuration got = register.committed();
                     history.end(one.operation, now, got.version(), digest(got));
                     told.add(index + " reads " + got.version() + "/" + digest(got));
                     ended = true;
@@ -821,7 +822,8 @@
 
         @Override
         public void tell() {
-            // Who says what, and when, is chosen from outside.
+            // When is chosen from outside.
+            Arrays.fill(news, true);
         }
 
         @Override
--- a/src/main/java/dillfront/lab/ControlWorlds.java
+++ b/src/main/java/dillfront/lab/ControlWorlds.java
@@ -10,6 +10,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -44,6 +45,8 @@
     /** The first start, with a disk that is emptied. */
     static final Scene FIRST = new Scene(3, 3, true, false, 1, 1, 0, 0, 1, 1, 0, 0, 0, 0);
 
+    private static final int TRIES = 6;
+    private static final double[] SPEEDS = {0, 0.05, 1, 3};
     private static final int MANY = 1_000;
     /** Members that stay, two operators, power and disks. */
     static final Scene POWER = new Scene(3, 3, false, false, 2, MANY, MANY, MANY, 8, 2, 3, MANY, 0, MANY);
@@ -58,12 +61,35 @@
     static final Scene LEASE = new Scene(3, 3, false, true, 1, 0, 0, MANY, 3, 0, 1, MANY, 0, MANY);
     static final Scene LEASE_SETS = new Scene(4, 3, false, true, 1, 0, 0, MANY, 2, 0, 1, MANY, MANY, MANY);
 
-    /** A scene, and how long a walk through it is. */
-    private record Walk(Scene scene, int length) { }
+    /** Two members more, who come and go, with nothing else. */
+    static final Scene CHANGES = new Scene(4, 3, false, false, 2, MANY, MANY, MANY, 0, 0, 0, MANY, MANY, 0);
 
-    private static final List<Walk> WALKS = List.of(new Walk(POWER, 200), new Walk(SETS, 300), new Walk(ALL, 800), new Walk(FOUNDED, 300),
-            new Walk(FIVE, 800), new Walk(LEASE, 300), new Walk(LEASE_SETS, 600), new Walk(POWER, 1_000));
+    /**
+     * A scene, how long a walk through it is, and what happens more often there than elsewhere.
+     *
+     * @param more a factor for a kind
+     * @param first steps that it begins with
+     */
+    record Walk(Scene scene, int length, Map<Kind, Integer> more, String first) {
+        Walk(Scene scene, int length, Map<Kind, Integer> more) {
+            this(scene, length, more, "");
+        }
+    }
 
+    private static final List<Walk> WALKS = List.of(new Walk(POWER, 200, Map.of()), new Walk(SETS, 300, Map.of()),
+            new Walk(ALL, 800, Map.of()), new Walk(FOUNDED, 300, Map.of()), new Walk(FIVE, 800, Map.of()), new Walk(LEASE, 300, Map.of()),
+            new Walk(LEASE_SETS, 600, Map.of()), new Walk(POWER, 1_000, Map.of()), new Walk(CHANGES, 200, Map.of(Kind.SETS, 4)));
+    private static final Walk OUTAGES = new Walk(POWER, 60, Map.of(Kind.CRASH, 3, Kind.SENT, 0, Kind.OLD, 0, Kind.READ, 0,
+            Kind.CUT, 0, Kind.REFUSED, 0, Kind.ORDER, 0), "ORDER 0 18, ORDER 1 25");
+    /** Where a defence is missed soonest; the others are by any walk. */
+    private static final Map<Defence, List<Walk>> NEAREST = Map.of(
+            Defence.PROMISE_ON_DISK, List.of(OUTAGES),
+            Defence.BALLOT_ON_DISK, List.of(OUTAGES),
+            Defence.SETS_ON_DECIDED, List.of(new Walk(CHANGES, 150, Map.of(Kind.SETS, 4))),
+            Defence.JOINT_MAJORITIES, List.of(new Walk(CHANGES, 150, Map.of(Kind.SETS, 4))),
+            Defence.DROPPED_ACCEPTS, List.of(new Walk(CHANGES, 250, Map.of(Kind.SETS, 4))));
+
+    static int walked;
     private ControlWorlds() { }
 
     /** All states up to this depth from where these steps lead, nearest first. */
@@ -135,14 +161,14 @@
         double[] weights = new double[Kind.values().length];
         weights[Kind.MESSAGE.ordinal()] = 50;
         weights[Kind.DISK.ordinal()] = 25;
-        weights[Kind.TIME.ordinal()] = 12;
+        weights[Kind.TIME.ordinal()] = scene.lease() ? 12 : 5;
         weights[Kind.ORDER.ordinal()] = 3;
-        weights[Kind.GIVE_UP.ordinal()] = 1;
+        weights[Kind.GIVE_UP.ordinal()] = 2;
         weights[Kind.READ.ordinal()] = 2;
         weights[Kind.SENT.ordinal()] = 3;
         weights[Kind.OLD.ordinal()] = 3;
         weights[Kind.CRASH.ordinal()] = 1;
-        weights[Kind.START.ordinal()] = 6;
+        weights[Kind.START.ordinal()] = 15;
         weights[Kind.EMPTY.ordinal()] = 1;
         weights[Kind.REFUSED.ordinal()] = 0.5;
         weights[Kind.SETS.ordinal()] = 3;
@@ -159,23 +185,31 @@
         return weights;
     }
 
-    /** One random walk. */
-    static ControlWorld walk(Scene scene, Defence without, long seed, int length) {
+    /** One random walk: in spells, in which some links and disks are quick and others do nothing. */
+    static ControlWorld walk(Walk walk, Defence without, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        double[] weights = weights(scene, random);
-        double all = 0;
-        for (double weight : weights) {
-            all += weight;
-        }
-        ControlWorld world = new ControlWorld(scene, without, seed);
+        double[] weights = weights(walk.scene, random);
+        walk.more.forEach((kind, factor) -> weights[kind.ordinal()] *= factor);
+        ControlWorld world = played(walk.scene, without, seed, steps(walk.first));
+        int n = walk.scene.processes();
+        int spell = 5 + random.nextInt(30);
+        double[] links = new double[n * n];
+        double[] disks = new double[n];
         Kind[] kinds = Kind.values();
-        for (int i = 0; i < length && world.broken == null; i++) {
-            double dice = random.nextDouble() * all;
-            int kind = 0;
-            while (kind < kinds.length - 1 && dice >= weights[kind]) {
-                dice -= weights[kind++];
+        for (int i = 0; i < walk.length && world.broken == null; i++) {
+            if (i == 0 || random.nextInt(spell) == 0) {
+                for (int k = 0; k < links.length; k++) {
+                    links[k] = SPEEDS[random.nextInt(SPEEDS.length)];
+                }
+                for (int k = 0; k < n; k++) {
+                    disks[k] = SPEEDS[random.nextInt(SPEEDS.length)];
+                }
+            }
+            Kind kind = kinds[drawn(weights, random)];
+            Step step = drawn(world, kind, links, disks, random);
+            for (int again = 0; again < TRIES && !world.can(step); again++) {
+                step = drawn(world, kind, links, disks, random);
             }
-            Step step = drawn(world, kinds[kind], random);
             if (world.can(step)) {
                 world.step(step);
             }
@@ -183,15 +217,52 @@
         return world;
     }
 
-    private static Step drawn(ControlWorld world, Kind kind, SplittableRandom random) {
+    private static int drawn(double[] weights, SplittableRandom random) {
+        double all = 0;
+        for (double weight : weights) {
+            all += weight;
+        }
+        double dice = random.nextDouble() * all;
+        int at = 0;
+        while (at < weights.length - 1 && dice >= weights[at]) {
+            dice -= weights[at++];
+        }
+        return at;
+    }
+
+    private static Step drawn(ControlWorld world, Kind kind, double[] links, double[] disks, SplittableRandom random) {
         int n = world.scene.processes();
         int a = random.nextInt(n);
         int b = 0;
         switch (kind) {
-            case MESSAGE, SENT, CUT, JOIN -> b = random.nextInt(n);
+            case MESSAGE, SENT -> {
+                // Mostly those who have something to say.
+                boolean any = random.nextInt(6) == 0;
+                double[] now = links.clone();
+                for (int k = 0; k < now.length; k++) {
+                    now[k] *= any || world.processes[k / n].news[k % n] ? 1 : 0;
+                }
+                int link = drawn(now, random);
+                a = link / n;
+                b = link % n;
+            }
+            case DISK -> {
+                double[] now = disks.clone();
+                for (int k = 0; k < n; k++) {
+                    now[k] *= world.processes[k].disk().isEmpty() ? 0 : 1;
+                }
+                a = drawn(now, random);
+            }
+            case CUT, JOIN -> b = random.nextInt(n);
             case OLD -> a = random.nextInt(world.steps.size() + 1);
             case REFUSED -> b = random.nextInt(2);
-            case CRASH -> b = world.processes[a].register == null ? 0 : random.nextInt(world.processes[a].disk().size() + 1);
+            case CRASH -> {
+                // Mostly those that lose something by it.
+                for (int k = 0; k < n && world.processes[a].disk().isEmpty(); k++) {
+                    a = random.nextInt(n);
+                }
+                b = world.processes[a].register == null || random.nextBoolean() ? 0 : random.nextInt(world.processes[a].disk().size() + 1);
+            }
             case TIME -> {
                 int dice = random.nextInt(20);
                 a = dice < 12 ? 10 : dice < 17 ? 50 : dice < 19 ? 250 : 1_000;
@@ -232,10 +303,13 @@
     }
 
     /** Walks without this defence until one breaks; null where none does in the walks or the time that there is. */
-    static String hunt(Defence without, long seed, int walks, long until) {
-        for (int i = 0; i < walks && System.nanoTime() < until; i++) {
-            Walk walk = WALKS.get(i % WALKS.size());
-            ControlWorld world = walk(walk.scene, without, seed + i, walk.length);
+    static String hunt(Defence without, long seed, int most, long until) {
+        walked = 0;
+        List<Walk> walks = without == null ? WALKS : NEAREST.getOrDefault(without, WALKS);
+        for (int i = 0; i < most && System.nanoTime() < until; i++) {
+            walked = i;
+            Walk walk = walks.get(i % walks.size());
+            ControlWorld world = walk(walk, without, seed + i);
             if (world.broken != null) {
                 return told(shortest(walk.scene, without, seed + i, world));
             }
@@ -259,7 +333,7 @@
         }
         for (long i = 0; broken == null && System.nanoTime() - begun < budget * 3 / 5; i++) {
             Walk walk = WALKS.get((int) (i % WALKS.size()));
-            ControlWorld world = walk(walk.scene, null, seed + i, walk.length);
+            ControlWorld world = walk(walk, null, seed + i);
             worlds++;
             steps += world.steps.size();
             if (world.broken != null) {
@@ -297,7 +371,7 @@
             Defence one = args[2].equals("ALL") ? null : Defence.valueOf(args[2]);
             long begun = System.nanoTime();
             String trace = hunt(one, seed, Integer.MAX_VALUE, begun + budget * 1_000_000);
-            System.out.println((System.nanoTime() - begun) / 1_000_000 + " ms, " + one + ": " + trace);
+            System.out.println((System.nanoTime() - begun) / 1_000_000 + " ms, " + walked + " walks, " + one + ": " + trace);
             return;
         }
         Result result = run(seed, budget);
--- a/src/test/java/dillfront/lab/ControlWorldsTest.java
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -27,6 +27,21 @@
         assertNull(world.broken);
     }
 
+    /** Two that had been members read by the majority of their former set, which knew that it was dropped, and nothing that came after. */
+    @Test
+    void aMajorityOfADroppedSetIsNoneForReads() {
+        ControlWorld world = ControlWorlds.played(ControlWorlds.SETS, 0,
+                "MESSAGE 0 1, MESSAGE 1 0, MESSAGE 2 1, MESSAGE 3 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 1 3, "
+                        + "DISK 0 0, MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, TIME 50 0, SETS 0 0, DISK 0 0, "
+                        + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, DISK 0 0, MESSAGE 0 1, MESSAGE 0 3, "
+                        + "DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, MESSAGE 3 1, TIME 50 0, ORDER 0 8, DISK 0 0, MESSAGE 0 3, DISK 3 0, "
+                        + "MESSAGE 3 0, DISK 0 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, READ 2 0, MESSAGE 1 2, TIME 250 0, DISK 2 0, "
+                        + "MESSAGE 2 1, DISK 1 0, MESSAGE 1 2");
+        assertNull(world.broken);
+        assertEquals(1, world.newest().configuration().version());
+        assertEquals(3, world.processes[2].register.decided().epoch());
+    }
+
     @Test
     void allHolds() {
         ControlWorlds.Found found = ControlWorlds.explore(ControlWorlds.DUEL, null, 12, 3_000);
