--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -1,5 +1,6 @@
 package dillfront.core;
 
+import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
 import dillfront.host.Host;
 import dillfront.host.HttpDoor;
@@ -33,6 +34,8 @@
     private static final long LATE_MS = 300;
     /** One that was not heard for so long is out of touch. */
     private static final long TOUCH_MS = 1_300;
+    /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
+    private static final long FRESH_MS = 850;
     /** That a primary leads is sure for so long after the duty's holder last said so. */
     static final long SURE_MS = 3_000;
     private static final int DIAL_MS = 700;
@@ -101,7 +104,7 @@
     public Core(Host host, Settings settings, Store store) {
         this.host = host;
         this.settings = settings;
-        this.store = store;
+        this.store = new Durable(host, store);
         boot = Long.toHexString(host.chance().nextLong());
         register = new Register(this);
         lease = new Lease(this);
@@ -640,7 +643,8 @@
             }
             Sight seen = askers.sight(lead.service(), lead.primary());
             if (seen.lost() > 0 || lead.moving()) {
-                sights.add(List.of(lead.service(), lead.primary(), seen.well(), seen.lost(), seen.open()));
+                sights.add(List.of(lead.service(), lead.primary(), seen.well(), seen.lost(), seen.open(),
+                        askers.acknowledged(lead.service()).toString()));
             }
         }
         if (!records.isEmpty()) {
@@ -745,9 +749,10 @@
         Object seen = in.all().get("s");
         if (seen instanceof List<?> list) {
             for (Object one : list) {
-                if (one instanceof List<?> row && row.size() == 5) {
+                if (one instanceof List<?> row && row.size() == 6) {
                     p.sights.put(String.valueOf(row.get(0)), new Sight(String.valueOf(row.get(1)),
                             ((Number) row.get(2)).intValue(), ((Number) row.get(3)).intValue(), ((Number) row.get(4)).intValue()));
+                    askers.acknowledged(String.valueOf(row.get(0)), Acknowledged.of(String.valueOf(row.get(5))));
                 }
             }
         }
@@ -821,6 +826,23 @@
         over.forEach(w -> w.done().complete(null));
     }
 
+    /** Completes once a majority has answered what was sent since then; fails at once where it is out of contact. */
+    private CompletableFuture<Void> contact(long since) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        contact(since, done);
+        return done;
+    }
+
+    private void contact(long since, CompletableFuture<Void> done) {
+        if (reached(host.now(), p -> p.echo) >= since) {
+            done.complete(null);
+        } else if (alone()) {
+            done.completeExceptionally(new IllegalStateException(NOBODY));
+        } else {
+            host.after(TOGETHER_MS, () -> contact(since, done));
+        }
+    }
+
     /** Completes with what was decided at some moment from now on, as a majority that answers from now on says. */
     private CompletableFuture<Configuration> read() {
         CompletableFuture<Configuration> done = new CompletableFuture<>();
@@ -833,6 +855,10 @@
         if (done.isDone()) {
             return;
         }
+        if (alone()) {
+            done.completeExceptionally(new IllegalStateException(NOBODY));
+            return;
+        }
         Configuration is = reading.look(register, of -> of.equals(id) || peerOf(of) != null && peerOf(of).echo >= from);
         if (is != null) {
             done.complete(is);
@@ -992,7 +1018,9 @@
         if (alone() || leaving) {
             return said(503, NOBODY);
         }
-        CompletableFuture<Value.Outcome> done = register.order(next);
+        CompletableFuture<Value.Outcome> order = register.order(next);
+        // What was decided before is said again only where a majority was heard just now.
+        CompletableFuture<Value.Outcome> done = order.isDone() ? contact(host.now() - FRESH_MS).thenCompose(is -> order) : order;
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
                 ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
     }
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -71,6 +71,8 @@
     /** What it wants or holds itself; 0 for nothing. */
     private long mine;
     private long heldSince = -1;
+    /** The epoch under which it was held last. */
+    private long heldEpoch;
     private boolean writing;
     private long candidateAt;
     private boolean leaving;
@@ -124,7 +126,9 @@
         if (number == promised && p.id().equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
             granted = Math.max(granted, asked);
-        } else if (number > promised && (now >= promisedUntil || p.id().equals(promisedTo) || core.without(Defence.LEASE_PROMISE_STANDS))) {
+        } else if (number > promised && (now >= promisedUntil || p.id().equals(promisedTo)
+                || promisedTo.equals(core.self()) && !holds() || core.without(Defence.LEASE_PROMISE_STANDS))) {
+            // What was promised to oneself and came to nothing binds nobody else: candidates of one moment would wait for each other for ever.
             promise(number, p.id(), asked);
         }
     }
@@ -144,6 +148,10 @@
             if (fault == null) {
                 promised = number;
                 promisedTo = to;
+                if (!to.equals(core.self())) {
+                    // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
+                    mine = 0;
+                }
                 granted = asked;
                 promisedUntil = core.now() + SPAN_MS;
                 core.tell();
@@ -157,6 +165,7 @@
             return -1;
         }
         long now = core.now();
+        // Whoever promised is bound for the whole span from when he was asked, also where the set has changed since.
         return core.reachedBy(now, p -> p.promised() != mine || !p.promisedTo().equals(core.self()) ? NEVER
                 : core.without(Defence.LEASE_FROM_ASKED) ? now : p.granted()) + SPAN_MS - EARLY_MS;
     }
@@ -184,6 +193,7 @@
         boolean unfit = leaving || core.stalledFor() > DISK_MS;
         if (holds() && !unfit) {
             heldSince = heldSince < 0 ? now : heldSince;
+            heldEpoch = core.epoch();
             promisedUntil = now + SPAN_MS;
             return;
         }
@@ -191,7 +201,8 @@
             // It ended: another number next time, so that whoever saw this one pass is not asked to take it again.
             heldSince = -1;
             mine = 0;
-            candidateAt = now + SPAN_MS;
+            // Another set is asked at once: nobody else may be promised anything before this one's time is over.
+            candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
         if (!core.votes() || core.alone() || writing || unfit) {
             candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -39,8 +39,11 @@
     private final List<String> sources = new ArrayList<>();
     private List<Place> places = List.of();
     private String source = "-";
-    /** Until when a source that was left is not gone back to by choice, for those that are listed. */
-    private final TreeMap<String, Long> left = new TreeMap<>();
+    /** Of a source that was left: when, and until when it is not gone back to by choice. */
+    private record Left(long at, long until) { }
+
+    /** For those that are listed. */
+    private final TreeMap<String, Left> left = new TreeMap<>();
     /** Sources left since one had news. */
     private int tries;
     private Host.Link link;
@@ -94,10 +97,10 @@
         left.keySet().retainAll(sources);
     }
 
-    /** Until when it is not gone back to by choice, where that is still to come. */
-    private long leftUntil(String ip) {
-        long until = left.getOrDefault(ip, Long.MIN_VALUE);
-        return until > front.host.now() ? until : Long.MIN_VALUE;
+    /** When it was left, where it is not to be gone back to by choice yet. */
+    private long leftAt(String ip) {
+        Left is = left.get(ip);
+        return is != null && is.until() > front.host.now() ? is.at() : Long.MIN_VALUE;
     }
 
     private void dial() {
@@ -105,10 +108,10 @@
             front.host.after(PAUSE_MS, this::dial);
             return;
         }
-        // The first in the list that was not left of late; else the one whose time is over first.
+        // The first in the list that was not left of late; else the one that was left first.
         String ip = sources.get(0);
         for (String other : sources) {
-            ip = leftUntil(other) < leftUntil(ip) ? other : ip;
+            ip = leftAt(other) < leftAt(ip) ? other : ip;
         }
         source = ip;
         up = false;
@@ -152,7 +155,7 @@
         }
         front.host.note("news: left " + source + ", " + why);
         if (sources.contains(source)) {
-            left.put(source, front.host.now() + (why.equals(ALONE) ? ALONE_MS : STAY_MS));
+            left.put(source, new Left(front.host.now(), front.host.now() + (why.equals(ALONE) ? ALONE_MS : STAY_MS)));
         }
         up = false;
         tries++;
@@ -199,12 +202,13 @@
         for (Service s : front.services()) {
             Server lead = s.servers.get(s.primary);
             int sees = lead == null ? 0 : lead.sight();
-            if (sees < 0 || s.moving || suspects.contains(s.name)) {
+            if (sees < 0 || s.moving || suspects.contains(s.name) || s.loses()) {
                 Map<String, Object> row = new LinkedHashMap<>();
                 row.put("s", s.name);
                 row.put("o", s.openAtPrimary);
                 row.put("p", s.primary);
                 row.put("h", sees);
+                row.put("a", s.acknowledged.toString());
                 sights.add(row);
             }
         }
@@ -314,7 +318,7 @@
             }
         }
         for (Place p : places) {
-            if (p.near() && !p.silent() && leftUntil(p.ip()) == Long.MIN_VALUE) {
+            if (p.near() && !p.silent() && leftAt(p.ip()) == Long.MIN_VALUE) {
                 return p.ip();
             }
         }
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -29,6 +29,9 @@
         void runs(Server at, Connection by, String id, String text, boolean begins);
 
         void promoted(Server to);
+
+        /** A write that is in this log already is committed there again. */
+        void again(Server at, String id);
     }
 
     final Sim sim;
@@ -212,6 +215,9 @@
                 if (write.isEmpty()) {
                     continue;
                 }
+                if (log.stream().anyMatch(c -> c.write.equals(write))) {
+                    watch.again(this, write);
+                }
                 last = new Commit(new Position(term, position().number() + 1), write);
                 log.add(last);
             }
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -263,7 +263,8 @@
         if (which.equals("primary")) {
             return leader;
         }
-        return db.servers.stream().filter(s -> s != leader && s.machine.up).findFirst().orElse(null);
+        List<Database.Server> replicas = db.servers.stream().filter(s -> s != leader && s.machine.up).toList();
+        return replicas.isEmpty() ? null : replicas.get(which.equals("last") ? replicas.size() - 1 : 0);
     }
 
     /** A server is down for a while; dark, or with its connections reset. */
@@ -421,6 +422,10 @@
     private void cut(String a, String b, long forMs) {
         Sim.Machine x = machine(a);
         Sim.Machine y = machine(b);
+        if (x == null || y == null) {
+            // It was replaced, and who comes for it is not there yet.
+            return;
+        }
         say("cut " + a + " " + b);
         sim.cut(x, y, true);
         controls.event();
@@ -437,7 +442,8 @@
 
     private Sim.Machine machine(String name) {
         if (name.startsWith("core") || name.equals("leader") || name.equals("seed") || name.equals("other")) {
-            return controls.of(name).machine;
+            ControlMachine c = controls.of(name);
+            return c == null ? null : c.machine;
         }
         return sim.machines.stream().filter(m -> m.name.equals(name)).findFirst().orElseThrow(() -> new IllegalArgumentException("no machine " + name));
     }
@@ -600,6 +606,11 @@
         at(from + 7, "configure");
     }
 
+    /** The worst days, by chance: all that may happen to control machines, one loss after the other, and much besides. */
+    public void worst() {
+        new WorstDay(this).plan();
+    }
+
     public List<String> breaches() {
         return audit.breaches;
     }
@@ -638,6 +649,11 @@
         return sim.told;
     }
 
+    /** Servers that were told to stop receiving and never to go on. */
+    public List<String> paused() {
+        return databases.values().stream().flatMap(db -> db.servers.stream()).filter(s -> s.machine.up && s.held != 0).map(s -> s.id).toList();
+    }
+
     public ControlCounts control() {
         return new ControlCounts(audit, configAudit);
     }
