--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -77,7 +77,6 @@
     /** Its id is on the disk, so it may be told. */
     private boolean named;
     private boolean leaving;
-    private long released;
     /** While two sets count: the ballot that made it so, and this one's table when a majority of each had that. */
     private Ballot jointAt = Ballot.NONE;
     private long jointMark = -1;
@@ -593,7 +592,9 @@
         }
         if (leaving) {
             out.put("lv", true);
-            out.put("rl", released);
+        }
+        if (lease.given() > 0) {
+            out.put("rl", lease.given());
         }
         List<String> places = new ArrayList<>();
         peers.values().forEach(o -> {
@@ -800,7 +801,7 @@
             host.after(TOGETHER_MS, () -> leave(end, until));
             return;
         }
-        released = lease.leave();
+        lease.leave();
         peers.values().forEach(this::tell);
         host.after(LAST_WORD_MS, end);
     }
@@ -847,12 +848,11 @@
     private CompletableFuture<Configuration> read() {
         CompletableFuture<Configuration> done = new CompletableFuture<>();
         peers.values().forEach(this::tell);
-        read(host.now(), null, done);
+        read(host.now(), new Reading(), done);
         return done;
     }
 
-    private void read(long from, Ballot upTo, CompletableFuture<Configuration> done) {
-        Ballot least = upTo == null && reached(host.now(), p -> p.echo) >= from ? register.highest() : upTo;
+    private void read(long from, Reading reading, CompletableFuture<Configuration> done) {
         if (done.isDone()) {
             return;
         }
@@ -860,10 +860,11 @@
             done.completeExceptionally(new IllegalStateException(NOBODY));
             return;
         }
-        if (least != null && register.decidedBallot().compareTo(least) >= 0 && register.decided() != null) {
-            done.complete(register.committed());
+        Configuration is = reading.look(register, of -> of.equals(id) || peerOf(of) != null && peerOf(of).echo >= from);
+        if (is != null) {
+            done.complete(is);
         } else {
-            host.after(TOGETHER_MS, () -> read(from, least, done));
+            host.after(TOGETHER_MS, () -> read(from, reading, done));
         }
     }
 
--- a/src/main/java/dillfront/lab/whole/ConfigAudit.java
+++ b/src/main/java/dillfront/lab/whole/ConfigAudit.java
@@ -1,5 +1,6 @@
 package dillfront.lab.whole;
 
+import dillfront.lab.History;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,15 +18,19 @@
     private static final long FRESH_MS = 1_000;
     private static final double LOOK_MS = 20;
     private static final long NEVER_MS = 99_999;
+    /** While all is settled, the lease is without a holder no longer than this. */
+    private static final long HELD_MS = 1_500;
 
     /** A read under way, and what it must not go below. */
     static final class Reading {
         final ControlMachine from;
         final long floor;
+        private final int call;
 
-        Reading(ControlMachine from, long floor) {
+        Reading(ControlMachine from, long floor, int call) {
             this.from = from;
             this.floor = floor;
+            this.call = call;
         }
     }
 
@@ -34,6 +39,7 @@
     private final Day day;
     private final Sim sim;
     private final Audit audit;
+    private final History history = new History();
     private final List<Orders.Order> open = new ArrayList<>();
     private final List<Acknowledged> acknowledgements = new ArrayList<>();
     private long highestAcknowledged;
@@ -48,6 +54,8 @@
     private final Map<Long, String> fences = new TreeMap<>();
     private final Map<String, long[]> fronts = new LinkedHashMap<>();
     private boolean twoHold;
+    private long heldAt;
+    private boolean unheld;
     int losses;
     int acknowledged;
     int lost;
@@ -81,6 +89,17 @@
 
     // ---- orders
 
+    /** An order is sent to a process: one call of the history. */
+    int calls(Orders.Order o) {
+        return history.begin(sim.millis(), "operator", o.number, Long.toHexString(o.digest));
+    }
+
+    /** What came of it; 0 for nothing. */
+    void ends(int call, int status) {
+        history.end(call, sim.millis(), status == 200 ? History.Outcome.ACKNOWLEDGED
+                : status == 409 ? History.Outcome.REFUSED : History.Outcome.UNKNOWN);
+    }
+
     void sent(Orders.Order o) {
         open.add(o);
         highestSent = Math.max(highestSent, o.number);
@@ -133,10 +152,11 @@
     // ---- reads
 
     Reading reads(ControlMachine from) {
-        return new Reading(from, Math.max(highestAcknowledged, highestRead));
+        return new Reading(from, Math.max(highestAcknowledged, highestRead), history.begin(sim.millis(), from.machine.name));
     }
 
     void read(Reading reading, long number, long digest) {
+        history.end(reading.call, sim.millis(), number, Long.toHexString(digest));
         if (number < reading.floor) {
             back++;
             audit.breach("CONFIG", reading.from.machine.name + " reads back " + number + ", known before was " + reading.floor);
@@ -201,6 +221,11 @@
             audit.breach("LEASE", "held by" + who);
         }
         twoHold = holders > 1;
+        heldAt = holders > 0 || !day.controls.settled() ? sim.millis() : heldAt;
+        if (sim.millis() - heldAt > HELD_MS && !unheld) {
+            audit.breach("LEASE", "nobody has held it for " + HELD_MS + " ms though all is settled");
+        }
+        unheld = sim.millis() - heldAt > HELD_MS;
         overdue();
     }
 
@@ -281,6 +306,11 @@
 
     /** After the operator has read back what there is. */
     void close() {
+        String wrong = history.check();
+        if (wrong != null) {
+            back++;
+            audit.breach("CONFIG", wrong);
+        }
         if (lastRead < highestAcknowledged) {
             lost++;
             audit.breach("LOST", "read back " + lastRead + ", acknowledged " + highestAcknowledged);
