--- a/src/main/java/dillfront/lab/CapacityMeasure.java
+++ b/src/main/java/dillfront/lab/CapacityMeasure.java
@@ -4,6 +4,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import dillfront.host.Configuration;
 import dillfront.host.Deflate;
 import dillfront.host.Delta;
 import dillfront.host.Host;
@@ -36,8 +37,8 @@
     private static final int CONTROL = 17_300;
     private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
     private static final long BEAT_MS = 1_200;
-    /** Where all hollow servers are asked how they are. */
-    private static final String HOLLOW = "127.0.0.1:17500";
+    /** Where all hollow servers are asked how they are, each at an address of its own. */
+    private static final int HOLLOW = 17_500;
     private static final int CALM_S = 6;
     private static final int SETTLE_S = 4;
     private static final int CHANGES = 5;
@@ -128,7 +129,7 @@
     }
 
     private Row run() throws Exception {
-        host.listen(HOLLOW, Host.Form.LINES, h -> new Server());
+        host.listen("0.0.0.0:" + HOLLOW, Host.Form.LINES, h -> new Server());
         startControl();
         TimeUnit.MILLISECONDS.sleep(1_500);
         configure(1).get(10, TimeUnit.SECONDS);
@@ -138,7 +139,7 @@
             }
             for (int d = 0; d < databases; d++) {
                 for (int s = 0; s < 3; s++) {
-                    beats("i-" + d + "-" + s, "db" + d, s == 0, host.chance().nextInt((int) BEAT_MS));
+                    beats("i-" + d + "-" + s, "127.1." + d + "." + (10 + s) + ":" + HOLLOW, "db" + d, s == 0, host.chance().nextInt((int) BEAT_MS));
                 }
             }
         }).get();
@@ -198,12 +199,12 @@
         });
     }
 
-    private void beats(String id, String service, boolean leads, long in) {
+    private void beats(String id, String address, String service, boolean leads, long in) {
         host.after(in, () -> {
-            String body = Json.object().add("service", service).add("address", HOLLOW).add("zone_name", "z").add("state", "ready")
+            String body = Json.object().add("service", service).add("address", address).add("zone_name", "z").add("state", "ready")
                     .add("database_role", leads ? "primary" : "replica").add("call_sequence", host.now()).toString();
             host.post(IPS[host.chance().nextInt(IPS.length)] + ":" + CONTROL, "/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
-            beats(id, service, leads, BEAT_MS);
+            beats(id, address, service, leads, BEAT_MS);
         });
     }
 
@@ -265,7 +266,14 @@
                 }
                 suspects = in.number("sn", suspects);
                 in.list("p").forEach(row -> record = Math.max(record, row.number("k", 0)));
-                if (in.has("cv")) {
+                if (in.has("cb")) {
+                    // Of a text that sends each configuration whole.
+                    body = in.bytes("cb");
+                    versions[number] = Configuration.read(body).version();
+                    if (waiting.decrementAndGet() == 0) {
+                        everywhere.complete(null);
+                    }
+                } else if (in.has("cv")) {
                     body = in.has("cx") ? Delta.apply(body, in.bytes("cx")) : Deflate.back(in.bytes("cz"), Delta.MOST);
                     versions[number] = in.number("cv", -1);
                     told = false;
@@ -273,10 +281,13 @@
                         everywhere.complete(null);
                     }
                 }
-                if (in.number("q", -1) == question) {
+                if (in.number("q", -1) == question && in.bit("alone")) {
+                    // A real one would go on to another; this one asks the same again.
+                    host.after(100, this::ask);
+                } else if (in.number("q", -1) == question) {
                     ask();
                 }
-            } catch (Pack.Bad | Delta.Bad | Deflate.Bad bad) {
+            } catch (Pack.Bad | Delta.Bad | Deflate.Bad | Configuration.Invalid bad) {
                 throw new IllegalStateException(bad);
             }
         }
