--- a/src/main/java/dillfront/front/Connection.java
+++ b/src/main/java/dillfront/front/Connection.java
@@ -38,6 +38,8 @@
     private Host.Link link;
     private final Answers answers = new Answers();
     private boolean over;
+    /** As the last answer said. */
+    private char state = 'I';
     private final Map<String, String> values = new HashMap<>();
     private final Set<String> prepared = new HashSet<>();
     private final ArrayDeque<Ask> asks = new ArrayDeque<>();
@@ -81,7 +83,7 @@
 
     /** Makes the values those of this session; what is sent goes ahead of the next asking. */
     private void values(Map<String, String> wanted, StringBuilder out) {
-        if (!wanted.keySet().containsAll(values.keySet()) || prepared.size() > MOST) {
+        if (!wanted.keySet().containsAll(values.keySet()) || prepared.size() > MOST && state == 'I') {
             own(out, "RESET");
             values.clear();
             prepared.clear();
@@ -175,6 +177,7 @@
         if (is == null) {
             return;
         }
+        state = is.state();
         server.seen = Position.later(server.seen, is.position());
         if (!started && is.code() != null) {
             cut(is.code());
