A seed that ends during the first start of all still counts as being at it

Cause: the founder waits until each seed says that it is at its first start; one that was ended before that began again with first_start false and never said so, and the system never began (scenario control-first-start-killed: no lease, no order acknowledged; by hand, kills of core-a between 0.3 and 0.7 s and of core-b at 0.15 and 0.3 s). Change: the seeds of the first start stand on the disk with the id; a process that has that disk, nothing promised or accepted and the same seeds goes on with the first start. Another disk or other seeds: not.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -63,6 +63,8 @@
     final Duty duty;
     private final Store store;
     private final String boot;
+    /** The seeds of the first start of all; empty where this process began later. */
+    private String firstSeeds = "";
     private final TreeMap<String, Peer> peers = new TreeMap<>();
     private final TreeMap<String, Lead> leads = new TreeMap<>();
     /** The newest record that is known here, and that is on the disk with all before it. */
@@ -119,12 +121,14 @@
         if (id.isEmpty()) {
             // An empty disk, or a damaged one: whoever was here before, this is another.
             id = ip() + "/" + Long.toHexString(host.chance().nextLong());
-            store(Map.of("id", id)).thenRun(() -> {
+            firstSeeds = settings.first() ? sortedSeeds() : "";
+            store(Map.of("id", id, "first-seeds", firstSeeds)).thenRun(() -> {
                 named = true;
                 poke();
             });
         } else {
             named = true;
+            firstSeeds = kept.getOrDefault("first-seeds", "");
         }
         register.load(kept);
         members.load(kept, started);
@@ -146,6 +150,15 @@
         look();
     }
 
+    private String sortedSeeds() {
+        return String.join(",", new TreeSet<>(settings.seedIps()));
+    }
+
+    /** It is at its first start, or was ended during that and has its disk and the same seeds. */
+    private boolean firstStart() {
+        return !firstSeeds.isEmpty() && firstSeeds.equals(sortedSeeds());
+    }
+
     /** Where others may be found, by the settings. */
     public void seeds(List<String> ips) {
         ips.forEach(this::peer);
@@ -466,7 +479,7 @@
      */
     private void found() {
         List<String> ips = new ArrayList<>(new TreeSet<>(settings.seedIps()));
-        if (!settings.first() || !named || !register.blank() || ips.isEmpty() || !ips.get(0).equals(ip())) {
+        if (!firstStart() || !named || !register.blank() || ips.isEmpty() || !ips.get(0).equals(ip())) {
             return;
         }
         TreeSet<String> ids = new TreeSet<>();
@@ -587,7 +600,7 @@
         if (!p.id.isEmpty()) {
             out.put("rg", register.say(p.id));
         }
-        if (register.blank() && settings.first()) {
+        if (register.blank() && firstStart()) {
             out.put("fs", true);
         }
         if (leaving) {
