--- a/src/main/java/dillfront/lab/whole/ControlTroubles.java
+++ b/src/main/java/dillfront/lab/whole/ControlTroubles.java
@@ -60,6 +60,9 @@
                 day.reseed();
             }
             case "reset" -> {
+                if (!isControl(w[1])) {
+                    return false;
+                }
                 day.say("reset " + c.machine.name);
                 controls.event();
                 c.machine.reset();
@@ -153,8 +156,16 @@
         }
     }
 
-    /** Right after a change was acknowledged all lose power (also where another is lost already), or all are killed, or one loses its disk, the others their power or not. */
+    /**
+     * Right after a change was acknowledged all lose power (also where another is lost already), or all are killed, or one loses its
+     * disk, the others their power or not; timed: some time after it was sent.
+     */
     private void closing(String how, long ms) {
+        if (how.equals("timed")) {
+            day.orders.change(null, x -> { });
+            sim.after(5 + sim.random.nextInt(TIMED_MS), () -> controls.loseAll(true, null, ms));
+            return;
+        }
         day.orders.change(null, by -> sim.after(1 + sim.random.nextInt(CLOSING_MS), () -> {
             day.say("closing " + how);
             boolean one = sim.millis() >= controls.lostUntil();
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -240,7 +240,7 @@
         if (all) {
             audit.configMs.add(sim.millis() - acknowledged);
         } else if (sim.millis() - acknowledged < 20_000) {
-            sim.after(5, () -> applied(of, acknowledged));
+            sim.after(sim.millis() - acknowledged < 1_000 ? 5 : 100, () -> applied(of, acknowledged));
         }
     }
 
@@ -514,6 +514,13 @@
             case "power":
                 front(w[1].substring(6), w[0].equals("power"), ms);
                 break;
+            case "reset": {
+                FrontMachine f = fronts.get(w[1].substring(6));
+                say("reset " + w[1]);
+                f.calmFrom = Math.max(f.calmFrom, sim.millis());
+                f.machine.reset();
+                break;
+            }
             case "freeze": {
                 FrontMachine f = fronts.get(w[1].substring(6));
                 say("freeze " + w[1] + " for " + ms);
--- a/src/main/java/dillfront/lab/whole/WorstDay.java
+++ b/src/main/java/dillfront/lab/whole/WorstDay.java
@@ -40,7 +40,7 @@
         servers();
         fronts();
         if (chance(0.4)) {
-            day.at(CLOSING_S, "closing " + pick("power", "kill", "wipe", "wipe_power") + " for " + seconds(1, 3));
+            day.at(CLOSING_S, "closing " + pick("power", "kill", "wipe", "wipe_power", "timed") + " for " + seconds(1, 3));
         }
     }
 
@@ -91,6 +91,9 @@
         if (chance(0.5)) {
             day.at(seconds(FROM_S, 15), "race " + (3 + random.nextInt(8)) + " " + (200 + random.nextInt(1_500)));
         }
+        if (chance(0.3)) {
+            day.at(seconds(FROM_S, UNTIL_S), "seeds");
+        }
         for (double at = FROM_S; at < CLOSING_S + 4; at += seconds(0.5, 4)) {
             day.at(at, pick("configure", "configure", "repeat", "repeat_refused", "order " + pick(WHICH)));
         }
@@ -101,7 +104,7 @@
             String db = "db" + random.nextInt(day.databases());
             String which = pick("primary", "primary", "replica");
             String s = " for " + seconds(1, 6);
-            day.at(at, pick("crash " + db + " " + which + s, "dark " + db + " " + which + s, "release " + db + " " + which + pick("", " same"),
+            day.at(at, pick("crash " + db + " " + which + s, "dark " + db + " " + which + s, "release " + db + " " + which + pick("", " same", " longer for 6"),
                     "gone " + db + " replica" + pick("", " same"), "lose " + db + " " + which + s, "lag " + db + " 50" + s,
                     "primary_cut " + db + " " + pick("replicas", "core", "fronts") + s, "platform" + s));
             if (chance(0.3)) {
@@ -114,7 +117,7 @@
         for (double at = seconds(FROM_S, 14); at < UNTIL_S; at += seconds(6, 14)) {
             String front = "front-" + pick(Day.ZONES) + "0";
             day.at(at, pick("kill " + front + " for 1", "power " + front + " for " + seconds(1, 4), "freeze " + front + " for " + seconds(0.3, 4),
-                    "leave " + front, "cut " + front + " " + pick("core-a", "core-b", "core-c") + " for " + seconds(1, 6)));
+                    "leave " + front, "reset " + front, "cut " + front + " " + pick("core-a", "core-b", "core-c") + " for " + seconds(1, 6)));
         }
     }
 }
