PAUSE above the newest term of the service; a control process's earlier life, told exactly

And every control process back from a restart held a promotion up by 3 s, also where its earlier life was long over. Change: the move's own term goes above all it saw, and up with each refusal; a peer remembers when its earlier life was heard last, and the holder waits for that alone. A move that waits for over a second says for whom. The stand-in refuses a PAUSE that is not above the newest term, as the servers do.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -46,12 +46,8 @@
     private final Map<String, Acknowledged> acknowledged = new HashMap<>();
     private final Versions versions = new Versions();
 
-    /** What this process told fronts in an earlier life holds no longer once this is over. */
-    private final long earlierUntil;
-
     Askers(Core core) {
         this.core = core;
-        earlierUntil = core.host.now() + Core.SURE_MS;
     }
 
     void asked(Host.Link link, Pack.Fields in) {
@@ -178,9 +174,6 @@
     /** Whether all who ask here have this record, or hold nothing sure against it. */
     boolean cleared(long record) {
         long now = core.host.now();
-        if (now < earlierUntil) {
-            return false;
-        }
         for (Asker a : fronts.values()) {
             if (a.sureTill > now && a.record < record) {
                 return false;
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -684,6 +684,7 @@
         }
         if (!in.text("b").equals(p.boot) || !in.text("id").equals(p.id)) {
             p.boot = in.text("b");
+            p.earlier = p.heard;
             p.id = in.text("id");
             p.known = 0;
             p.stored = 0;
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -35,6 +35,7 @@
     /** Where it is not known whether they do, for so long altogether. */
     private static final long UNSURE_MS = 4_000;
     private static final long RESUME_MS = 500;
+    private static final long TELL_WAIT_MS = 1_000;
     /** A word that was on its way when a service settled has arrived, or never does, once this is over. */
     private static final long ON_ITS_WAY_MS = 3_500;
     private static final long NO_LEAD_MS = 4_000;
@@ -77,9 +78,12 @@
         long steppedAt;
         boolean forced;
         boolean paused;
+        /** Of its PAUSE. */
+        long term;
         /** Since when every log that is left lacks what may have been acknowledged; -1 while that is not so. */
         long lacksFrom = -1;
         long toldLackAt = Long.MIN_VALUE / 2;
+        long toldWaitAt = Long.MIN_VALUE / 2;
         final Map<String, Question.Row> rows = new TreeMap<>();
         final TreeSet<String> asking = new TreeSet<>();
         final Map<String, Long> askAgain = new TreeMap<>();
@@ -366,9 +370,10 @@
             return false;
         }
         for (Peer p : core.peers()) {
-            // What it passes on as sure, it asked for in a word that was heard here; with the last of them that is over too.
+            // What it passes on as sure, it asked for in a word that was heard here; with the last of them that is over too. So
+            // it is with what it passed on in an earlier life, of which it cannot say that its fronts have heard since.
             boolean told = p.cleared.getOrDefault(m.lead.service(), -1L) >= m.lead.number();
-            if (!told && Math.min(p.heard, m.since) > over) {
+            if (!told && Math.min(p.heard, m.since) > over || Math.min(p.earlier, m.since) > over) {
                 return false;
             }
         }
@@ -507,11 +512,15 @@
             }
             all = false;
             m.paused = true;
-            ask(m, r, AGAIN_MS, row -> moves.get(m.lead.service()) == m && mayAct() ? "PAUSE " + row.next() : null, row -> {
+            ask(m, r, AGAIN_MS, row -> pauses(m, row), row -> {
                 if (row.leads()) {
                     settle(m, r.id);
                 } else if (row.held() != 0) {
                     m.rows.put(r.id, row);
+                } else {
+                    // It knows of no later term, but its service does: that one is passed over until it is high enough.
+                    m.term++;
+                    m.askAgain.remove(r.id);
                 }
             });
         }
@@ -521,9 +530,21 @@
         }
         if (all && replicas > 0 && !m.rows.isEmpty()) {
             m.step = Step.CHOOSE;
+        } else if (now() > m.since + TELL_WAIT_MS && now() > m.toldWaitAt + LONG_SILENT_MS) {
+            m.toldWaitAt = now();
+            List<String> waited = new ArrayList<>();
+            core.members.of(m.lead.service()).forEach(r -> waited.add(r.id));
+            waited.removeAll(m.rows.keySet());
+            core.host.note("move " + m.lead.service() + ": not stopped yet, or out of reach: " + waited);
         }
     }
 
+    /** Above the newest term of the service, which a replica that received nothing for long does not know itself. */
+    private String pauses(Move m, Question.Row row) {
+        m.term = Math.max(m.term, Math.max(row.next(), core.askers.acknowledged(m.lead.service()).most().term() + 1));
+        return moves.get(m.lead.service()) == m && mayAct() ? "PAUSE " + m.term : null;
+    }
+
     /** It was not lost: replicas receive again, and it goes on leading; a call of an earlier holder is fenced off before. */
     private void lives(Move m, Member from) {
         if (m.step == Step.STOP || m.step == Step.CHOOSE) {
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -21,6 +21,8 @@
     /** This one's clock when that word was sent which its last word answers. */
     long echo = Long.MIN_VALUE / 2;
     long heard = Long.MIN_VALUE / 2;
+    /** The same of its life before this one: what that told fronts, this one does not know. */
+    long earlier = Long.MIN_VALUE / 2;
     /** How far it has this one's table of servers: in memory, and on its disk. */
     long knows;
     long kept;
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -386,7 +386,7 @@
                     state(server);
                     break;
                 case "PAUSE":
-                    if (Long.parseLong(part[1]) > server.term && !server.leads) {
+                    if (Long.parseLong(part[1]) > Database.this.term && !server.leads) {
                         server.held = Long.parseLong(part[1]);
                     }
                     state(server);
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -17,6 +17,7 @@
  *
  * <pre>
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
+ *   seeds HOW_MANY       the day is played with each from SEED on; one without this line
  *   at SECONDS what happens, as Day.happen() has it
  *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
@@ -80,13 +81,20 @@
     }
 
     private static void play(Path file) throws IOException {
-        Day day = null;
         List<String> lines = Files.readAllLines(file).stream().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
+        long seeds = lines.stream().filter(l -> l.startsWith("seeds ")).mapToLong(l -> Long.parseLong(l.substring(6))).findFirst().orElse(1);
+        for (long more = 0; more < seeds; more++) {
+            play(file, lines, more);
+        }
+    }
+
+    private static void play(Path file, List<String> lines, long more) {
+        Day day = null;
         for (String line : lines) {
             String[] w = line.split("\\s+", 3);
             if (w[0].equals("day")) {
                 String[] n = line.split("\\s+");
-                day = new Day(Long.parseLong(n[1]), Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000,
+                day = new Day(Long.parseLong(n[1]) + more, Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000,
                         n.length > 6 ? Integer.parseInt(n[6]) : 3);
             } else if (w[0].equals("at")) {
                 day.at(Double.parseDouble(w[1]), w[2]);
