What the platform had begun for an earlier holder is waited for; scenarios of cuts and holders

Need: an old primary is back while its service moves, and the next holder fences earlier calls off with a call for it; that is answered 200 though the platform has begun to promote another some hundred ms before. The old one was recorded, commits were acknowledged there, and the promotion cut them back. Change: Duty settles on who leads 1.5 s after the fence was taken, where an earlier holder may have called; nothing is chosen meanwhile. The platform of the simulated fleet may be slow: calls are carried out only at the end of it. ScenarioTest passes.

--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -24,6 +24,8 @@
     private static final long PROBE_GAP_MS = 250;
     private static final long PLATFORM_MS = 1_500;
     private static final long AGAIN_MS = 200;
+    /** The page says some hundred ms from a call to the new primary. */
+    private static final long PROMOTES_MS = 1_500;
     /** Open transactions may end, before a planned move. */
     private static final long OPEN_MS = 900;
     /** A replica gets so long to receive what the old primary had last, before the longest log is taken as it is. */
@@ -94,6 +96,8 @@
         boolean named;
         long fence;
         boolean fenced;
+        /** When calls of earlier holders were known to be fenced off. */
+        long fencedAt = Long.MIN_VALUE / 2;
 
         Move(Lead lead, boolean planned, boolean inherited, long since) {
             this.lead = lead;
@@ -390,7 +394,7 @@
         if (leads != null && !leads.id.equals(m.lead.primary()) && (from == null || from.left() || !from.leads())) {
             settle(m, leads.id);
         }
-        if (moves.get(service) != m) {
+        if (moves.get(service) != m || m.step != Step.NAME && m.step != Step.WAIT && promotes(m)) {
             return;
         }
         switch (m.step) {
@@ -555,7 +559,8 @@
 
     /**
      * This one leads, whoever made it. Not while another is named: what it acknowledged would be lost once that one leads. And
-     * where an earlier holder may have named one, its call is fenced off first, while replicas are still stopped.
+     * where an earlier holder may have named one, its call is fenced off first, while fronts still hold what they have; and what
+     * the platform had begun by then is waited for: that this one leads now is no proof that it will.
      */
     private void settle(Move m, String id) {
         if (m.busy || m.named && !id.equals(m.target)) {
@@ -566,13 +571,21 @@
             name(m.lead.service(), id, number()).whenComplete((status, fault) -> {
                 m.busy = false;
                 m.fenced = fault == null && status == 200;
+                m.fencedAt = m.fenced ? now() : m.fencedAt;
                 if (m.fenced && moves.get(m.lead.service()) == m && settled()) {
                     settle(m, id);
                 }
             });
             return;
         }
-        done(m, id);
+        if (!promotes(m)) {
+            done(m, id);
+        }
+    }
+
+    /** The platform may still carry out what an earlier holder asked for. */
+    private boolean promotes(Move m) {
+        return m.inherited && now() < m.fencedAt + PROMOTES_MS;
     }
 
     private static String resumes(Question.Row row) {
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -46,6 +46,8 @@
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, long[]> fences = new HashMap<>();
     private boolean platformDown;
+    /** Calls that come before are carried out only then. */
+    private long platformSlowUntil;
     private final List<Client> sessions = new ArrayList<>();
     private final long length;
     int owed;
@@ -162,6 +164,11 @@
         if (platformDown) {
             return new CompletableFuture<>();
         }
+        if (sim.millis() < platformSlowUntil) {
+            CompletableFuture<Host.Answer> late = new CompletableFuture<>();
+            sim.at(platformSlowUntil * 1_000, () -> promotion(method, path, body, headers).thenAccept(late::complete));
+            return late;
+        }
         JsonObject in = Json.parse(Sim.text(body)).asObject();
         String service = in.getString("service", "");
         long fence = Long.parseLong(headers.getOrDefault("Dillfront-Fence-Number", "0"));
@@ -537,6 +544,10 @@
                 break;
             }
             case "platform":
+                if (w[1].equals("slow")) {
+                    platformSlowUntil = sim.millis() + ms;
+                    break;
+                }
                 platformDown = true;
                 sim.after(ms, () -> platformDown = false);
                 break;
