--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 
 /** Another control process, as its last word told of it. */
-final class Peer {
+final class Peer implements Lease.Voter {
 
     final String ip;
     String zone = "";
     Host.Link link;
     boolean up;
     long dialAt;
+    long upAt;
     /** Beats that were heard here before this were told to it. */
     long toldAt;
     /** Its life, and its clock when it last spoke; that goes back to it with the next word. */
@@ -20,17 +21,23 @@
     /** This one's clock when that word was sent which its last word answers. */
     long echo = Long.MIN_VALUE / 2;
     long heard = Long.MIN_VALUE / 2;
-    /** How far it has this one's table of servers. */
+    /** How far it has this one's table of servers: in memory, and on its disk. */
     long knows;
-    /** How far this one has its table. */
+    long kept;
+    /** How far this one has its table: in memory, and on the disk. */
     long known;
-    long version = -1;
-    long digest;
-    long committed = -1;
-    boolean recovering;
-    boolean voter;
+    long stored;
+    /** The id of the process that was heard there last; empty before. */
+    String id = "";
+    /** Of the set of members that it goes by. */
+    long epoch;
+    /** It belongs to no set and has nothing on its disk, and neither was there ever a system before. */
+    boolean fresh;
+    boolean leaving;
+    String placesTold = "";
     long promised;
     String promisedTo = "";
+    long granted = Lease.NEVER;
     long record = -1;
     /** Records that all of its fronts have, by service. */
     final Map<String, Long> cleared = new HashMap<>();
@@ -40,4 +47,29 @@
     Peer(String ip) {
         this.ip = ip;
     }
+
+    @Override
+    public String id() {
+        return id;
+    }
+
+    @Override
+    public long epoch() {
+        return epoch;
+    }
+
+    @Override
+    public long promised() {
+        return promised;
+    }
+
+    @Override
+    public String promisedTo() {
+        return promisedTo;
+    }
+
+    @Override
+    public long granted() {
+        return granted;
+    }
 }
--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -60,6 +60,7 @@
             for (Server s : new ArrayList<>(service.servers.values())) {
                 s.tryAgain();
                 s.leaveDark();
+                s.leaveOverdue();
             }
             service.changed();
             service.hopeful();
@@ -74,7 +75,7 @@
         return configuration.version();
     }
 
-    Configuration configuration() {
+    public Configuration configuration() {
         return configuration;
     }
 
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -29,6 +29,9 @@
         void runs(Server at, Connection by, String id, String text, boolean begins);
 
         void promoted(Server to);
+
+        /** A write that is in this log already is committed there again. */
+        void again(Server at, String id);
     }
 
     final Sim sim;
@@ -112,6 +115,10 @@
         int applied;
         /** Each answer is lost with this chance. */
         double lost;
+        /** It receives nothing, and does not know. */
+        boolean deaf;
+        /** A new one has nothing before it has copied all of it. */
+        long copiedAt;
         private int busy;
         private final List<Runnable> queue = new ArrayList<>();
         int connections;
@@ -150,7 +157,8 @@
 
         /** Gets what the leader has, over the network, and applies it later. */
         void follow(Server leader) {
-            if (held != 0 || !machine.up || leads || !leader.leads || sim.cut(machine, leader.machine)) {
+            if (held != 0 || !machine.up || machine.dark || deaf || sim.millis() < copiedAt || leads || !leader.leads
+                    || sim.cut(machine, leader.machine)) {
                 return;
             }
             boolean got = false;
@@ -207,6 +215,9 @@
                 if (write.isEmpty()) {
                     continue;
                 }
+                if (log.stream().anyMatch(c -> c.write.equals(write))) {
+                    watch.again(this, write);
+                }
                 last = new Commit(new Position(term, position().number() + 1), write);
                 log.add(last);
             }
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dillfront.lab.ControlMeasure;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,14 +17,15 @@
  * Plays each file under scenarios on simulated time: days with set troubles, no rule broken, and what is expected besides.
  *
  * <pre>
- *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS
+ *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   at SECONDS what happens, as Day.happen() has it
- *   expect served|promotions|promote_ms|config_ms|noted ...
+ *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
 
     private static final int DAYS = 60;
+    private static final int WORST_DAYS = 40;
     private static final Path FOLDER = Path.of("src/test/resources/scenarios");
 
     @TestFactory
@@ -44,6 +46,51 @@
         }
     }
 
+    /** The primary is back while its replicas are stopped, and whoever holds the duty goes at any moment of that. */
+    @Test
+    void replicasReceiveAgainWhoeverHolds() {
+        replicasReceiveAgain("holder for 4");
+    }
+
+    /** The same, and one of the replicas is out of the holder's reach from any moment on. */
+    @Test
+    void replicasReceiveAgainOnceTheyAreReached() {
+        replicasReceiveAgain("cut core-a db0-c2 for 3");
+    }
+
+    private static void replicasReceiveAgain(String also) {
+        Day calm = primaryIsBack(15_000, "configure");
+        long leads = calm.told().stream().filter(l -> l.contains(" lead db0 ")).mapToLong(l -> Long.parseLong(l.split(" ")[0])).max().orElseThrow();
+        for (long at = leads - 400; at < leads + 60; at += 8) {
+            Day day = primaryIsBack(at, also);
+            String told = also + " at " + at + "\n" + String.join("\n", day.story) + "\n" + String.join("\n", day.told());
+            assertEquals(List.of(), day.breaches(), told);
+            assertEquals(List.of(), day.paused(), told);
+        }
+    }
+
+    private static Day primaryIsBack(long ms, String also) {
+        Day day = new Day(31, 1, 1, 6, 21_000);
+        day.at(8, "dark db0 primary for 0.9");
+        day.at(ms / 1e3, also);
+        day.play();
+        return day;
+    }
+
+    /** The worst days of control state; `make measure-control SEED=n` tells one in full. */
+    @Test
+    void worstDaysByChance() {
+        for (long seed = 1_001; seed <= 1_000 + WORST_DAYS; seed++) {
+            Day day = ControlMeasure.day(seed);
+            day.play();
+            assertEquals(List.of(), day.breaches(), "seed " + seed + "\n" + String.join("\n", day.story));
+        }
+    }
+
+    private static void within(List<Long> times, String most, String told) {
+        assertTrue(!times.isEmpty() && times.stream().allMatch(ms -> ms <= Long.parseLong(most)), times + "\n" + told);
+    }
+
     private static void play(Path file) throws IOException {
         Day day = null;
         List<String> lines = Files.readAllLines(file).stream().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
@@ -51,7 +98,8 @@
             String[] w = line.split("\\s+", 3);
             if (w[0].equals("day")) {
                 String[] n = line.split("\\s+");
-                day = new Day(Long.parseLong(n[1]), Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000);
+                day = new Day(Long.parseLong(n[1]), Integer.parseInt(n[2]), Integer.parseInt(n[3]), Integer.parseInt(n[4]), Long.parseLong(n[5]) * 1_000,
+                        n.length > 6 ? Integer.parseInt(n[6]) : 3);
             } else if (w[0].equals("at")) {
                 day.at(Double.parseDouble(w[1]), w[2]);
             }
@@ -69,6 +117,12 @@
                 case "promotions" -> assertEquals(Integer.parseInt(w[2]), day.promotions(), told);
                 case "promote_ms" -> assertTrue(day.promoteMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.promoteMs() + "\n" + told);
                 case "config_ms" -> assertTrue(!day.configMs().isEmpty() && day.configMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.configMs() + "\n" + told);
+                case "losses" -> assertTrue(day.control().losses >= Long.parseLong(w[2]), day.control().losses + "\n" + told);
+                case "acknowledged" -> assertTrue(day.control().acknowledged >= Long.parseLong(w[2]), day.control().acknowledged + "\n" + told);
+                case "replaced" -> assertEquals(Long.parseLong(w[2]), day.control().replaced, told);
+                case "replace_ms" -> within(day.control().replaceMs, w[2], told);
+                case "behind" -> assertTrue(day.control().behindChanges >= Long.parseLong(w[2]), day.control().behindChanges + "\n" + told);
+                case "catch_up_ms" -> within(day.control().catchUpMs, w[2], told);
                 case "noted" -> assertTrue(day.told().stream().anyMatch(l -> l.contains(w[2])), told);
                 default -> throw new IllegalArgumentException(file + ": " + line);
             }
