--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -24,6 +24,8 @@
     private static final long PROBE_GAP_MS = 250;
     private static final long PLATFORM_MS = 1_500;
     private static final long AGAIN_MS = 200;
+    /** The page says some hundred ms from a call to the new primary. */
+    private static final long PROMOTES_MS = 1_500;
     /** Open transactions may end, before a planned move. */
     private static final long OPEN_MS = 900;
     /** A replica gets so long to receive what the old primary had last, before the longest log is taken as it is. */
@@ -35,6 +37,7 @@
     /** Where it is not known whether they do, for so long altogether. */
     private static final long UNSURE_MS = 4_000;
     private static final long RESUME_MS = 500;
+    private static final long TELL_WAIT_MS = 1_000;
     /** A word that was on its way when a service settled has arrived, or never does, once this is over. */
     private static final long ON_ITS_WAY_MS = 3_500;
     private static final long NO_LEAD_MS = 4_000;
@@ -77,9 +80,12 @@
         long steppedAt;
         boolean forced;
         boolean paused;
+        /** Of its PAUSE. */
+        long term;
         /** Since when every log that is left lacks what may have been acknowledged; -1 while that is not so. */
         long lacksFrom = -1;
         long toldLackAt = Long.MIN_VALUE / 2;
+        long toldWaitAt = Long.MIN_VALUE / 2;
         final Map<String, Question.Row> rows = new TreeMap<>();
         final TreeSet<String> asking = new TreeSet<>();
         final Map<String, Long> askAgain = new TreeMap<>();
@@ -90,6 +96,8 @@
         boolean named;
         long fence;
         boolean fenced;
+        /** When calls of earlier holders were known to be fenced off. */
+        long fencedAt = Long.MIN_VALUE / 2;
 
         Move(Lead lead, boolean planned, boolean inherited, long since) {
             this.lead = lead;
@@ -366,9 +374,10 @@
             return false;
         }
         for (Peer p : core.peers()) {
-            // What it passes on as sure, it asked for in a word that was heard here; with the last of them that is over too.
+            // What it passes on as sure, it asked for in a word that was heard here; with the last of them that is over too. So
+            // it is with what it passed on in an earlier life, of which it cannot say that its fronts have heard since.
             boolean told = p.cleared.getOrDefault(m.lead.service(), -1L) >= m.lead.number();
-            if (!told && Math.min(p.heard, m.since) > over) {
+            if (!told && Math.min(p.heard, m.since) > over || Math.min(p.earlier, m.since) > over) {
                 return false;
             }
         }
@@ -385,7 +394,7 @@
         if (leads != null && !leads.id.equals(m.lead.primary()) && (from == null || from.left() || !from.leads())) {
             settle(m, leads.id);
         }
-        if (moves.get(service) != m) {
+        if (moves.get(service) != m || m.step != Step.NAME && m.step != Step.WAIT && promotes(m)) {
             return;
         }
         switch (m.step) {
@@ -507,11 +516,15 @@
             }
             all = false;
             m.paused = true;
-            ask(m, r, AGAIN_MS, row -> moves.get(m.lead.service()) == m && mayAct() ? "PAUSE " + row.next() : null, row -> {
+            ask(m, r, AGAIN_MS, row -> pauses(m, row), row -> {
                 if (row.leads()) {
                     settle(m, r.id);
                 } else if (row.held() != 0) {
                     m.rows.put(r.id, row);
+                } else {
+                    // It knows of no later term, but its service does: that one is passed over until it is high enough.
+                    m.term++;
+                    m.askAgain.remove(r.id);
                 }
             });
         }
@@ -521,9 +534,21 @@
         }
         if (all && replicas > 0 && !m.rows.isEmpty()) {
             m.step = Step.CHOOSE;
+        } else if (now() > m.since + TELL_WAIT_MS && now() > m.toldWaitAt + LONG_SILENT_MS) {
+            m.toldWaitAt = now();
+            List<String> waited = new ArrayList<>();
+            core.members.of(m.lead.service()).forEach(r -> waited.add(r.id));
+            waited.removeAll(m.rows.keySet());
+            core.host.note("move " + m.lead.service() + ": not stopped yet, or out of reach: " + waited);
         }
     }
 
+    /** Above the newest term of the service, which a replica that received nothing for long does not know itself. */
+    private String pauses(Move m, Question.Row row) {
+        m.term = Math.max(m.term, Math.max(row.next(), core.askers.acknowledged(m.lead.service()).most().term() + 1));
+        return moves.get(m.lead.service()) == m && mayAct() ? "PAUSE " + m.term : null;
+    }
+
     /** It was not lost: replicas receive again, and it goes on leading; a call of an earlier holder is fenced off before. */
     private void lives(Move m, Member from) {
         if (m.step == Step.STOP || m.step == Step.CHOOSE) {
@@ -534,7 +559,8 @@
 
     /**
      * This one leads, whoever made it. Not while another is named: what it acknowledged would be lost once that one leads. And
-     * where an earlier holder may have named one, its call is fenced off first, while replicas are still stopped.
+     * where an earlier holder may have named one, its call is fenced off first, while fronts still hold what they have; and what
+     * the platform had begun by then is waited for: that this one leads now is no proof that it will.
      */
     private void settle(Move m, String id) {
         if (m.busy || m.named && !id.equals(m.target)) {
@@ -545,13 +571,21 @@
             name(m.lead.service(), id, number()).whenComplete((status, fault) -> {
                 m.busy = false;
                 m.fenced = fault == null && status == 200;
+                m.fencedAt = m.fenced ? now() : m.fencedAt;
                 if (m.fenced && moves.get(m.lead.service()) == m && settled()) {
                     settle(m, id);
                 }
             });
             return;
         }
-        done(m, id);
+        if (!promotes(m)) {
+            done(m, id);
+        }
+    }
+
+    /** The platform may still carry out what an earlier holder asked for. */
+    private boolean promotes(Move m) {
+        return m.inherited && now() < m.fencedAt + PROMOTES_MS;
     }
 
     private static String resumes(Question.Row row) {
