An order that is given up is proposed no more, unless it is under way

Cause: the answer to an order became a future of its own, and giving that up left the order itself waiting in the register, to be proposed whenever a majority is back, however long after its caller had 503. Change: it goes with its answer.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -1034,8 +1034,10 @@
             return said(503, NOBODY);
         }
         // Also what was decided before, or is only heard to be, is said on the ground of a majority's answer just now.
-        CompletableFuture<Value.Outcome> done = register.order(next)
-                .thenCompose(outcome -> contact(host.now() - FRESH_MS).thenApply(is -> outcome));
+        CompletableFuture<Value.Outcome> order = register.order(next);
+        CompletableFuture<Value.Outcome> done = order.thenCompose(outcome -> contact(host.now() - FRESH_MS).thenApply(is -> outcome));
+        // One that is given up here is proposed no more, unless it is under way.
+        done.whenComplete((is, fault) -> order.cancel(false));
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
                 ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
     }
