After a loss of all power contact comes with the first message; logs are looked at anew

Change: dial and answer at the first message; whoever had the lease last asks first. With that, promote-call-comes-late lost a commit: rows from before the earlier holder's call was carried out chose a log, and a stale beat of the one named passed for its lead. Now they are asked anew, and one that claimed to lead before it was named is asked.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -553,11 +553,13 @@
 
     private void dial(Peer p) {
         p.dialAt = host.now() + DIAL_MS + REDIAL_MS;
+        p.dialing = true;
         p.link = host.dial(settings.innerOf(p.ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
             @Override
             public void opened(Host.Link link) {
                 p.link = link;
                 p.up = true;
+                p.dialing = false;
                 p.upAt = host.now();
                 p.toldAt = host.now() - 2 * settings.beat();
                 p.placesTold = "";
@@ -573,6 +575,7 @@
             @Override
             public void closed(String why) {
                 p.up = false;
+                p.dialing = false;
                 p.dialAt = host.now() + REDIAL_MS;
             }
         });
@@ -698,6 +701,8 @@
         }
         if (!in.text("b").equals(p.boot) || !in.text("id").equals(p.id)) {
             p.boot = in.text("b");
+            // An answer at once: it counts nobody whom it has not heard answer.
+            poke();
             p.earlier = p.heard;
             p.id = in.text("id");
             p.known = 0;
@@ -711,6 +716,10 @@
             p.cleared.clear();
         }
         p.heard = now;
+        if (!p.up && !p.dialing) {
+            // It is there: whoever waits for the next tick hears no answer before.
+            dial(p);
+        }
         p.zone = in.text("z");
         p.itsNow = in.number("n", 0);
         boolean ours = in.text("eb").equals(boot);
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -96,6 +96,9 @@
         boolean named;
         long fence;
         boolean fenced;
+        boolean anew;
+        /** The one named said that it leads before it was named: that it still says so in a beat tells nothing. */
+        boolean claimed;
         /** When calls of earlier holders were known to be fenced off. */
         long fencedAt = Long.MIN_VALUE / 2;
 
@@ -397,6 +400,12 @@
         if (moves.get(service) != m || m.step != Step.NAME && m.step != Step.WAIT && promotes(m)) {
             return;
         }
+        if (m.fenced && !m.anew && m.step != Step.NAME && m.step != Step.WAIT) {
+            // What was heard of logs and leaders before may be no more, now that the earlier holder's call is carried out.
+            m.anew = true;
+            m.rows.clear();
+            m.step = Step.STOP;
+        }
         switch (m.step) {
             case CLEAR:
                 if (m.planned) {
@@ -718,6 +727,7 @@
         }
         m.target = best;
         m.fence = number();
+        m.claimed = core.members.get(best).leads();
         m.step = Step.NAME;
         call(m);
     }
@@ -751,7 +761,7 @@
             m.step = Step.NAME;
             return;
         }
-        if (target.leads()) {
+        if (target.leads() && !m.claimed) {
             done(m, target.id);
         } else if (now() >= m.again) {
             ask(m, target, LEAD_PROBE_MS, null, row -> {
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -215,7 +215,9 @@
             candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
         if (!core.votes() || core.alone() || writing || unfit) {
-            candidateAt = Math.max(candidateAt, now + STAGGER_MS * (1 + core.rank()));
+            // Whoever had it last goes first: nobody who promised waits for others.
+            boolean last = promisedTo.equals(core.self()) && !unfit;
+            candidateAt = Math.max(candidateAt, last ? now : now + STAGGER_MS * (1 + core.rank()));
             return;
         }
         if (now < promisedUntil && !promisedTo.equals(core.self())) {
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -11,6 +11,7 @@
     String zone = "";
     Host.Link link;
     boolean up;
+    boolean dialing;
     long dialAt;
     long upAt;
     /** Beats that were heard here before this were told to it. */
