Session: one piece for what is given a connection, a statement or a transaction

Need: the waiter for a connection, the floor of a read and the question whether a server leads were written twice, for single statements and for openings, and a mend of one could miss the other. Change: Work holds what Job and Txn share: since, tried, over, take(), need(), verify(). No behaviour changes.

--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -29,13 +29,105 @@
     private static final long EARLY_MS = 25;
     private static final long BUSY_PAUSE_MS = 20;
 
-    /** A transaction of the client's. */
-    private final class Txn {
-        final boolean reads;
+    /** What is given a connection: one statement by itself, or a transaction. */
+    private abstract class Work {
         final String id;
         final Route route;
         final long since = front.host.now();
+        int tries;
+        final List<Server> tried = new ArrayList<>();
         Connection on;
+        boolean over;
+
+        Work(String id, Route route) {
+            this.id = id;
+            this.route = route;
+        }
+
+        boolean wanted() {
+            return !over && !Session.this.over;
+        }
+
+        long patience() {
+            return since + (long) (route.timeout() * PATIENCE);
+        }
+
+        abstract boolean mayReplica();
+
+        abstract void got(Service service, Server server, Connection connection, Position need);
+
+        /** There is no server for it now. */
+        abstract void nowhere(Service service);
+
+        /** This one has no connection for it. */
+        abstract void none(Service service, Server server);
+
+        /** Takes a connection, now or later, of a server where it may run. */
+        void take() {
+            Service service = front.service(route.service());
+            Position need = mayReplica() ? need(service) : null;
+            Server replica = mayReplica() ? service.replica(need, tried) : null;
+            Server server = replica == null ? usablePrimary(service) : replica;
+            if (server == null) {
+                nowhere(service);
+                return;
+            }
+            server.take(new Server.Waiter() {
+                @Override
+                public boolean wants() {
+                    return wanted();
+                }
+
+                @Override
+                public long rank() {
+                    return route.priority() * 1_000_000_000L + since;
+                }
+
+                @Override
+                public Map<String, String> values() {
+                    return values;
+                }
+
+                @Override
+                public void got(Connection connection) {
+                    Work.this.got(service, server, connection, need);
+                }
+
+                @Override
+                public void none(String why) {
+                    Work.this.none(service, server);
+                }
+            });
+        }
+
+        /** What a log must hold for its reads; null where that is not known. */
+        private Position need(Service service) {
+            Position floor = service.floors.since(since - route.stale());
+            return floor == null ? null : route.kind() == Kind.OWN ? Position.later(floor, token) : floor;
+        }
+
+        /**
+         * That a server leads is not sure by the record, so it is asked first, on the same connection. One that led after a
+         * read's first byte came has all that was acknowledged before, whatever happens to it then.
+         */
+        void verify(Connection at, Runnable then, Runnable otherwise) {
+            front.counts.verified++;
+            at.ask("STATUS", (answer, done, code, text, state, position) -> {
+                if (wanted() && code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ")) {
+                    then.run();
+                    return;
+                }
+                release(at, state);
+                if (wanted()) {
+                    otherwise.run();
+                }
+            });
+        }
+    }
+
+    /** A transaction of the client's. */
+    private final class Txn extends Work {
+        final boolean reads;
         Server server;
         boolean opening;
         /** A statement of it has run, or may have. */
@@ -43,51 +135,85 @@
         boolean wrote;
         /** What waits until it is open. */
         Job first;
-        boolean over;
-        int tries;
-        final List<Server> tried = new ArrayList<>();
         Host.Timer rest;
 
         Txn(boolean reads, String id, Route route) {
+            super(id, route);
             this.reads = reads;
-            this.id = id;
-            this.route = route;
+        }
+
+        @Override
+        boolean mayReplica() {
+            return reads && route.kind() != Kind.PRIMARY;
+        }
+
+        @Override
+        void got(Service service, Server from, Connection connection, Position need) {
+            begin(this, service, from, connection, need);
+        }
+
+        @Override
+        void nowhere(Service service) {
+            openLater(this, service);
+        }
+
+        @Override
+        void none(Service service, Server from) {
+            tried.add(from);
+            openLater(this, service);
         }
     }
 
     /** One statement that is to be answered. */
-    private final class Job {
-        final String id;
+    private final class Job extends Work {
         final String text;
         final Statement statement;
-        final Route route;
-        final long at = front.host.now();
         final long until;
         /** What it needs the session to have prepared, as "READ shape". */
         String shape;
         boolean writes;
-        int tries;
-        final List<Server> tried = new ArrayList<>();
-        boolean over;
-        Connection on;
         Host.Timer limit;
         Runnable again;
 
         Job(String id, String text, Statement statement, Route route) {
-            this.id = id;
+            super(id, route);
             this.text = text;
             this.statement = statement;
-            this.route = route;
-            until = at + route.timeout() - EARLY_MS;
+            until = since + route.timeout() - EARLY_MS;
         }
 
         /** Its client was answered before, or is gone. */
         long overdue() {
-            return at + route.timeout();
+            return since + route.timeout();
         }
 
-        long patience() {
-            return at + (long) (route.timeout() * PATIENCE);
+        @Override
+        boolean mayReplica() {
+            return !writes && route.kind() != Kind.PRIMARY;
+        }
+
+        @Override
+        void got(Service service, Server server, Connection connection, Position need) {
+            send(this, service, server, connection, need);
+        }
+
+        @Override
+        void nowhere(Service service) {
+            await(service, this);
+        }
+
+        @Override
+        void none(Service service, Server server) {
+            if (server == service.primary() || server.id.equals(service.primary)) {
+                await(service, this);
+            } else {
+                tried.add(server);
+                front.host.after(0, () -> {
+                    if (wanted()) {
+                        take();
+                    }
+                });
+            }
         }
     }
 
@@ -389,7 +515,7 @@
                 }
             }
         } else {
-            single(asked);
+            asked.take();
         }
     }
 
@@ -484,74 +610,13 @@
 
     // ---- one statement by itself
 
-    private void single(Job of) {
-        Service service = front.service(of.route.service());
-        boolean mayReplica = !of.writes && of.route.kind() != Kind.PRIMARY;
-        Position need = mayReplica ? need(service, of) : null;
-        Server to = null;
-        if (mayReplica) {
-            to = service.replica(need, of.tried);
-            if (to == null) {
-                to = usablePrimary(service);
-            }
-        } else {
-            to = usablePrimary(service);
-        }
-        if (to == null) {
-            await(service, of, () -> single(of));
-            return;
-        }
-        Server server = to;
-        server.take(new Server.Waiter() {
-            @Override
-            public boolean wants() {
-                return !of.over && !over;
-            }
-
-            @Override
-            public long rank() {
-                return of.route.priority() * 1_000_000_000L + of.at;
-            }
-
-            @Override
-            public Map<String, String> values() {
-                return values;
-            }
-
-            @Override
-            public void got(Connection connection) {
-                send(of, service, server, connection, need);
-            }
-
-            @Override
-            public void none(String why) {
-                if (server == service.primary() || server.id.equals(service.primary)) {
-                    await(service, of, () -> single(of));
-                } else {
-                    of.tried.add(server);
-                    front.host.after(0, () -> {
-                        if (!of.over && !over) {
-                            single(of);
-                        }
-                    });
-                }
-            }
-        });
-    }
-
     private Server usablePrimary(Service service) {
         Server lead = service.primary();
         return lead == null || !lead.reachable() ? null : lead;
     }
 
-    /** What a log must hold for this read; null where that is not known. */
-    private Position need(Service service, Job of) {
-        Position floor = service.floors.since(of.at - of.route.stale());
-        return floor == null ? null : of.route.kind() == Kind.OWN ? Position.later(floor, token) : floor;
-    }
-
     /** Until something changes, as long as there is patience; then it is refused at once. */
-    private void await(Service service, Job of, Runnable again) {
+    private void await(Service service, Job of) {
         if (front.host.now() >= of.patience() || !service.hopeful()) {
             busy(of);
             return;
@@ -560,7 +625,7 @@
         of.again = () -> {
             of.again = null;
             if (!of.over && !over) {
-                again.run();
+                of.take();
             }
         };
         service.await(of.again);
@@ -571,7 +636,15 @@
         if (of.writes || after || service.sure(server)) {
             sendNow(of, service, server, on, after ? need : null);
         } else {
-            verify(of, on, () -> sendNow(of, service, server, on, null));
+            of.on = on;
+            of.verify(on, () -> sendNow(of, service, server, on, null), () -> {
+                of.on = null;
+                if (of.tries++ < 3 && front.host.now() < of.patience()) {
+                    later(of, of::take);
+                } else {
+                    busy(of);
+                }
+            });
         }
     }
 
@@ -627,36 +700,6 @@
         }
     }
 
-    /** Whether a server led when it answered to STATUS. */
-    private static boolean leads(List<String> answer, String code) {
-        return code == null && !answer.isEmpty() && answer.get(0).startsWith("primary ");
-    }
-
-    /**
-     * That it leads is not sure by the record, so it is asked first, on the same connection. One that led after a read's first
-     * byte came has all that was acknowledged before, whatever happens to it then.
-     */
-    private void verify(Job of, Connection on, Runnable then) {
-        front.counts.verified++;
-        of.on = on;
-        on.ask("STATUS", (answer, done, code, text, state, at) -> {
-            of.on = null;
-            if (leads(answer, code) && !of.over && !over) {
-                then.run();
-                return;
-            }
-            release(on, state);
-            if (of.over || over) {
-                return;
-            }
-            if (of.tries++ < 3 && front.host.now() < of.patience()) {
-                later(of, () -> single(of));
-            } else {
-                busy(of);
-            }
-        });
-    }
-
     private void later(Job of, Runnable run) {
         front.host.after(BUSY_PAUSE_MS + front.host.chance().nextInt(20), () -> {
             if (!of.over && !over) {
@@ -673,7 +716,7 @@
             case "BUSY":
                 of.tried.add(server);
                 if (patient) {
-                    later(of, () -> single(of));
+                    later(of, of::take);
                     return;
                 }
                 break;
@@ -682,13 +725,13 @@
                 server.lagging();
                 of.tried.add(server);
                 if (patient) {
-                    single(of);
+                    of.take();
                     return;
                 }
                 break;
             case "READONLY":
                 if (patient) {
-                    later(of, () -> single(of));
+                    later(of, of::take);
                     return;
                 }
                 break;
@@ -698,7 +741,7 @@
             case "TOOMANY":
                 of.tried.add(server);
                 if (patient && of.tries++ < 2) {
-                    later(of, () -> single(of));
+                    later(of, of::take);
                     return;
                 }
                 break;
@@ -708,7 +751,7 @@
                 if (!of.writes) {
                     of.tried.add(server);
                     if (patient && of.tries++ < Math.max(1, of.route.attempts())) {
-                        single(of);
+                        of.take();
                         return;
                     }
                 }
@@ -729,53 +772,15 @@
 
     /** Opens it at a server, while the client is already told that it is open. */
     private void open(Txn of) {
-        if (of.over || over) {
-            return;
+        if (of.wanted()) {
+            of.opening = true;
+            of.take();
         }
-        of.opening = true;
-        Service service = front.service(of.route.service());
-        boolean mayReplica = of.reads && of.route.kind() != Kind.PRIMARY;
-        Position floor = mayReplica ? service.floors.since(of.since - of.route.stale()) : null;
-        Position need = floor == null ? null : of.route.kind() == Kind.OWN ? Position.later(floor, token) : floor;
-        Server to = mayReplica ? service.replica(need, of.tried) : null;
-        to = to == null ? usablePrimary(service) : to;
-        if (to == null) {
-            openLater(of, service);
-            return;
-        }
-        Server server = to;
-        server.take(new Server.Waiter() {
-            @Override
-            public boolean wants() {
-                return !of.over && !over;
-            }
-
-            @Override
-            public long rank() {
-                return of.route.priority() * 1_000_000_000L + of.since;
-            }
-
-            @Override
-            public Map<String, String> values() {
-                return values;
-            }
-
-            @Override
-            public void got(Connection connection) {
-                begin(of, service, server, connection, need);
-            }
-
-            @Override
-            public void none(String why) {
-                of.tried.add(server);
-                openLater(of, service);
-            }
-        });
     }
 
     /** Waits for a change; given up with the statement that waits, or after a while where none does. */
     private void openLater(Txn of, Service service) {
-        long until = of.first != null ? of.first.patience() : of.since + (long) (of.route.timeout() * PATIENCE);
+        long until = of.first != null ? of.first.patience() : of.patience();
         if (front.host.now() >= until || of.first != null && !service.hopeful()) {
             of.opening = false;
             if (of.first != null) {
@@ -791,7 +796,8 @@
         if (!of.reads || need != null || service.sure(server)) {
             beginNow(of, service, server, on, need);
         } else {
-            verifyOpen(of, service, on, () -> beginNow(of, service, server, on, null));
+            of.verify(on, () -> beginNow(of, service, server, on, null),
+                    () -> front.host.after(BUSY_PAUSE_MS, () -> openLater(of, service)));
         }
     }
 
@@ -821,7 +827,7 @@
                 if (of.over || over) {
                     return;
                 }
-                long until = of.first != null ? of.first.patience() : of.since + (long) (of.route.timeout() * PATIENCE);
+                long until = of.first != null ? of.first.patience() : of.patience();
                 if (front.host.now() >= until) {
                     openLater(of, service);
                 } else {
@@ -831,20 +837,6 @@
         });
     }
 
-    private void verifyOpen(Txn of, Service service, Connection on, Runnable then) {
-        front.counts.verified++;
-        on.ask("STATUS", (answer, done, code, text, state, at) -> {
-            if (leads(answer, code) && !of.over && !over) {
-                then.run();
-                return;
-            }
-            release(on, state);
-            if (!of.over && !over) {
-                front.host.after(BUSY_PAUSE_MS, () -> openLater(of, service));
-            }
-        });
-    }
-
     private void opened(Txn of, Server server, Connection on) {
         of.opening = false;
         of.on = on;
