--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -75,6 +75,8 @@
         a.record = in.number("k", -1);
         a.suspects = in.number("sn", -1);
         a.sights.clear();
+        boolean news = false;
+        List<Object> suspected = core.suspects();
         for (Pack.Fields row : in.list("s")) {
             String service = row.text("s");
             long sees = row.number("h", 0);
@@ -82,6 +84,8 @@
             a.sights.put(service, new Sight(row.text("p"), sees > 0 ? 1 : 0, sees < 0 ? 1 : 0,
                     (int) Math.max(0, Math.min(1 << 20, row.number("o", 0)))));
             lost -= sees < 0 ? 1 : 0;
+            Lead lead = core.lead(service);
+            news |= sees < 0 || lead == null || lead.moving() || suspected.contains(service);
         }
         if (lost != 0) {
             core.poke();
@@ -94,7 +98,7 @@
                 }
             });
         }
-        if (!a.sights.isEmpty()) {
+        if (news) {
             core.duty.look();
         }
     }
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -20,6 +20,8 @@
 
     /** A question is out no longer than it may be held and a little. */
     private static final int DIAL_MS = 700;
+    /** Of what was acknowledged while a server leaves, this is told now and then: it counts where this front is lost too. */
+    private static final long LOSES_MS = 2_000;
     private static final long SILENT_MS = 1_400;
     private static final long PAUSE_MS = 100;
     private static final int MOST_PAUSES = 4;
@@ -49,6 +51,8 @@
     private Host.Link link;
     private boolean up;
     private long asked;
+    /** When it last told what was acknowledged by services from which a server leaves. */
+    private long losesAt = -LOSES_MS;
     private long question;
     private Host.Timer silence;
     /** A question was sent and nothing came since: silence counts from the first such, whatever is asked meanwhile. */
@@ -202,10 +206,11 @@
         out.put("sn", suspectsAt);
         // Of most services there is nothing to say; of those that move or are suspected, what is seen here.
         List<Object> sights = new ArrayList<>();
+        boolean also = asked >= losesAt + LOSES_MS;
         for (Service s : front.services()) {
             Server lead = s.servers.get(s.primary);
             int sees = lead == null ? 0 : lead.sight();
-            if (sees < 0 || s.moving || suspects.contains(s.name) || s.loses()) {
+            if (sees < 0 || s.moving || suspects.contains(s.name) || also && s.loses()) {
                 Map<String, Object> row = new LinkedHashMap<>();
                 row.put("s", s.name);
                 row.put("o", s.openAtPrimary);
@@ -216,6 +221,7 @@
             }
         }
         if (!sights.isEmpty()) {
+            losesAt = also ? asked : losesAt;
             out.put("s", sights);
         }
         link.send(Pack.write(out));
