Whoever is out of contact still says where others may be found

Change: the answer "alone" carries the places it knows; the front adds those it did not know behind the others, and keeps its own.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -119,8 +119,9 @@
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("q", a.question);
         if (core.alone()) {
-            // What it has may be old by now: another is to be asked.
+            // What it has may be old by now: another is to be asked, of those that it knows of.
             out.put("alone", true);
+            out.put("cp", core.places());
             a.link.send(Pack.write(out));
             return;
         }
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -280,8 +280,15 @@
             suspects = in.texts("sq");
         }
         if (in.has("cp")) {
-            places = new ArrayList<>();
-            in.list("cp").forEach(p -> places.add(new Place(p.text("i"), front.settings.near(p.text("z")), p.bit("s"))));
+            // Whoever is out of contact may know fewer: what it knows of besides comes behind the rest.
+            boolean besides = in.bit("alone");
+            List<Place> told = besides ? new ArrayList<>(places) : new ArrayList<>();
+            for (Pack.Fields p : in.list("cp")) {
+                if (!besides || places.stream().noneMatch(known -> known.ip().equals(p.text("i")))) {
+                    told.add(new Place(p.text("i"), front.settings.near(p.text("z")), besides || p.bit("s")));
+                }
+            }
+            places = told;
             listed();
         }
         fronts = (int) Math.max(1, in.number("f", fronts));
