--- a/src/main/java/dillfront/lab/CapacityMeasure.java
+++ b/src/main/java/dillfront/lab/CapacityMeasure.java
@@ -4,6 +4,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import dillfront.host.Configuration;
 import dillfront.host.Deflate;
 import dillfront.host.Delta;
 import dillfront.host.Host;
@@ -36,11 +37,12 @@
     private static final int CONTROL = 17_300;
     private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
     private static final long BEAT_MS = 1_200;
-    /** Where all hollow servers are asked how they are. */
-    private static final String HOLLOW = "127.0.0.1:17500";
+    /** Where all hollow servers are asked how they are, each at an address of its own. */
+    private static final int HOLLOW = 17_500;
     private static final int CALM_S = 6;
     private static final int SETTLE_S = 4;
     private static final int CHANGES = 5;
+    private static final int TRIES = 60;
 
     private final NettyHost host = new NettyHost(1);
     private final List<Process> processes = new ArrayList<>();
@@ -128,7 +130,7 @@
     }
 
     private Row run() throws Exception {
-        host.listen(HOLLOW, Host.Form.LINES, h -> new Server());
+        host.listen("0.0.0.0:" + HOLLOW, Host.Form.LINES, h -> new Server());
         startControl();
         TimeUnit.MILLISECONDS.sleep(1_500);
         configure(1).get(10, TimeUnit.SECONDS);
@@ -138,7 +140,7 @@
             }
             for (int d = 0; d < databases; d++) {
                 for (int s = 0; s < 3; s++) {
-                    beats("i-" + d + "-" + s, "db" + d, s == 0, host.chance().nextInt((int) BEAT_MS));
+                    beats("i-" + d + "-" + s, "127.1." + d + "." + (10 + s) + ":" + HOLLOW, "db" + d, s == 0, host.chance().nextInt((int) BEAT_MS));
                 }
             }
         }).get();
@@ -190,20 +192,30 @@
                     .add("timeout_ms", 1_000 + version).add("priority", 1).add("service", "db" + d));
         }
         JsonValue body = Json.object().add("revision_number", version).add("routes", routes).add("services", services);
-        return host.post(IPS[0] + ":" + CONTROL, "/Configuration.Replace", body.toString(), Map.of(), 8_000).thenApply(is -> {
-            if (is.status() != 200) {
-                throw new IllegalStateException("status " + is.status());
+        CompletableFuture<Host.Answer> taken = new CompletableFuture<>();
+        send(body.toString(), TRIES, taken);
+        return taken;
+    }
+
+    /** As an operator does: one that got no clear answer goes again as it was. */
+    private void send(String body, int tries, CompletableFuture<Host.Answer> taken) {
+        host.post(IPS[tries % IPS.length] + ":" + CONTROL, "/Configuration.Replace", body, Map.of(), 8_000).whenComplete((is, fault) -> {
+            if (fault == null && is.status() == 200) {
+                taken.complete(is);
+            } else if (tries == 0 || fault == null && is.status() < 500) {
+                taken.completeExceptionally(fault == null ? new IllegalStateException("status " + is.status()) : fault);
+            } else {
+                host.after(100, () -> send(body, tries - 1, taken));
             }
-            return is;
         });
     }
 
-    private void beats(String id, String service, boolean leads, long in) {
+    private void beats(String id, String address, String service, boolean leads, long in) {
         host.after(in, () -> {
-            String body = Json.object().add("service", service).add("address", HOLLOW).add("zone_name", "z").add("state", "ready")
+            String body = Json.object().add("service", service).add("address", address).add("zone_name", "z").add("state", "ready")
                     .add("database_role", leads ? "primary" : "replica").add("call_sequence", host.now()).toString();
             host.post(IPS[host.chance().nextInt(IPS.length)] + ":" + CONTROL, "/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
-            beats(id, service, leads, BEAT_MS);
+            beats(id, address, service, leads, BEAT_MS);
         });
     }
 
@@ -265,7 +277,14 @@
                 }
                 suspects = in.number("sn", suspects);
                 in.list("p").forEach(row -> record = Math.max(record, row.number("k", 0)));
-                if (in.has("cv")) {
+                if (in.has("cb")) {
+                    // Of a text that sends each configuration whole.
+                    body = in.bytes("cb");
+                    versions[number] = Configuration.read(body).version();
+                    if (waiting.decrementAndGet() == 0) {
+                        everywhere.complete(null);
+                    }
+                } else if (in.has("cv")) {
                     body = in.has("cx") ? Delta.apply(body, in.bytes("cx")) : Deflate.back(in.bytes("cz"), Delta.MOST);
                     versions[number] = in.number("cv", -1);
                     told = false;
@@ -273,10 +292,13 @@
                         everywhere.complete(null);
                     }
                 }
-                if (in.number("q", -1) == question) {
+                if (in.number("q", -1) == question && in.bit("alone")) {
+                    // A real one would go on to another; this one asks the same again.
+                    host.after(100, this::ask);
+                } else if (in.number("q", -1) == question) {
                     ask();
                 }
-            } catch (Pack.Bad | Delta.Bad | Deflate.Bad bad) {
+            } catch (Pack.Bad | Delta.Bad | Deflate.Bad | Configuration.Invalid bad) {
                 throw new IllegalStateException(bad);
             }
         }
