A dial to a life that is over is given up; waiting fronts are told of contact at once

Change: another life of a peer is dialled at once; a front that knows nobody better waits at an alone process for contact, 600 ms at most. AskersTest has the waiting front.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -25,6 +25,8 @@
         long question;
         long heard;
         boolean waits;
+        /** It knows nobody better: it would rather wait for contact here than ask in vain elsewhere. */
+        boolean patient;
         String boot = "";
         long has;
         long version = -1;
@@ -68,6 +70,7 @@
         a.version = in.number("c", -1);
         a.digest = in.number("cd", a.digest);
         a.wantsWhole = in.bit("cw");
+        a.patient = in.bit("hw");
         int lost = 0;
         for (Sight seen : a.sights.values()) {
             lost += seen.lost();
@@ -105,6 +108,9 @@
 
     /** Whether this front lacks anything, and has been told so. Out of contact with a majority it is told that, and no more. */
     private boolean answer(Asker a) {
+        if (core.alone() && a.patient) {
+            return false;
+        }
         boolean lacks = core.alone() || !a.boot.equals(core.boot()) || a.has < core.members.changes()
                 || a.version < core.register.committed().version() || a.record < core.record()
                 || a.suspects != core.suspectsAt() && (a.suspects >= 0 || !core.suspects().isEmpty());
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -40,6 +40,8 @@
     static final long SURE_MS = 3_000;
     private static final int DIAL_MS = 700;
     private static final long REDIAL_MS = 200;
+    /** A dial that is out for so long went to a life that is over, where another is heard. */
+    private static final long HANGS_MS = 100;
     /** A connection that brought no answer for so long is left. */
     private static final long DEAF_MS = 1_500;
     /** Who calls waits a second for an answer. */
@@ -90,6 +92,7 @@
     private long lookedAt;
     private long awayAt = Long.MIN_VALUE / 2;
     private boolean wasAlone;
+    private boolean inContact;
     private TreeSet<String> suspects = new TreeSet<>();
     private long suspectsAt;
     private long sureFrom = Long.MIN_VALUE / 2;
@@ -458,10 +461,10 @@
             awayAt = host.now();
         }
         lookedAt = host.now();
+        noticeContact();
         boolean is = alone();
         if (is != wasAlone && host.now() > started + TOUCH_MS) {
             wasAlone = is;
-            askers.news();
             host.wrong(is ? "no majority of control processes is heard" : "a majority is heard again");
         }
         lease.look();
@@ -473,6 +476,14 @@
         keep();
     }
 
+    /** Whoever waits here is told at once that contact is there, or gone. */
+    private void noticeContact() {
+        if (alone() == inContact) {
+            inContact = !inContact;
+            askers.news();
+        }
+    }
+
     /**
      * The first set of members, by one process alone: the lowest of the seeds, once each of them has said that it is at its
      * first start and belongs to nothing.
@@ -554,9 +565,15 @@
     private void dial(Peer p) {
         p.dialAt = host.now() + DIAL_MS + REDIAL_MS;
         p.dialing = true;
+        p.dialedAt = host.now();
+        p.up = false;
+        long mine = ++p.dials;
         p.link = host.dial(settings.innerOf(p.ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
             @Override
             public void opened(Host.Link link) {
+                if (mine != p.dials) {
+                    return;
+                }
                 p.link = link;
                 p.up = true;
                 p.dialing = false;
@@ -574,9 +591,11 @@
 
             @Override
             public void closed(String why) {
-                p.up = false;
-                p.dialing = false;
-                p.dialAt = host.now() + REDIAL_MS;
+                if (mine == p.dials) {
+                    p.up = false;
+                    p.dialing = false;
+                    p.dialAt = host.now() + REDIAL_MS;
+                }
             }
         });
     }
@@ -701,9 +720,14 @@
         }
         if (!in.text("b").equals(p.boot) || !in.text("id").equals(p.id)) {
             p.boot = in.text("b");
-            // An answer at once: it counts nobody whom it has not heard answer.
-            poke();
             p.earlier = p.heard;
+            // An answer at once, on a connection to this life: it counts nobody whom it has not heard answer, and what went out
+            // to its life before may hang for long.
+            if (p.up && p.earlier > started || p.dialing && host.now() - p.dialedAt > HANGS_MS) {
+                p.link.close();
+                dial(p);
+            }
+            poke();
             p.id = in.text("id");
             p.known = 0;
             p.stored = 0;
@@ -794,6 +818,7 @@
             poke();
             keep();
         }
+        noticeContact();
         register.look();
         duty.look();
         acknowledge();
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -12,6 +12,8 @@
     Host.Link link;
     boolean up;
     boolean dialing;
+    long dialedAt;
+    long dials;
     long dialAt;
     long upAt;
     /** Beats that were heard here before this were told to it. */
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -202,6 +202,10 @@
         if (wantsWhole) {
             out.put("cw", true);
         }
+        if (sources.stream().allMatch(ip -> ip.equals(source) || leftAt(ip) != Long.MIN_VALUE)) {
+            // All others were asked in vain: where this one is alone too, it may answer once it no longer is.
+            out.put("hw", true);
+        }
         out.put("k", record);
         out.put("sn", suspectsAt);
         // Of most services there is nothing to say; of those that move or are suspected, what is seen here.
--- a/src/test/java/dillfront/core/AskersTest.java
+++ b/src/test/java/dillfront/core/AskersTest.java
@@ -146,5 +146,12 @@
         assertEquals(1, answers.size(), "at once");
         assertEquals(Map.of("q", 5L, "alone", true, "cp", List.of(Map.of("i", "10.0.0.1", "z", "a"),
                 Map.of("i", "10.0.0.2", "z", "", "s", true), Map.of("i", "10.0.0.3", "z", "", "s", true))), answers.get(0).all());
+        // One that knows nobody better waits for contact, and no longer than for news.
+        answers.clear();
+        front.message(Pack.write(Map.of("t", "news", "n", "front-1", "q", 6, "b", "", "c", -1, "hw", true)));
+        host.until(3_500);
+        assertEquals(0, answers.size());
+        host.until(3_700);
+        assertEquals(Set.of("q", "alone"), subset(answers.get(0), "q", "alone", "b", "r", "m", "cv", "cx", "cz", "p", "su"));
     }
 }
