--- a/src/main/java/dillfront/core/Defence.java
+++ b/src/main/java/dillfront/core/Defence.java
@@ -22,8 +22,8 @@
     SETS_BY_HOLDER,
     /** While sets change, a majority of each is needed. */
     JOINT_MAJORITIES,
-    /** The set that goes still accepts the value that drops it. */
-    DROPPED_ACCEPTS,
+    /** What is over counts for nothing: the set that goes still accepts the value that drops it, and asks of an older epoch are refused. */
+    OLDER_EPOCHS,
     /** One number has one content for ever. */
     ONE_CONTENT,
     /** Orders are answered by what is decided. */
@@ -34,6 +34,8 @@
     FOUNDER_HEARS_ALL,
     /** Reads wait for answers of a majority that were asked for after they began. */
     FRESH_MAJORITY,
+    /** A read counts a majority of the sets of the value that it returns. */
+    READ_BY_ITS_SETS,
     /** A promise of the lease is on the disk before it is told. */
     LEASE_ON_DISK,
     /** After a start, whoever had the promise of the lease before may still hold it. */
@@ -41,5 +43,7 @@
     /** The holder counts from when it asked, not from when it was answered. */
     LEASE_FROM_ASKED,
     /** A voter's promise stands for its time, whoever else asks. */
-    LEASE_PROMISE_STANDS
+    LEASE_PROMISE_STANDS,
+    /** While a voter's promise to another is on its way to the disk, it grants nothing more to the one before. */
+    LEASE_TURNS
 }
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -118,7 +118,9 @@
      * @param asked its clock when it asked
      */
     public void wants(Voter p, long number, long asked) {
-        if (!core.votes() || writing || number <= 0 || p.epoch() < core.epoch() || !core.member(p.id())) {
+        boolean turns = writing && !core.without(Defence.LEASE_TURNS);
+        boolean late = p.epoch() < core.epoch() && !core.without(Defence.OLDER_EPOCHS);
+        if (!core.votes() || turns || number <= 0 || late || !core.member(p.id())) {
             // Also what is promised to it no longer runs on while another's promise is on its way to the disk.
             return;
         }
@@ -126,7 +128,7 @@
         if (number == promised && p.id().equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
             granted = Math.max(granted, asked);
-        } else if (number > promised && (now >= promisedUntil || p.id().equals(promisedTo)
+        } else if (!writing && number > promised && (now >= promisedUntil || p.id().equals(promisedTo)
                 || promisedTo.equals(core.self()) && !holds() || core.without(Defence.LEASE_PROMISE_STANDS))) {
             // What was promised to oneself and came to nothing binds nobody else: candidates of one moment would wait for each other for ever.
             promise(number, p.id(), asked);
--- a/src/main/java/dillfront/core/Reading.java
+++ b/src/main/java/dillfront/core/Reading.java
@@ -23,7 +23,8 @@
         if (is == null) {
             return null;
         }
-        if (least != null && !(counted.members().equals(is.members()) && counted.outgoing().equals(is.outgoing()))) {
+        boolean same = least == null || counted.members().equals(is.members()) && counted.outgoing().equals(is.outgoing());
+        if (!same && !register.without(Defence.READ_BY_ITS_SETS)) {
             least = null;
         }
         if (least == null && is.quorum(fresh)) {
--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -143,6 +143,10 @@
                 Value.ids(kept.getOrDefault("outgoing", "")), Value.ids(kept.getOrDefault("dropped", "")), configuration, past);
     }
 
+    boolean without(Defence defence) {
+        return ground.without(defence);
+    }
+
     // ---- what its process asks
 
     /** What is accepted here, decided or not; null before there is a system. */
@@ -649,7 +653,7 @@
     }
 
     private Value drop(Value joint) {
-        return ground.without(Defence.DROPPED_ACCEPTS) ? joint.settled().clean() : joint.settled();
+        return ground.without(Defence.OLDER_EPOCHS) ? joint.settled().clean() : joint.settled();
     }
 
     private boolean counts(String id, Ballot ballot) {
@@ -660,7 +664,7 @@
     private void counted() {
         Ballot ballot = mine;
         if (proposed.decidedBy(id -> counts(id, ballot))
-                && (ground.without(Defence.DROPPED_ACCEPTS) || base.quorum(id -> counts(id, ballot)))) {
+                && (ground.without(Defence.OLDER_EPOCHS) || base.quorum(id -> counts(id, ballot)))) {
             phase = Phase.NONE;
             lost = 0;
             learn(ballot, proposed);
--- a/src/main/java/dillfront/lab/ControlWorlds.java
+++ b/src/main/java/dillfront/lab/ControlWorlds.java
@@ -9,11 +9,18 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Small worlds of the control side gone through: all that may happen up to a depth, nearest first, and random walks far beyond it;
@@ -46,6 +53,7 @@
     static final Scene FIRST = new Scene(3, 3, true, false, 1, 1, 0, 0, 1, 1, 0, 0, 0, 0);
 
     private static final int TRIES = 6;
+    private static final int THREADS = 2;
     private static final double[] SPEEDS = {0, 0.05, 1, 3};
     private static final int MANY = 1_000;
     /** Members that stay, two operators, power and disks. */
@@ -79,17 +87,74 @@
     private static final List<Walk> WALKS = List.of(new Walk(POWER, 200, Map.of()), new Walk(SETS, 300, Map.of()),
             new Walk(ALL, 800, Map.of()), new Walk(FOUNDED, 300, Map.of()), new Walk(FIVE, 800, Map.of()), new Walk(LEASE, 300, Map.of()),
             new Walk(LEASE_SETS, 600, Map.of()), new Walk(POWER, 1_000, Map.of()), new Walk(CHANGES, 200, Map.of(Kind.SETS, 4)));
-    private static final Walk OUTAGES = new Walk(POWER, 60, Map.of(Kind.CRASH, 3, Kind.SENT, 0, Kind.OLD, 0, Kind.READ, 0,
-            Kind.CUT, 0, Kind.REFUSED, 0, Kind.ORDER, 0), "ORDER 0 18, ORDER 1 25");
-    /** Where a defence is missed soonest; the others are by any walk. */
-    private static final Map<Defence, List<Walk>> NEAREST = Map.of(
-            Defence.PROMISE_ON_DISK, List.of(OUTAGES),
-            Defence.BALLOT_ON_DISK, List.of(OUTAGES),
-            Defence.SETS_ON_DECIDED, List.of(new Walk(CHANGES, 150, Map.of(Kind.SETS, 4))),
-            Defence.JOINT_MAJORITIES, List.of(new Walk(CHANGES, 150, Map.of(Kind.SETS, 4))),
-            Defence.DROPPED_ACCEPTS, List.of(new Walk(CHANGES, 250, Map.of(Kind.SETS, 4))));
+    private static final Map<Kind, Integer> CALM = Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.READ, 0, Kind.CUT, 0, Kind.REFUSED, 0, Kind.EMPTY, 0);
+    /** A member's promise was told to one proposer, and is asked for by another; power may go. */
+    private static final Walk PROMISED = new Walk(POWER, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.READ, 0, Kind.CUT, 0, Kind.REFUSED, 0,
+            Kind.CRASH, 3, Kind.ORDER, 0), "ORDER 0 18, DISK 2 0, ORDER 1 25, MESSAGE 0 2, DISK 1 0, MESSAGE 0 1, MESSAGE 1 0, MESSAGE 0 1, "
+            + "MESSAGE 2 0, DISK 1 0");
+    private static final Walk DUELLING = new Walk(POWER, 60, CALM, "ORDER 0 18, DISK 2 0, ORDER 1 25, MESSAGE 0 2, DISK 1 0, MESSAGE 0 1, "
+            + "MESSAGE 1 0");
+    /** A proposer has offered a value to one member, and its power may go. */
+    private static final Walk OFFERED = new Walk(POWER, 60, CALM,
+            "ORDER 0 18, MESSAGE 0 2, MESSAGE 2 0, DISK 0 0, MESSAGE 0 2, MESSAGE 2 0, DISK 0 0, CRASH 2 0");
+    /** One member has accepted the first step of a change, and without the defence the second, that no other knows of. */
+    private static final Walk UNDECIDED = new Walk(CHANGES, 60, CALM, "MESSAGE 1 0, MESSAGE 2 1, MESSAGE 3 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, "
+            + "DISK 1 0, MESSAGE 1 0, DISK 0 0, TIME 250 0, ORDER 1 9, DISK 1 0, MESSAGE 1 0, DISK 0 0, TIME 250 0, SETS 0 0, DISK 0 0, "
+            + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, DISK 0 0, TIME 250 0, DISK 1 0, MESSAGE 1 0, DISK 0 0, "
+            + "TIME 250 0");
+    /** A set was dropped, and one that belonged to it does not know; an order is under way in the new one. */
+    private static final Walk DROPPED = new Walk(SETS, 60, Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.SETS, 0, Kind.READ, 2), "MESSAGE 2 0, MESSAGE 0 2, MESSAGE 0 1, MESSAGE 1 0, MESSAGE 2 1, MESSAGE 3 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 1 3, "
+            + "DISK 0 0, MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, TIME 50 0, SETS 0 0, DISK 0 0, "
+            + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, DISK 0 0, MESSAGE 0 1, MESSAGE 0 3, "
+            + "DISK 1 0, DISK 3 0, MESSAGE 1 0, MESSAGE 3 0, MESSAGE 3 1, TIME 50 0, ORDER 0 8, DISK 0 0, MESSAGE 0 3, DISK 3 0, "
+            + "MESSAGE 3 0, DISK 0 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, READ 2 0, MESSAGE 2 1");
+    /** An order was decided, another set is asked for, and another order is under way at one that is left out. */
+    private static final Walk CHANGING = new Walk(CHANGES, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.READ, 0), "MESSAGE 1 0, ORDER 0 16, "
+            + "DISK 0 0, MESSAGE 0 1, MESSAGE 1 0, DISK 1 0, SETS 0 1, ORDER 1 18, MESSAGE 1 0");
+    /** Several ask for other sets, where the defence is out, and some hold the lease by them. */
+    private static final Walk SEVERAL = new Walk(LEASE_SETS, 100, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.CRASH, 0),
+            "MESSAGE 0 3, TIME 1000 0, DISK 0 0, MESSAGE 0 1, DISK 2 0, MESSAGE 1 2, MESSAGE 3 2, MESSAGE 2 1, TIME 10 0, "
+            + "MESSAGE 1 0, DISK 1 0, SETS 1 5, MESSAGE 2 3, MESSAGE 1 2, DISK 3 0, MESSAGE 2 3, TIME 10 0, SETS 3 5, "
+            + "TIME 50 0, TIME 50 0, TIME 10 0, DISK 1 0, SETS 2 10, TIME 50 0, DISK 1 0, DISK 3 0, MESSAGE 3 2, "
+            + "TIME 50 0, DISK 2 0, TIME 250 0, TIME 10 0, DISK 2 0, DISK 0 0, MESSAGE 0 2, TIME 10 0, MESSAGE 3 1, "
+            + "DISK 2 0, DISK 1 0, SETS 2 2, MESSAGE 2 0, MESSAGE 2 1, DISK 1 0, MESSAGE 1 2, SETS 2 4, DISK 2 0");
+    /** The founder has heard one of two. */
+    private static final Walk FOUNDING = new Walk(FOUNDED, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.EMPTY, 4, Kind.CRASH, 3),
+            "MESSAGE 0 1, MESSAGE 1 0, DISK 0 0, MESSAGE 0 1, CRASH 0 0, DISK 1 0");
+    /** An order was acknowledged, and one that accepted it is down. */
+    private static final Walk EMPTIED = new Walk(POWER, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.EMPTY, 8, Kind.CRASH, 3),
+            "MESSAGE 1 0, ORDER 0 16, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, CRASH 0 0");
+    private static final Walk LEASING = new Walk(LEASE, 200, Map.of());
+    /** A member promised the lease to one that is not heard any more, and another asks for it. */
+    private static final Walk TURNING = new Walk(LEASE, 60, Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0), "MESSAGE 0 1, MESSAGE 1 0, "
+            + "CRASH 1 0, TIME 1000 0, START 1 0, DISK 2 0, MESSAGE 1 2, MESSAGE 0 1, DISK 1 0, TIME 1000 0, MESSAGE 2 1, MESSAGE 1 2, DISK 1 0, "
+            + "TIME 1000 0, DISK 2 0, TIME 1000 0");
+    /** The holder is at work with a set of its own choice; a member of the former one asks another of them for the lease. */
+    private static final Walk OVER = new Walk(LEASE_SETS, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CRASH, 0, Kind.CUT, 0),
+            "MESSAGE 0 1, MESSAGE 1 0, TIME 50 0, MESSAGE 3 0, TIME 50 0, TIME 50 0, TIME 50 0, TIME 50 0, MESSAGE 0 1, "
+            + "DISK 0 0, DISK 1 0, MESSAGE 1 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, DISK 0 0, "
+            + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 0 3, MESSAGE 1 0, MESSAGE 3 0, DISK 3 0, TIME 50 0, "
+            + "MESSAGE 3 0, SETS 0 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, "
+            + "DISK 0 0, TIME 250 0, TIME 250 0, TIME 250 0, MESSAGE 0 3, MESSAGE 3 0, TIME 250 0, TIME 250 0, TIME 250 0, "
+            + "MESSAGE 2 1, SENT 1 2, MESSAGE 1 2, TIME 250 0, TIME 250 0, DISK 2 0, TIME 250 0, TIME 250 0, DISK 2 0");
+    /** Where a defence is missed soonest; any walk finds the others. */
+    private static final Map<Defence, List<Walk>> NEAREST = Map.ofEntries(
+            Map.entry(Defence.PROMISE_ON_DISK, List.of(PROMISED)),
+            Map.entry(Defence.BALLOT_ON_DISK, List.of(OFFERED)),
+            Map.entry(Defence.SETS_ON_DECIDED, List.of(UNDECIDED)),
+            Map.entry(Defence.JOINT_MAJORITIES, List.of(CHANGING)),
+            Map.entry(Defence.PROMISE_KEPT, List.of(DUELLING)),
+            Map.entry(Defence.SETS_BY_HOLDER, List.of(SEVERAL)),
+            Map.entry(Defence.OLDER_EPOCHS, List.of(OVER)),
+            Map.entry(Defence.FOUNDER_HEARS_ALL, List.of(FOUNDING)),
+            Map.entry(Defence.NEW_ID, List.of(EMPTIED)),
+            Map.entry(Defence.READ_BY_ITS_SETS, List.of(DROPPED)),
+            Map.entry(Defence.LEASE_TURNS, List.of(TURNING)),
+            Map.entry(Defence.LEASE_ON_DISK, List.of(LEASING)),
+            Map.entry(Defence.LEASE_AFTER_START, List.of(LEASING)),
+            Map.entry(Defence.LEASE_FROM_ASKED, List.of(LEASING)),
+            Map.entry(Defence.LEASE_PROMISE_STANDS, List.of(LEASING)));
 
-    static int walked;
     private ControlWorlds() { }
 
     /** All states up to this depth from where these steps lead, nearest first. */
@@ -304,74 +369,120 @@
 
     /** Walks without this defence until one breaks; null where none does in the walks or the time that there is. */
     static String hunt(Defence without, long seed, int most, long until) {
-        walked = 0;
         List<Walk> walks = without == null ? WALKS : NEAREST.getOrDefault(without, WALKS);
         for (int i = 0; i < most && System.nanoTime() < until; i++) {
-            walked = i;
             Walk walk = walks.get(i % walks.size());
             ControlWorld world = walk(walk, without, seed + i);
             if (world.broken != null) {
-                return told(shortest(walk.scene, without, seed + i, world));
+                ControlWorld least = shortest(walk.scene, without, seed + i, world);
+                String also = without == null ? null : played(walk.scene, null, seed + i, least.steps).broken;
+                return also != null ? null : told(least);
             }
         }
         return null;
     }
 
-    /** Within about this time: a fifth by breadth, two fifths walks with all defences, the rest without one after the other. */
+    /**
+     * Within about this time, on two threads: first by breadth, then walks with all defences up to two fifths of it, then without one
+     * after the other.
+     */
     public static Result run(long seed, long budgetMs) {
         long begun = System.nanoTime();
         long budget = budgetMs * 1_000_000;
-        long worlds = 0;
-        long steps = 0;
-        String broken = null;
         int most = (int) Math.max(200, budgetMs / 10);
-        List<Found> seen = List.of(explore(DUEL, DUEL_BEGINS, null, 40, most), explore(LOSS, LOSS_BEGINS, null, 40, most),
-                explore(REPLACED, REPLACED_BEGINS, null, 40, most), explore(FIRST, "", null, 40, most));
-        for (Found found : seen) {
-            worlds += found.states;
-            broken = broken == null ? found.broken : broken;
+        ExecutorService two = Executors.newFixedThreadPool(THREADS);
+        try {
+            List<Future<Found>> seen = new ArrayList<>();
+            for (Callable<Found> one : List.<Callable<Found>>of(() -> explore(DUEL, DUEL_BEGINS, null, 40, most),
+                    () -> explore(LOSS, LOSS_BEGINS, null, 40, most), () -> explore(REPLACED, REPLACED_BEGINS, null, 40, most),
+                    () -> explore(FIRST, "", null, 40, most))) {
+                seen.add(two.submit(one));
+            }
+            List<Future<Found>> walked = new ArrayList<>();
+            for (int t = 0; t < THREADS; t++) {
+                int first = t;
+                walked.add(two.submit(() -> walks(seed, first, begun + budget * 2 / 5)));
+            }
+            long worlds = 0;
+            long steps = 0;
+            String broken = null;
+            for (Future<Found> one : seen) {
+                worlds += one.get().states;
+                broken = broken == null ? one.get().broken : broken;
+            }
+            for (Future<Found> one : walked) {
+                worlds += one.get().states;
+                steps += one.get().depth;
+                broken = broken == null ? one.get().broken : broken;
+            }
+            TreeMap<Defence, String> caught = new TreeMap<>();
+            List<Defence> missed = List.of(Defence.values());
+            // Whatever was missed is tried again with the time that others left.
+            for (long pass = 0; !missed.isEmpty() && (pass == 0 || System.nanoTime() - begun < budget); pass++) {
+                caught.putAll(caught(missed, seed + pass * MANY * MANY, begun + budget, two));
+                missed = missed.stream().filter(one -> !caught.containsKey(one)).toList();
+            }
+            return new Result(worlds, steps, broken, caught, missed);
+        } catch (InterruptedException | ExecutionException fault) {
+            throw new IllegalStateException(fault);
+        } finally {
+            two.shutdownNow();
+        }
+    }
+
+    private static Map<Defence, String> caught(List<Defence> which, long seed, long end, ExecutorService by)
+            throws InterruptedException, ExecutionException {
+        Map<Defence, Future<String>> hunts = new LinkedHashMap<>();
+        AtomicInteger left = new AtomicInteger(which.size());
+        for (Defence one : which) {
+            hunts.put(one, by.submit(() -> {
+                long now = System.nanoTime();
+                return hunt(one, seed, Integer.MAX_VALUE, now + Math.max(0, end - now) * THREADS / Math.max(THREADS, left.getAndDecrement()));
+            }));
         }
-        for (long i = 0; broken == null && System.nanoTime() - begun < budget * 3 / 5; i++) {
-            Walk walk = WALKS.get((int) (i % WALKS.size()));
+        Map<Defence, String> caught = new TreeMap<>();
+        for (Map.Entry<Defence, Future<String>> one : hunts.entrySet()) {
+            if (one.getValue().get() != null) {
+                caught.put(one.getKey(), one.getValue().get());
+            }
+        }
+        return caught;
+    }
+
+    /** Every other walk with all defences: how many, their steps, and what broke first. */
+    private static Found walks(long seed, int first, long until) {
+        int count = 0;
+        int steps = 0;
+        for (long i = first; System.nanoTime() < until; i += THREADS) {
+            Walk walk = WALKS.get((int) (i / THREADS % WALKS.size()));
             ControlWorld world = walk(walk, null, seed + i);
-            worlds++;
+            count++;
             steps += world.steps.size();
             if (world.broken != null) {
-                broken = told(shortest(walk.scene, null, seed + i, world));
-            }
-        }
-        TreeMap<Defence, String> caught = new TreeMap<>();
-        List<Defence> missed = new ArrayList<>();
-        Defence[] all = Defence.values();
-        for (int i = 0; i < all.length; i++) {
-            long now = System.nanoTime();
-            long until = now + (begun + budget - now) / (all.length - i);
-            String trace = hunt(all[i], seed, Integer.MAX_VALUE, until);
-            if (trace == null) {
-                missed.add(all[i]);
-            } else {
-                caught.put(all[i], trace);
+                return new Found(count, steps, false, told(shortest(walk.scene, null, seed + i, world)));
             }
         }
-        return new Result(worlds, steps, broken, caught, missed);
+        return new Found(count, steps, false, null);
     }
 
-    /** Arguments: the seed, the time in milliseconds, and one defence alone, or ALL for walks with all of them. */
+    /** Arguments: the seed, the time in milliseconds, and one defence alone, EACH of them in turn, ALL for walks with all of them, or BREADTH and a depth. */
     public static void main(String[] args) {
         long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
         long budget = args.length > 1 ? Long.parseLong(args[1]) : 15_000;
         if (args.length > 2 && args[2].equals("BREADTH")) {
-            for (int depth = 4; depth < 40; depth += 2) {
-                long begun = System.nanoTime();
-                Found found = explore(DUEL, DUEL_BEGINS, null, depth, (int) budget);
-                System.out.println(depth + " " + found + " " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+            int depth = Integer.parseInt(args[3]);
+            for (Found found : List.of(explore(DUEL, DUEL_BEGINS, null, depth, MANY * MANY), explore(LOSS, LOSS_BEGINS, null, depth, MANY * MANY),
+                    explore(REPLACED, REPLACED_BEGINS, null, depth, MANY * MANY), explore(FIRST, "", null, depth, MANY * MANY))) {
+                System.out.println(found);
             }
+            return;
         }
         if (args.length > 2) {
-            Defence one = args[2].equals("ALL") ? null : Defence.valueOf(args[2]);
-            long begun = System.nanoTime();
-            String trace = hunt(one, seed, Integer.MAX_VALUE, begun + budget * 1_000_000);
-            System.out.println((System.nanoTime() - begun) / 1_000_000 + " ms, " + walked + " walks, " + one + ": " + trace);
+            for (Defence one : args[2].equals("EACH") ? Defence.values() : new Defence[] {args[2].equals("ALL") ? null : Defence.valueOf(args[2])}) {
+                long begun = System.nanoTime();
+                String trace = hunt(one, seed, Integer.MAX_VALUE, begun + budget * 1_000_000);
+                System.out.println((System.nanoTime() - begun) / 1_000_000 + " ms, " + (one == null ? "with all: " : "without " + one + ": ") + trace);
+            }
             return;
         }
         Result result = run(seed, budget);
--- a/src/test/java/dillfront/lab/ControlWorldsTest.java
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -1,10 +1,14 @@
 package dillfront.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dillfront.core.Defence;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class ControlWorldsTest {
 
@@ -42,11 +46,29 @@
         assertEquals(3, world.processes[2].register.decided().epoch());
     }
 
+    /** All there is up to these depths. */
     @Test
     void allHolds() {
-        ControlWorlds.Found found = ControlWorlds.explore(ControlWorlds.DUEL, "", null, 12, 12_000);
+        whole(ControlWorlds.explore(ControlWorlds.DUEL, ControlWorlds.DUEL_BEGINS, null, 7, 100_000), 6_000);
+        whole(ControlWorlds.explore(ControlWorlds.LOSS, ControlWorlds.LOSS_BEGINS, null, 5, 100_000), 9_000);
+        whole(ControlWorlds.explore(ControlWorlds.FIRST, "", null, 5, 100_000), 5_000);
+    }
+
+    private static void whole(ControlWorlds.Found found, int least) {
         assertNull(found.broken());
-        assertEquals(12_000, found.states());
-        assertTrue(found.depth() >= 6, "depth " + found.depth());
+        assertTrue(found.whole(), found.toString());
+        assertTrue(found.states() >= least, found.toString());
+    }
+
+    @Test
+    void noWalkBreaksIt() {
+        assertNull(ControlWorlds.hunt(null, 1, 1_500, Long.MAX_VALUE));
+    }
+
+    /** Without it something breaks, and by the same steps nothing does with it. */
+    @ParameterizedTest
+    @EnumSource(Defence.class)
+    void eachDefenceIsNeeded(Defence one) {
+        assertNotNull(ControlWorlds.hunt(one, 1, 60_000, Long.MAX_VALUE), one.name());
     }
 }
