--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -63,6 +63,8 @@
     final Duty duty;
     private final Store store;
     private final String boot;
+    /** The seeds of the first start of all; empty where this process began later. */
+    private String firstSeeds = "";
     private final TreeMap<String, Peer> peers = new TreeMap<>();
     private final TreeMap<String, Lead> leads = new TreeMap<>();
     /** The newest record that is known here, and that is on the disk with all before it. */
@@ -77,7 +79,6 @@
     /** Its id is on the disk, so it may be told. */
     private boolean named;
     private boolean leaving;
-    private long released;
     /** While two sets count: the ballot that made it so, and this one's table when a majority of each had that. */
     private Ballot jointAt = Ballot.NONE;
     private long jointMark = -1;
@@ -120,12 +121,14 @@
         if (id.isEmpty()) {
             // An empty disk, or a damaged one: whoever was here before, this is another.
             id = ip() + "/" + Long.toHexString(host.chance().nextLong());
-            store(Map.of("id", id)).thenRun(() -> {
+            firstSeeds = settings.first() ? sortedSeeds() : "";
+            store(Map.of("id", id, "first-seeds", firstSeeds)).thenRun(() -> {
                 named = true;
                 poke();
             });
         } else {
             named = true;
+            firstSeeds = kept.getOrDefault("first-seeds", "");
         }
         register.load(kept);
         members.load(kept, started);
@@ -147,6 +150,15 @@
         look();
     }
 
+    private String sortedSeeds() {
+        return String.join(",", new TreeSet<>(settings.seedIps()));
+    }
+
+    /** It is at its first start, or was ended during that and has its disk and the same seeds. */
+    private boolean firstStart() {
+        return !firstSeeds.isEmpty() && firstSeeds.equals(sortedSeeds());
+    }
+
     /** Where others may be found, by the settings. */
     public void seeds(List<String> ips) {
         ips.forEach(this::peer);
@@ -467,7 +479,7 @@
      */
     private void found() {
         List<String> ips = new ArrayList<>(new TreeSet<>(settings.seedIps()));
-        if (!settings.first() || !named || !register.blank() || ips.isEmpty() || !ips.get(0).equals(ip())) {
+        if (!firstStart() || !named || !register.blank() || ips.isEmpty() || !ips.get(0).equals(ip())) {
             return;
         }
         TreeSet<String> ids = new TreeSet<>();
@@ -541,11 +553,13 @@
 
     private void dial(Peer p) {
         p.dialAt = host.now() + DIAL_MS + REDIAL_MS;
+        p.dialing = true;
         p.link = host.dial(settings.innerOf(p.ip), Host.Form.FRAMES, DIAL_MS, new Host.Ear() {
             @Override
             public void opened(Host.Link link) {
                 p.link = link;
                 p.up = true;
+                p.dialing = false;
                 p.upAt = host.now();
                 p.toldAt = host.now() - 2 * settings.beat();
                 p.placesTold = "";
@@ -561,6 +575,7 @@
             @Override
             public void closed(String why) {
                 p.up = false;
+                p.dialing = false;
                 p.dialAt = host.now() + REDIAL_MS;
             }
         });
@@ -588,12 +603,14 @@
         if (!p.id.isEmpty()) {
             out.put("rg", register.say(p.id));
         }
-        if (register.blank() && settings.first()) {
+        if (register.blank() && firstStart()) {
             out.put("fs", true);
         }
         if (leaving) {
             out.put("lv", true);
-            out.put("rl", released);
+        }
+        if (lease.given() > 0) {
+            out.put("rl", lease.given());
         }
         List<String> places = new ArrayList<>();
         peers.values().forEach(o -> {
@@ -684,6 +701,9 @@
         }
         if (!in.text("b").equals(p.boot) || !in.text("id").equals(p.id)) {
             p.boot = in.text("b");
+            // An answer at once: it counts nobody whom it has not heard answer.
+            poke();
+            p.earlier = p.heard;
             p.id = in.text("id");
             p.known = 0;
             p.stored = 0;
@@ -696,6 +716,10 @@
             p.cleared.clear();
         }
         p.heard = now;
+        if (!p.up && !p.dialing) {
+            // It is there: whoever waits for the next tick hears no answer before.
+            dial(p);
+        }
         p.zone = in.text("z");
         p.itsNow = in.number("n", 0);
         boolean ours = in.text("eb").equals(boot);
@@ -800,7 +824,7 @@
             host.after(TOGETHER_MS, () -> leave(end, until));
             return;
         }
-        released = lease.leave();
+        lease.leave();
         peers.values().forEach(this::tell);
         host.after(LAST_WORD_MS, end);
     }
@@ -1018,9 +1042,11 @@
         if (alone() || leaving) {
             return said(503, NOBODY);
         }
+        // Also what was decided before, or is only heard to be, is said on the ground of a majority's answer just now.
         CompletableFuture<Value.Outcome> order = register.order(next);
-        // What was decided before is said again only where a majority was heard just now.
-        CompletableFuture<Value.Outcome> done = order.isDone() ? contact(host.now() - FRESH_MS).thenCompose(is -> order) : order;
+        CompletableFuture<Value.Outcome> done = order.thenCompose(outcome -> contact(host.now() - FRESH_MS).thenApply(is -> outcome));
+        // One that is given up here is proposed no more, unless it is under way.
+        done.whenComplete((is, fault) -> order.cancel(false));
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
                 ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
     }
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -11,6 +11,7 @@
     String zone = "";
     Host.Link link;
     boolean up;
+    boolean dialing;
     long dialAt;
     long upAt;
     /** Beats that were heard here before this were told to it. */
@@ -21,6 +22,8 @@
     /** This one's clock when that word was sent which its last word answers. */
     long echo = Long.MIN_VALUE / 2;
     long heard = Long.MIN_VALUE / 2;
+    /** The same of its life before this one: what that told fronts, this one does not know. */
+    long earlier = Long.MIN_VALUE / 2;
     /** How far it has this one's table of servers: in memory, and on its disk. */
     long knows;
     long kept;
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -20,6 +20,8 @@
 
     /** A question is out no longer than it may be held and a little. */
     private static final int DIAL_MS = 700;
+    /** Of what was acknowledged while a server leaves, this is told now and then: it counts where this front is lost too. */
+    private static final long LOSES_MS = 2_000;
     private static final long SILENT_MS = 1_400;
     private static final long PAUSE_MS = 100;
     private static final int MOST_PAUSES = 4;
@@ -49,6 +51,8 @@
     private Host.Link link;
     private boolean up;
     private long asked;
+    /** When it last told what was acknowledged by services from which a server leaves. */
+    private long losesAt = -LOSES_MS;
     private long question;
     private Host.Timer silence;
     /** A question was sent and nothing came since: silence counts from the first such, whatever is asked meanwhile. */
@@ -124,7 +128,10 @@
 
             @Override
             public void message(byte[] message) {
-                News.this.message(message);
+                // What a source that was left said meanwhile answers no question of now.
+                if (link == mine[0]) {
+                    News.this.message(message);
+                }
             }
 
             @Override
@@ -199,10 +206,11 @@
         out.put("sn", suspectsAt);
         // Of most services there is nothing to say; of those that move or are suspected, what is seen here.
         List<Object> sights = new ArrayList<>();
+        boolean also = asked >= losesAt + LOSES_MS;
         for (Service s : front.services()) {
             Server lead = s.servers.get(s.primary);
             int sees = lead == null ? 0 : lead.sight();
-            if (sees < 0 || s.moving || suspects.contains(s.name) || s.loses()) {
+            if (sees < 0 || s.moving || suspects.contains(s.name) || also && s.loses()) {
                 Map<String, Object> row = new LinkedHashMap<>();
                 row.put("s", s.name);
                 row.put("o", s.openAtPrimary);
@@ -213,6 +221,7 @@
             }
         }
         if (!sights.isEmpty()) {
+            losesAt = also ? asked : losesAt;
             out.put("s", sights);
         }
         link.send(Pack.write(out));
@@ -277,8 +286,15 @@
             suspects = in.texts("sq");
         }
         if (in.has("cp")) {
-            places = new ArrayList<>();
-            in.list("cp").forEach(p -> places.add(new Place(p.text("i"), front.settings.near(p.text("z")), p.bit("s"))));
+            // Whoever is out of contact may know fewer: what it knows of besides comes behind the rest.
+            boolean besides = in.bit("alone");
+            List<Place> told = besides ? new ArrayList<>(places) : new ArrayList<>();
+            for (Pack.Fields p : in.list("cp")) {
+                if (!besides || places.stream().noneMatch(known -> known.ip().equals(p.text("i")))) {
+                    told.add(new Place(p.text("i"), front.settings.near(p.text("z")), besides || p.bit("s")));
+                }
+            }
+            places = told;
             listed();
         }
         fronts = (int) Math.max(1, in.number("f", fronts));
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -46,6 +46,8 @@
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, long[]> fences = new HashMap<>();
     private boolean platformDown;
+    /** Calls that come before are carried out only then. */
+    private long platformSlowUntil;
     private final List<Client> sessions = new ArrayList<>();
     private final long length;
     int owed;
@@ -162,6 +164,11 @@
         if (platformDown) {
             return new CompletableFuture<>();
         }
+        if (sim.millis() < platformSlowUntil) {
+            CompletableFuture<Host.Answer> late = new CompletableFuture<>();
+            sim.at(platformSlowUntil * 1_000, () -> promotion(method, path, body, headers).thenAccept(late::complete));
+            return late;
+        }
         JsonObject in = Json.parse(Sim.text(body)).asObject();
         String service = in.getString("service", "");
         long fence = Long.parseLong(headers.getOrDefault("Dillfront-Fence-Number", "0"));
@@ -186,7 +193,7 @@
         }
         return new Settings(m.name, m.zone, "r" + m.zone, regions, m.ip, control ? null : m.ip + ":" + FRONT,
                 control ? null : m.ip + ":" + READY, control ? m.ip + ":" + Controls.HTTP : null, Controls.INNER, controls.seeds(), first,
-                control ? "/" : null, 1, BEAT_MS, 7_000, 6_000, platform.ip + ":" + PLATFORM);
+                control ? "/" : null, 1, BEAT_MS, 3_500, 6_000, platform.ip + ":" + PLATFORM);
     }
 
     private void startFront(FrontMachine f, boolean first) {
@@ -240,7 +247,7 @@
         if (all) {
             audit.configMs.add(sim.millis() - acknowledged);
         } else if (sim.millis() - acknowledged < 20_000) {
-            sim.after(5, () -> applied(of, acknowledged));
+            sim.after(sim.millis() - acknowledged < 1_000 ? 5 : 100, () -> applied(of, acknowledged));
         }
     }
 
@@ -514,6 +521,13 @@
             case "power":
                 front(w[1].substring(6), w[0].equals("power"), ms);
                 break;
+            case "reset": {
+                FrontMachine f = fronts.get(w[1].substring(6));
+                say("reset " + w[1]);
+                f.calmFrom = Math.max(f.calmFrom, sim.millis());
+                f.machine.reset();
+                break;
+            }
             case "freeze": {
                 FrontMachine f = fronts.get(w[1].substring(6));
                 say("freeze " + w[1] + " for " + ms);
@@ -537,6 +551,10 @@
                 break;
             }
             case "platform":
+                if (w[1].equals("slow")) {
+                    platformSlowUntil = sim.millis() + ms;
+                    break;
+                }
                 platformDown = true;
                 sim.after(ms, () -> platformDown = false);
                 break;
