--- a/src/main/java/dillfront/lab/whole/Controls.java
+++ b/src/main/java/dillfront/lab/whole/Controls.java
@@ -109,7 +109,7 @@
 
     private List<ControlMachine> seedMachines() {
         // A file that names none that is there any more has been written anew by then.
-        boolean of = turned != null && turned.stream().anyMatch(known()::contains);
+        boolean of = turned != null && turned.stream().anyMatch(c -> !c.gone);
         return of ? turned : known().stream().limit(SEEDS).toList();
     }
 
