More than seven are members where the losses to be borne want it

Cause: a set of members ended at seven whatever tolerated_losses says, so that with four or more losses to be borne a majority could be lost within what was promised. Change: the bound is the higher of seven and twice the losses and one.

--- a/src/main/java/dillfront/core/Membership.java
+++ b/src/main/java/dillfront/core/Membership.java
@@ -14,7 +14,7 @@
  */
 final class Membership {
 
-    /** More disks cost more to ask than they bear losses. */
+    /** More disks cost more to ask than they bear losses; but as many as the losses that are to be borne want. */
     static final int MOST = 7;
     private static final int FEWEST = 3;
     /** Silent for so long, it gives its place to another. */
@@ -57,7 +57,7 @@
                 return next;
             }
         }
-        if (!learners.isEmpty() && (goes || members.size() < MOST)) {
+        if (!learners.isEmpty() && (goes || members.size() < Math.max(MOST, 2 * losses + 1))) {
             next.add(learners.get(0).id());
             if (goes) {
                 next.remove(worst.id());
--- a/src/test/java/dillfront/core/MembershipTest.java
+++ b/src/test/java/dillfront/core/MembershipTest.java
@@ -35,6 +35,8 @@
             and another                           | 2 | a b c d   | a-n b-n c-n d-s31            | a b c
             but not a third                       | 2 | a b c     | a-n b-n c-s31                | a b c
             seven are enough                      | 3 | a b c d e f g | a-n b-n c-n d-n e-n f-n g-n h-n | a b c d e f g
+            not where four may be lost at once    | 4 | a b c d e f g | a-n b-n c-n d-n e-n f-n g-n h-n | a b c d e f g h
+            but nine are then                     | 4 | a b c d e f g h i | a-n b-n c-n d-n e-n f-n g-n h-n i-n j-n | a b c d e f g h i
             from the zone that has fewest         | 1 | a b c     | a-nz1 b-nz2 c-nz2 d-nz2 e-nz1 f-nz3 | a b c f
             """)
     void next(String name, int losses, String members, String seen, String expected) {
