Orders at a cut-off control process are sent on to one that it heard

Cause: out of contact Core answered 503 at once and named nobody.

Tests: ControlCallsTest, HttpDoorTest, a scenario of orders at a cut-off machine with `acknowledge_ms`. ControlCallsTest.start is split in two for a second process, nothing is asserted less.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -20,7 +20,9 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 
 /**
@@ -962,9 +964,9 @@
         } else if (path.startsWith(LEAVE)) {
             return post ? leave(path.substring(LEAVE.length())) : said(405, "POST only");
         } else if (path.equals("/Configuration.Replace")) {
-            return post ? replace(body) : said(405, "POST only");
+            return post ? replace(path, body) : said(405, "POST only");
         } else if (path.equals("/Configuration.Read")) {
-            return method.equals("GET") ? answerRead() : said(405, "GET only");
+            return method.equals("GET") ? answerRead(path) : said(405, "GET only");
         }
         if (path.equals("/status")) {
             return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status()).toString()
@@ -980,12 +982,44 @@
     private static final String NOBODY = "no majority of control processes is heard; ask another";
     private static final Host.Answer FINE = new Host.Answer(200, "{}".getBytes(StandardCharsets.UTF_8));
 
-    /** An answer once this is done, or 503 where it is not done in time. */
-    private CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, java.util.function.Supplier<Host.Answer> answer) {
+    /** It can decide nothing: no majority answers it, it is about to end, or its disk stands still. */
+    private boolean unfit() {
+        return alone() || leaving || store.stalledFor() > ANSWER_MS;
+    }
+
+    /** 503 where another call here may do better. */
+    private Host.Answer failed(String path, String fault) {
+        return unfit() ? elsewhere(path) : HttpDoor.said(503, fault);
+    }
+
+    /**
+     * The caller is sent on to one of those that were heard last: he may know nobody else, or call here again and again. One that is down
+     * itself costs him a second, as one that he picks may; two that are cut off send him back and forth twice, and no further. Servers
+     * are not sent on: they go on by themselves at once, and a second is most of what a beat has.
+     */
+    private Host.Answer elsewhere(String path) {
+        List<Peer> able = new ArrayList<>();
+        peers.values().forEach(p -> {
+            if (!p.leaving && p.heard >= started) {
+                able.add(p);
+            }
+        });
+        long last = able.stream().mapToLong(p -> p.heard).max().orElse(0);
+        able.removeIf(p -> p.heard < last - TOUCH_MS);
+        if (able.isEmpty()) {
+            return HttpDoor.said(503, NOBODY);
+        }
+        String to = able.get(host.chance().nextInt(able.size())).ip + settings.control().substring(settings.control().lastIndexOf(':'));
+        return new Host.Answer(307, HttpDoor.said(307, NOBODY).body(), "http://" + to + path);
+    }
+
+    /** An answer once this is done, or another where it fails or is not done in time. */
+    private CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, Supplier<Host.Answer> answer,
+            Function<String, Host.Answer> otherwise) {
         CompletableFuture<Host.Answer> out = new CompletableFuture<>();
-        done.whenComplete((is, fault) -> out.complete(fault == null ? answer.get() : HttpDoor.said(503, fault.getMessage())));
+        done.whenComplete((is, fault) -> out.complete(fault == null ? answer.get() : otherwise.apply(fault.getMessage())));
         host.after(ms, () -> {
-            if (out.complete(HttpDoor.said(503, "no majority in time"))) {
+            if (out.complete(otherwise.apply("no majority in time"))) {
                 done.cancel(false);
             }
         });
@@ -1031,7 +1065,8 @@
             duty.look();
         }
         // That it drains binds everybody, so a majority must know before it is told so.
-        return m.draining() ? once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE) : CompletableFuture.completedFuture(FINE);
+        return m.draining() ? once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE, fault -> HttpDoor.said(503, fault))
+                : CompletableFuture.completedFuture(FINE);
     }
 
     private static String text(JsonObject in, String name) {
@@ -1054,18 +1089,18 @@
             news();
             duty.look();
         }
-        return once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE);
+        return once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE, fault -> HttpDoor.said(503, fault));
     }
 
-    private CompletableFuture<Host.Answer> replace(byte[] body) {
+    private CompletableFuture<Host.Answer> replace(String path, byte[] body) {
         Configuration next;
         try {
             next = Configuration.read(body);
         } catch (Configuration.Invalid bad) {
             return said(400, bad.getMessage());
         }
-        if (alone() || leaving) {
-            return said(503, NOBODY);
+        if (unfit()) {
+            return CompletableFuture.completedFuture(elsewhere(path));
         }
         // Also what was decided before, or is only heard to be, is said on the ground of a majority's answer just now.
         CompletableFuture<Value.Outcome> order = register.order(next);
@@ -1073,16 +1108,16 @@
         // One that is given up here is proposed no more, unless it is under way.
         done.whenComplete((is, fault) -> order.cancel(false));
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
-                ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
+                ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE, fault -> failed(path, fault));
     }
 
-    private CompletableFuture<Host.Answer> answerRead() {
+    private CompletableFuture<Host.Answer> answerRead(String path) {
         if (alone() || leaving) {
-            return said(503, NOBODY);
+            return CompletableFuture.completedFuture(elsewhere(path));
         }
         CompletableFuture<Configuration> done = read();
         return once(done, ANSWER_MS, () -> done.join() == Configuration.NONE ? HttpDoor.said(503, "no configuration yet")
-                : new Host.Answer(200, done.join().body()));
+                : new Host.Answer(200, done.join().body()), fault -> failed(path, fault));
     }
 
     /** One line for operators and logs. */
--- a/src/main/java/dillfront/host/Host.java
+++ b/src/main/java/dillfront/host/Host.java
@@ -47,8 +47,17 @@
         void cancel();
     }
 
-    /** What an HTTP server answered. */
-    record Answer(int status, byte[] body) { }
+    /**
+     * What an HTTP server answered.
+     *
+     * @param location where the caller is to ask instead; null where he has his answer
+     */
+    record Answer(int status, byte[] body, String location) {
+
+        public Answer(int status, byte[] body) {
+            this(status, body, null);
+        }
+    }
 
     /** Milliseconds of a clock that never goes back, from a zero of its own. */
     long now();
--- a/src/main/java/dillfront/host/HttpDoor.java
+++ b/src/main/java/dillfront/host/HttpDoor.java
@@ -185,6 +185,9 @@
         DefaultFullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(is.status()),
                 Unpooled.wrappedBuffer(is.body()));
         out.headers().set("Content-Type", "application/json").set("Content-Length", is.body().length);
+        if (is.location() != null) {
+            out.headers().set("Location", is.location());
+        }
         if (last) {
             out.headers().set("Connection", "close");
         }
--- a/src/main/java/dillfront/lab/whole/ConfigAudit.java
+++ b/src/main/java/dillfront/lab/whole/ConfigAudit.java
@@ -70,6 +70,8 @@
     int behindChanges;
     final List<Long> replaceMs = new ArrayList<>();
     final List<Long> catchUpMs = new ArrayList<>();
+    /** From when each number was first sent until it was first acknowledged. */
+    final List<Long> acknowledgeMs = new ArrayList<>();
 
     ConfigAudit(Day day) {
         this.day = day;
@@ -120,6 +122,7 @@
         if (first) {
             acknowledged++;
             acknowledgements.add(new Acknowledged(o.number, sim.millis()));
+            acknowledgeMs.add(sim.millis() - o.sentAt);
             day.applied(o.number, sim.millis());
         }
         highestAcknowledged = Math.max(highestAcknowledged, o.number);
--- a/src/main/java/dillfront/lab/whole/ControlCounts.java
+++ b/src/main/java/dillfront/lab/whole/ControlCounts.java
@@ -22,6 +22,7 @@
     public long sentTwice;
     public final List<Long> replaceMs = new ArrayList<>();
     public final List<Long> catchUpMs = new ArrayList<>();
+    public final List<Long> acknowledgeMs = new ArrayList<>();
 
     public ControlCounts() {}
 
@@ -42,6 +43,7 @@
         sentTwice = audit.sentTwice;
         replaceMs.addAll(of.replaceMs);
         catchUpMs.addAll(of.catchUpMs);
+        acknowledgeMs.addAll(of.acknowledgeMs);
     }
 
     public void add(ControlCounts other) {
@@ -61,5 +63,6 @@
         sentTwice += other.sentTwice;
         replaceMs.addAll(other.replaceMs);
         catchUpMs.addAll(other.catchUpMs);
+        acknowledgeMs.addAll(other.acknowledgeMs);
     }
 }
--- a/src/main/java/dillfront/lab/whole/ControlTroubles.java
+++ b/src/main/java/dillfront/lab/whole/ControlTroubles.java
@@ -72,7 +72,13 @@
             case "after_ack" -> afterAck(w[1], number(w, 2, 1), ms);
             case "closing" -> closing(w[1], ms);
             case "configure" -> day.orders.change(null, x -> { });
-            case "order" -> day.orders.change(c, x -> { });
+            case "order" -> {
+                if (line.contains(" hard")) {
+                    day.orders.hard(c);
+                } else {
+                    day.orders.change(c, x -> { });
+                }
+            }
             case "repeat" -> day.orders.repeatOld();
             case "repeat_refused" -> day.orders.repeatRefused();
             case "storm" -> storm(number(w, 1, 100), number(w, 2, 50));
--- a/src/main/java/dillfront/lab/whole/Controls.java
+++ b/src/main/java/dillfront/lab/whole/Controls.java
@@ -2,11 +2,15 @@
 
 import dillfront.core.Core;
 import dillfront.host.Configuration;
+import dillfront.host.Host;
 import dillfront.host.Settings;
+import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 
 /** The control machines of a day: which there are, who knows of them, and what has happened to them. */
@@ -103,6 +107,32 @@
         return is;
     }
 
+    /** What was answered in the end, by whom, and when that one was asked. */
+    record Answered(Host.Answer answer, ControlMachine by, long askedAt) { }
+
+    /** A call as all make it: a 307 is followed twice, and each that is asked is given so long. */
+    CompletableFuture<Answered> call(Sim.Machine from, String method, ControlMachine to, String path, byte[] body, int timeoutMs) {
+        CompletableFuture<Answered> done = new CompletableFuture<>();
+        call(from, method, to.machine.ip + ":" + HTTP, path, body, timeoutMs, 2, done);
+        return done;
+    }
+
+    private void call(Sim.Machine from, String method, String address, String path, byte[] body, int timeoutMs, int more,
+            CompletableFuture<Answered> done) {
+        long askedAt = sim.millis();
+        ControlMachine to = at(address.substring(0, address.indexOf(':')));
+        from.call(method, address, path, body, Map.of(), timeoutMs).whenComplete((is, fault) -> {
+            if (fault != null) {
+                done.completeExceptionally(fault);
+            } else if (is.status() == 307 && is.location() != null && more > 0) {
+                URI location = URI.create(is.location());
+                call(from, method, location.getAuthority(), location.getPath(), body, timeoutMs, more - 1, done);
+            } else {
+                done.complete(new Answered(is, to, askedAt));
+            }
+        });
+    }
+
     void acted(String name) {
         acted = name;
     }
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -151,8 +151,8 @@
                 .add("state", drains ? "draining" : "ready").add("database_role", s.leads ? "primary" : "replica")
                 .add("call_sequence", ++calls).toString();
         String path = (leaves ? "/Instances.Leave/" : "/Instances.Heartbeat/") + s.id;
-        s.machine.call("POST", to.machine.ip + ":" + Controls.HTTP, path, Sim.bytes(json), Map.of(), 1_000).whenComplete((is, fault) -> {
-            if (fault != null || is.status() != 200) {
+        controls.call(s.machine, "POST", to, path, Sim.bytes(json), 1_000).whenComplete((is, fault) -> {
+            if (fault != null || is.answer().status() != 200) {
                 s.machine.after(50L * (tries + 1), () -> beat(db, s, leaves, tries + 1));
             } else if (drains) {
                 audit.drained.putIfAbsent(s.id, sim.micros());
--- a/src/main/java/dillfront/lab/whole/Orders.java
+++ b/src/main/java/dillfront/lab/whole/Orders.java
@@ -3,12 +3,10 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import dillfront.host.Configuration;
-import dillfront.host.Host;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -44,6 +42,8 @@
         private int tries;
         private int others;
         private ControlMachine first;
+        /** Nobody but the first is called, again and again until it answers. */
+        private boolean hard;
         /** Tried since it last began with all of them anew. */
         private final List<ControlMachine> tried = new ArrayList<>();
         /** Told which process acknowledged it, once. */
@@ -108,6 +108,14 @@
         return o;
     }
 
+    /** To this one alone, again and again until it answers or names another. */
+    void hard(ControlMachine only) {
+        Order o = new Order(number++, 0);
+        o.first = only;
+        o.hard = true;
+        add(o);
+    }
+
     private void add(Order o) {
         all.add(o);
         queue.add(o);
@@ -155,25 +163,25 @@
     }
 
     private void send(Order o) {
-        ControlMachine to = o.tries++ == 0 && o.first != null ? o.first : another(o.tried);
+        ControlMachine to = (o.tries++ == 0 || o.hard) && o.first != null ? o.first : another(o.tried);
         o.tried.add(to);
         long began = sim.millis();
         long silence = SILENCE_MS + Math.round(o.bytesMs());
         boolean unheard = lost > 0 && sim.random.nextDouble() < lost;
         int call = day.configAudit.calls(o);
-        operator.call("POST", to.machine.ip + ":" + Controls.HTTP, "/Configuration.Replace", o.body, Map.of(), (int) silence)
-                .whenComplete((is, fault) -> {
-                    if (fault == null) {
-                        day.configAudit.answered(to, began, is.status());
-                        o.taken |= is.status() == 200;
-                    }
-                    day.configAudit.ends(call, fault == null && !unheard ? is.status() : 0);
-                    if (fault == null && unheard) {
-                        sim.at((began + silence) * 1_000, () -> again(o));
-                    } else {
-                        heard(o, to, fault == null ? is.status() : 503);
-                    }
-                });
+        day.controls.call(operator, "POST", to, "/Configuration.Replace", o.body, (int) silence).whenComplete((is, fault) -> {
+            int status = fault == null ? is.answer().status() : 503;
+            if (fault == null) {
+                day.configAudit.answered(is.by(), is.askedAt(), status);
+                o.taken |= status == 200;
+            }
+            day.configAudit.ends(call, fault == null && !unheard ? status : 0);
+            if (fault == null && unheard) {
+                sim.at((began + silence) * 1_000, () -> again(o));
+            } else {
+                heard(o, fault == null ? is.by() : to, status);
+            }
+        });
     }
 
     private void again(Order o) {
@@ -222,21 +230,20 @@
             return;
         }
         ControlMachine to = any();
-        long began = sim.millis();
         int call = day.configAudit.calls(o);
-        operator.call("POST", to.machine.ip + ":" + Controls.HTTP, "/Configuration.Replace", o.body, Map.of(),
-                (int) (SILENCE_MS + o.bytesMs())).whenComplete((is, fault) -> {
-                    day.configAudit.ends(call, fault == null ? is.status() : 0);
-                    if (fault != null) {
-                        return;
-                    }
-                    day.configAudit.answered(to, began, is.status());
-                    if (is.status() >= 400 && is.status() < 500 && !AGAIN.contains(is.status())) {
-                        day.configAudit.refused(o, to, is.status());
-                    } else if (is.status() == 200) {
-                        day.configAudit.acknowledged(o, to);
-                    }
-                });
+        day.controls.call(operator, "POST", to, "/Configuration.Replace", o.body, (int) (SILENCE_MS + o.bytesMs())).whenComplete((is, fault) -> {
+            int status = fault == null ? is.answer().status() : 0;
+            day.configAudit.ends(call, status);
+            if (fault != null) {
+                return;
+            }
+            day.configAudit.answered(is.by(), is.askedAt(), status);
+            if (status >= 400 && status < 500 && !AGAIN.contains(status)) {
+                day.configAudit.refused(o, is.by(), status);
+            } else if (status == 200) {
+                day.configAudit.acknowledged(o, is.by());
+            }
+        });
     }
 
     /** An old one that was acknowledged, or any of the last, again. */
@@ -265,18 +272,17 @@
 
     void read(ControlMachine from, int timeoutMs) {
         ConfigAudit.Reading reading = day.configAudit.reads(from);
-        long began = sim.millis();
-        operator.call("GET", from.machine.ip + ":" + Controls.HTTP, "/Configuration.Read", new byte[0], Map.of(), timeoutMs)
-                .whenComplete((Host.Answer is, Throwable fault) -> {
-                    if (fault != null || is.status() != 200) {
-                        return;
-                    }
-                    day.configAudit.answered(from, began, is.status());
-                    try {
-                        day.configAudit.read(reading, Configuration.read(is.body()).version(), ConfigAudit.digest(is.body()));
-                    } catch (Configuration.Invalid bad) {
-                        day.audit.breach("CONFIG", bad.getMessage());
-                    }
-                });
+        day.controls.call(operator, "GET", from, "/Configuration.Read", new byte[0], timeoutMs).whenComplete((is, fault) -> {
+            if (fault != null || is.answer().status() != 200) {
+                return;
+            }
+            day.configAudit.answered(is.by(), is.askedAt(), 200);
+            byte[] body = is.answer().body();
+            try {
+                day.configAudit.read(reading, Configuration.read(body).version(), ConfigAudit.digest(body));
+            } catch (Configuration.Invalid bad) {
+                day.audit.breach("CONFIG", bad.getMessage());
+            }
+        });
     }
 }
--- a/src/test/java/dillfront/core/ControlCallsTest.java
+++ b/src/test/java/dillfront/core/ControlCallsTest.java
@@ -33,11 +33,10 @@
     private final SplittableRandom random = new SplittableRandom(8_241);
     private Core core;
 
-    @BeforeEach
-    void start() throws Exception {
+    private Core core(String... seeds) {
         Settings settings = new Settings("c", "z", "r", Map.of("z", "r"), "10.0.0.1", null, null, "10.0.0.1:80", 7_440,
-                List.of("10.0.0.1:80"), true, "unused", 0, 1_200, 7_000, 6_000, null);
-        core = new Core(host, settings, new Store() {
+                List.of(seeds), true, "unused", 0, 1_200, 7_000, 6_000, null);
+        return new Core(host, settings, new Store() {
             @Override
             public Map<String, String> all() {
                 return Map.of();
@@ -48,6 +47,11 @@
                 return CompletableFuture.completedFuture(null);
             }
         });
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        core = core("10.0.0.1:80");
         core.start();
         host.pass(6_000);
         assertEquals(200, call("POST", "/Configuration.Replace", bytes(GOOD)));
@@ -129,6 +133,48 @@
         return is;
     }
 
+    private void hears(Core of, String ip, boolean leaving) {
+        Map<String, Object> word = word();
+        word.putAll(Map.of("i", ip, "id", ip + "/1", "lv", leaving, "pl", List.of()));
+        ScriptedHost.Line line = new ScriptedHost.Line("peer", Host.Form.FRAMES, of.accept());
+        line.open();
+        line.say(new String(Pack.write(word), StandardCharsets.ISO_8859_1));
+    }
+
+    private static Host.Answer answer(Core of, String method, String path, String body) {
+        return of.call(method, path, bytes(body)).join();
+    }
+
+    /**
+     * Guards against an order that waits for the end of a cut at the one machine that can't take it, against a caller who is sent to
+     * one that is known to be gone, and against a wrong order that is sent round instead of being refused.
+     */
+    @Test
+    void outOfContactItSendsOrdersOnToWhoeverItHeardLast() throws Exception {
+        Core cut = core("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80");
+        cut.start();
+        host.pass(2_000);
+        assertEquals(503, answer(cut, "POST", "/Configuration.Replace", GOOD).status(), "it has heard nobody");
+        hears(cut, "10.0.0.2", false);
+        host.pass(2_000);
+        hears(cut, "10.0.0.3", false);
+        host.pass(20_000);
+        for (int i = 0; i < 20; i++) {
+            Host.Answer order = answer(cut, "POST", "/Configuration.Replace", GOOD);
+            assertEquals("307 http://10.0.0.3:80/Configuration.Replace", order.status() + " " + order.location());
+        }
+        Host.Answer read = answer(cut, "GET", "/Configuration.Read", "");
+        assertEquals("307 http://10.0.0.3:80/Configuration.Read", read.status() + " " + read.location());
+        assertEquals(400, answer(cut, "POST", "/Configuration.Replace", "{}").status());
+        assertEquals(503, answer(cut, "POST", "/Instances.Heartbeat/i-1", BEAT).status());
+        assertEquals(503, answer(cut, "POST", "/Instances.Leave/i-1", BEAT).status());
+        hears(cut, "10.0.0.2", false);
+        hears(cut, "10.0.0.3", true);
+        host.pass(20_000);
+        Host.Answer later = answer(cut, "POST", "/Configuration.Replace", GOOD);
+        assertEquals("307 http://10.0.0.2:80/Configuration.Replace", later.status() + " " + later.location());
+    }
+
     private static Map<String, Object> question() {
         Map<String, Object> is = new HashMap<>(Map.of("t", "news", "n", "f1", "z", "z", "q", 1L, "b", "", "r", 0L, "c", 6L, "k", -1L));
         is.put("sn", -1L);
--- a/src/test/java/dillfront/host/HttpDoorTest.java
+++ b/src/test/java/dillfront/host/HttpDoorTest.java
@@ -197,6 +197,18 @@
         return all.toString();
     }
 
+    /** Guards against a caller who is told to ask elsewhere, and not where. */
+    @Test
+    void whereToAskInsteadIsSaid() throws Exception {
+        send(post("/held", "", "1"));
+        until("it is called", () -> called.size() == 1);
+        complete(0, new Host.Answer(307, new byte[0], "http://10.0.0.4:8080/held"));
+        String head = until("\r\n\r\n");
+        assertTrue(head.matches("(?is)HTTP/1.1 307 .*\r\nlocation: http://10.0.0.4:8080/held\r\n.*"), head);
+        send(get("/b"));
+        assertEquals("200 /b", hear());
+    }
+
     /** Guards against a fault of one call that takes the others on its connection along, or leaves them waiting for ever. */
     @Test
     void aFaultIsThatCallsAlone() throws Exception {
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -20,7 +20,7 @@
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   seeds HOW_MANY       the day is played with each from SEED on; one without this line
  *   at SECONDS what happens, as Day.happen() and ControlTroubles have it
- *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
+ *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|acknowledge_ms|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
@@ -127,6 +127,8 @@
                 case "config_ms" -> assertTrue(!day.configMs().isEmpty() && day.configMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.configMs() + "\n" + told);
                 case "losses" -> assertTrue(day.control().losses >= Long.parseLong(w[2]), day.control().losses + "\n" + told);
                 case "acknowledged" -> assertTrue(day.control().acknowledged >= Long.parseLong(w[2]), day.control().acknowledged + "\n" + told);
+                case "acknowledge_ms" -> assertTrue(day.control().acknowledgeMs.stream().allMatch(ms -> ms <= Long.parseLong(w[2])),
+                        day.control().acknowledgeMs + "\n" + told);
                 case "replaced" -> assertEquals(Long.parseLong(w[2]), day.control().replaced, told);
                 case "replace_ms" -> within(day.control().replaceMs, w[2], told);
                 case "behind" -> assertTrue(day.control().behindChanges >= Long.parseLong(w[2]), day.control().behindChanges + "\n" + told);
