A planned change of primary waits for nobody's next tick any more

Cause: what a front says of a service that moves (it knows of the record, nothing is open there) went to the holder with the next tick of its control process, 400 ms; a front that had asked within 50 ms told it with its next question, up to 600 ms later; each step of a move waited for the next look. A drain's comparison is repeated after 60 ms, twice as long each time up to 500 (250 before); the one named is asked again after 150 ms (350 before).

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -75,10 +75,13 @@
         for (Sight seen : a.sights.values()) {
             lost += seen.lost();
         }
+        long had = a.record;
         a.record = in.number("k", -1);
         a.suspects = in.number("sn", -1);
+        Map<String, Sight> saw = new HashMap<>(a.sights);
         a.sights.clear();
         boolean news = false;
+        boolean waited = false;
         List<Object> suspected = core.suspects();
         for (Pack.Fields row : in.list("s")) {
             String service = row.text("s");
@@ -89,8 +92,12 @@
             lost -= sees < 0 ? 1 : 0;
             Lead lead = core.lead(service);
             news |= sees < 0 || lead == null || lead.moving() || suspected.contains(service);
+            // Whoever holds the duty waits for just this.
+            Sight before = saw.get(service);
+            waited |= lead != null && lead.moving() && (had < lead.number() && a.record >= lead.number()
+                    || before != null && before.open() > 0 && a.sights.get(service).open() == 0);
         }
-        if (lost != 0) {
+        if (lost != 0 || waited) {
             core.poke();
         }
         long question = a.question;
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -41,7 +41,13 @@
     /** A word that was on its way when a service settled has arrived, or never does, once this is over. */
     private static final long ON_ITS_WAY_MS = 3_500;
     private static final long NO_LEAD_MS = 4_000;
+    /** From the platform's yes until the one named is asked whether it leads, and from one such question to the next. */
+    private static final long LEAD_FROM_MS = 350;
     private static final long LEAD_PROBE_MS = 350;
+    private static final long LEAD_GAP_MS = 150;
+    /** From one look at whether a replica has what a primary that drains had to the next; twice as long each time, up to a bound. */
+    private static final long COMPARE_GAP_MS = 60;
+    private static final long COMPARE_MOST_MS = 500;
     /** A lease that ends sooner is no ground to begin a call on. */
     private static final long LEFT_MS = 300;
 
@@ -55,6 +61,7 @@
         /** Whether another could take over from one that drains is being asked, and when it was asked last. */
         boolean comparing;
         long comparedAt = Long.MIN_VALUE / 2;
+        long compareGap = COMPARE_GAP_MS;
         /** Of the record under which replicas are resumed: those that have not answered yet. */
         long resuming = -1;
         long resumingFrom;
@@ -326,13 +333,14 @@
                 heirs.add(m);
             }
         }
-        if (heirs.isEmpty() || w.comparing || now() < w.comparedAt + PROBE_GAP_MS) {
+        if (heirs.isEmpty() || w.comparing || now() < w.comparedAt + w.compareGap) {
             return;
         }
         w.comparing = true;
         Question.ask(core, from, PROBE_MS, null).whenComplete((has, fault) -> {
             w.comparing = false;
             w.comparedAt = now();
+            w.compareGap = Math.min(COMPARE_MOST_MS, 2 * w.compareGap);
             if (fault != null) {
                 return;
             }
@@ -410,11 +418,12 @@
             case CLEAR:
                 if (m.planned) {
                     boolean quiet = cleared(m) && seen(service, m.lead.primary()).open() == 0;
-                    m.step = quiet || now() > m.since + OPEN_MS ? Step.STOP : Step.CLEAR;
-                } else {
-                    m.step = Step.STOP;
+                    if (!quiet && now() <= m.since + OPEN_MS) {
+                        break;
+                    }
                 }
-                break;
+                m.step = Step.STOP;
+                // Nothing is to be waited for before the next step.
             case STOP:
                 if (m.planned && !m.forced) {
                     stepDown(m, from);
@@ -454,6 +463,7 @@
                     m.steppedAt = now();
                     m.last = row.position();
                     m.again = 0;
+                    look();
                 } else if (now() > m.since + CATCH_UP_MS) {
                     m.forced = true;
                 }
@@ -745,7 +755,7 @@
             m.again = now() + AGAIN_MS;
             if (fault == null && status == 200) {
                 m.step = Step.WAIT;
-                m.again = now() + LEAD_PROBE_MS;
+                m.again = now() + LEAD_FROM_MS;
             } else if (fault == null && status == 409) {
                 m.named = false;
                 m.refused.add(m.target);
@@ -764,7 +774,7 @@
         if (target.leads() && !m.claimed) {
             done(m, target.id);
         } else if (now() >= m.again) {
-            ask(m, target, LEAD_PROBE_MS, null, row -> {
+            ask(m, target, LEAD_GAP_MS, null, row -> {
                 if (row.leads()) {
                     done(m, target.id);
                 }
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -23,6 +23,7 @@
     /** Of what was acknowledged while a server leaves, this is told now and then: it counts where this front is lost too. */
     private static final long LOSES_MS = 2_000;
     private static final long SILENT_MS = 1_400;
+    private static final long TOGETHER_MS = 50;
     private static final long PAUSE_MS = 100;
     private static final int MOST_PAUSES = 4;
     /** A configuration that it cannot read is not asked for again sooner. */
@@ -50,6 +51,7 @@
     private int tries;
     private Host.Link link;
     private boolean up;
+    private boolean telling;
     private long asked;
     /** When it last told what was acknowledged by services from which a server leaves. */
     private long losesAt = -LOSES_MS;
@@ -235,10 +237,16 @@
         }
     }
 
-    /** What it sees of a primary has changed: worth a question now. */
+    /** What it sees of a primary has changed: worth a question now, or together with what else comes within a moment of the last. */
     void tell() {
-        if (up && front.host.now() - asked > 50) {
-            ask();
+        if (!telling) {
+            telling = true;
+            front.host.after(Math.max(0, asked + TOGETHER_MS - front.host.now()), () -> {
+                telling = false;
+                if (up) {
+                    ask();
+                }
+            });
         }
     }
 
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
@@ -20,7 +22,7 @@
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   seeds HOW_MANY       the day is played with each from SEED on; one without this line
  *   at SECONDS what happens, as Day.happen() and ControlTroubles have it
- *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
+ *   expect served|promotions|promote_ms|config_ms|planned_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
@@ -92,6 +94,23 @@
         assertTrue(!times.isEmpty() && times.stream().allMatch(ms -> ms <= Long.parseLong(most)), times + "\n" + told);
     }
 
+    /** Of each planned change of a primary: from its record until the next one led. */
+    private static List<Long> plannedMs(Day day) {
+        List<Long> all = new ArrayList<>();
+        TreeSet<String> planned = new TreeSet<>();
+        for (String line : day.told()) {
+            String[] w = line.split(" ");
+            if (w[2].equals("move") && line.endsWith(" planned")) {
+                planned.add(w[3]);
+            } else if (w[2].equals("move") && line.endsWith(" lost")) {
+                planned.remove(w[3]);
+            } else if (w[2].equals("lead") && planned.remove(w[3])) {
+                all.add(Long.parseLong(w[6]));
+            }
+        }
+        return all;
+    }
+
     private static void play(Path file) throws IOException {
         List<String> lines = Files.readAllLines(file).stream().map(String::strip).filter(l -> !l.isEmpty() && !l.startsWith("#")).toList();
         long seeds = lines.stream().filter(l -> l.startsWith("seeds ")).mapToLong(l -> Long.parseLong(l.substring(6))).findFirst().orElse(1);
@@ -125,6 +144,7 @@
                 case "promotions" -> assertEquals(Integer.parseInt(w[2]), day.promotions(), told);
                 case "promote_ms" -> assertTrue(day.promoteMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.promoteMs() + "\n" + told);
                 case "config_ms" -> assertTrue(!day.configMs().isEmpty() && day.configMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.configMs() + "\n" + told);
+                case "planned_ms" -> within(plannedMs(day), w[2], told);
                 case "losses" -> assertTrue(day.control().losses >= Long.parseLong(w[2]), day.control().losses + "\n" + told);
                 case "acknowledged" -> assertTrue(day.control().acknowledged >= Long.parseLong(w[2]), day.control().acknowledged + "\n" + told);
                 case "replaced" -> assertEquals(Long.parseLong(w[2]), day.control().replaced, told);
