Lease: who lost a tie for a number supports the holder, and asks no more

Cause: a candidate that had promised itself the number that another got was refused by everybody for good, and asked for a higher one every 1 to 1.5 s; as its own promised number was above the holder's, it never promised that: the lease stood on one voter less. Change: nobody asks while a majority is bound to another that is heard and goes on. A number that was given up without having been held binds neither its process nor those that promised it; such a voter may go back, to no number up to one that may have been held (a floor on its disk). A number is asked for once it is on the disk and never again in any life, and one who hears no majority gives up what it asked for. Lease.since is gone, one method is Core.reached. The small world says what was given up, and looks at whether numbers of holders rise; three defences (NEVER_HELD, NUMBERS_RISE, ASKED_ONCE), each with a walk near to it.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -27,13 +27,13 @@
  * One control process. It and its like tell each other what they have, often and at once where something changed; there is
  * no log and no leader. One loop calls all of it.
  */
-public final class Core implements Lease.Ground {
+public final class Core implements Lease.Ground<Peer> {
 
     private static final long TICK_MS = 400;
     private static final long LOOK_MS = 50;
     private static final long LATE_MS = 300;
     /** One that was not heard for so long is out of touch. */
-    private static final long TOUCH_MS = 1_300;
+    static final long TOUCH_MS = 1_300;
     /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
     private static final long FRESH_MS = 850;
     /** That a primary leads is sure for so long after the duty's holder last said so. */
@@ -272,16 +272,11 @@
         return is != null && is.quorum(of -> of.equals(id) ? itself : peerOf(of) != null && other.test(peerOf(of)));
     }
 
-    /** The latest moment that a majority of each set in force has reached, by this one's clock. */
-    long reached(long itself, ToLongFunction<Peer> moment) {
-        Value is = register.held();
-        return is == null ? Long.MIN_VALUE / 2 : is.reached(of -> of.equals(id) ? itself
-                : peerOf(of) == null ? Long.MIN_VALUE / 2 : moment.applyAsLong(peerOf(of)));
-    }
-
     @Override
-    public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
-        return reached(itself, moment::applyAsLong);
+    public long reached(long itself, ToLongFunction<? super Peer> moment) {
+        Value is = register.held();
+        return is == null ? Lease.NEVER : is.reached(of -> of.equals(id) ? itself
+                : peerOf(of) == null ? Lease.NEVER : moment.applyAsLong(peerOf(of)));
     }
 
     @Override
@@ -630,6 +625,7 @@
         }
         if (lease.given() > 0) {
             out.put("rl", lease.given());
+            out.put("rh", lease.gaveUpHeld());
         }
         List<String> places = new ArrayList<>();
         peers.values().forEach(o -> {
@@ -735,6 +731,7 @@
             p.kept = 0;
             p.promised = 0;
             p.promisedTo = "";
+            p.wanted = 0;
             p.echo = Long.MIN_VALUE / 2;
             p.record = -1;
             p.cleared.clear();
@@ -784,6 +781,7 @@
         p.promised = in.number("p", 0);
         p.promisedTo = in.text("pt");
         p.granted = in.number("pg", Lease.NEVER);
+        p.wanted = in.number("w", 0);
         p.record = in.number("k", -1);
         for (Pack.Fields row : in.list("l")) {
             lead(Lead.of(row));
@@ -808,8 +806,8 @@
         if (in.bit("h")) {
             suspects(new TreeSet<>(in.texts("sq")));
         }
-        lease.wants(p, in.number("w", 0), p.itsNow);
-        lease.released(p, in.number("rl", 0));
+        lease.wants(p, p.wanted, p.itsNow);
+        lease.released(p, in.number("rl", 0), in.bit("rh"));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
             sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
         }
--- a/src/main/java/dillfront/core/Defence.java
+++ b/src/main/java/dillfront/core/Defence.java
@@ -45,5 +45,11 @@
     /** A voter's promise stands for its time, whoever else asks. */
     LEASE_PROMISE_STANDS,
     /** While a voter's promise to another is on its way to the disk, it grants nothing more to the one before. */
-    LEASE_TURNS
+    LEASE_TURNS,
+    /** Only a number that was never held binds nobody once it is given up. */
+    LEASE_NEVER_HELD,
+    /** A voter whose promise binds nobody any more still promises no number up to those that may have been held before. */
+    LEASE_NUMBERS_RISE,
+    /** What was asked for and given up is never asked for again, in no later life either. */
+    LEASE_ASKED_ONCE
 }
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -6,13 +6,14 @@
 /**
  * Who does the duty. A number is promised to one process by each voter, on its disk before it says so, so a majority's
  * promise makes it that one's alone for ever; it is also the fencing token. Its upper part is the epoch of the set of members under
- * which it was asked for, so that no two sets give out the same. The holder counts its time from before it asked, each voter from
+ * which it was asked for, so that no two sets give out the same. A process asks for a number in one life, for one time, and once it
+ * is on its disk. What it gave up without having held it binds nobody: numbers of holders rise, those of candidates need not. The holder counts its time from before it asked, each voter from
  * when it promised: the holder's ends first.
  */
 public final class Lease {
 
-    /** What it needs of the process that it is part of. */
-    public interface Ground extends Register.Ground {
+    /** What it needs of the process that it is part of, which knows others as these. */
+    public interface Ground<V extends Voter> extends Register.Ground {
 
         /** The number of the set of members that it goes by. */
         long epoch();
@@ -30,10 +31,10 @@
         /** For how long its disk has done nothing, with work to do. */
         long stalledFor();
 
-        Iterable<? extends Voter> voters();
+        Iterable<V> voters();
 
         /** The latest moment that a majority of each set in force has reached. */
-        long reachedBy(long itself, ToLongFunction<Voter> moment);
+        long reached(long itself, ToLongFunction<? super V> moment);
     }
 
     /** Another process, as its last message told of it. */
@@ -49,6 +50,12 @@
 
         /** This one's clock when it sent the last message that the promise was given for or held on. */
         long granted();
+
+        /** The number that it wants or holds itself; 0 for none. */
+        long wanted();
+
+        /** This one's clock when it was heard last. */
+        long heard();
     }
 
     static final long SPAN_MS = 2_500;
@@ -61,16 +68,23 @@
 
     public static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Ground core;
+    private final Ground<?> core;
     /** What this process promised, as it is on its disk. */
     private long promised;
     private String promisedTo = "";
     private long promisedUntil;
     /** The clock of the one that has the promise, in the last message of it that was granted. */
     private long granted = NEVER;
+    /** No number up to this is promised any more: some process may have held it. On the disk. */
+    private long floor;
+    /** The one that has the promise said that it never held that number, and never will. */
+    private boolean empty;
+    /** The highest number that it ever asked for, in any life. On the disk. */
+    private long lastAsked;
     /** What it wants or holds itself; 0 for nothing. */
     private long mine;
-    private long heldSince = -1;
+    /** The number that it held last in this life. */
+    private long held;
     /** The epoch under which it was held last. */
     private long heldEpoch;
     private boolean writing;
@@ -79,13 +93,15 @@
     /** The last number that it asked for and gave up; it never asks for it again. */
     private long given;
 
-    public Lease(Ground core) {
+    public Lease(Ground<?> core) {
         this.core = core;
     }
 
     public void load(Map<String, String> kept) {
         promised = Long.parseLong(kept.getOrDefault("promised", "0"));
         promisedTo = kept.getOrDefault("promised-to", "");
+        floor = Long.parseLong(kept.getOrDefault("promised-above", Long.toString(promised)));
+        lastAsked = Long.parseLong(kept.getOrDefault("asked", promisedTo.equals(core.self()) ? Long.toString(promised) : "0"));
         // What ran when this process ended may still run, but for its own: that ended with it.
         boolean runs = promised > 0 && !promisedTo.equals(core.self()) && !core.without(Defence.LEASE_AFTER_START);
         promisedUntil = core.now() + (runs ? SPAN_MS : 0);
@@ -105,8 +121,9 @@
         return granted;
     }
 
+    /** What it asks of others: on its disk by then, so it asks for that in no later life. */
     public long wanted() {
-        return mine;
+        return promised == mine && promisedTo.equals(core.self()) ? mine : 0;
     }
 
     /** The number of the lease, which is the fencing token's upper part. */
@@ -130,16 +147,29 @@
         if (number == promised && p.id().equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
             granted = Math.max(granted, asked);
-        } else if (!writing && number > promised && (now >= promisedUntil || p.id().equals(promisedTo)
+            empty = false;
+        } else if (!writing && number > (binds() ? promised : floor) && (now >= promisedUntil || p.id().equals(promisedTo)
                 || promisedTo.equals(core.self()) && !holds() || core.without(Defence.LEASE_PROMISE_STANDS))) {
             // What was promised to oneself and came to nothing binds nobody else: candidates of one moment would wait for each other for ever.
             promise(number, p.id(), asked);
         }
     }
 
-    /** The one that has the promise gives it back before its time. */
-    public void released(Voter p, long number) {
-        if (number > 0 && number == promised && p.id().equals(promisedTo) && promisedUntil > core.now()) {
+    /** Whether the number that is promised here may have been held, or may yet be. */
+    private boolean binds() {
+        if (!promisedTo.equals(core.self())) {
+            return !empty;
+        }
+        return promised == mine || promised != given || promised == held && !core.without(Defence.LEASE_NEVER_HELD);
+    }
+
+    /** The one that has the promise gives it back before its time, be it that it held the lease by it or never did. */
+    public void released(Voter p, long number, boolean wasHeld) {
+        if (number == 0 || number != promised || !p.id().equals(promisedTo)) {
+            return;
+        }
+        empty |= !wasHeld;
+        if (promisedUntil > core.now()) {
             promisedUntil = core.now();
             candidateAt = Math.min(candidateAt, promisedUntil + core.rank() * STAGGER_MS);
         }
@@ -150,20 +180,47 @@
         return given;
     }
 
+    /** Whether it held the lease by that. */
+    public boolean gaveUpHeld() {
+        return given == held;
+    }
+
     private void giveUp() {
-        given = Math.max(given, mine);
+        given = Math.max(given, wanted());
         mine = 0;
-        heldSince = -1;
+    }
+
+    /**
+     * Whether a majority is bound to another, which is heard and goes on with it. To ask then is in vain, and each number that is asked
+     * for keeps this voter from that one.
+     */
+    private boolean led() {
+        long from = core.now() - Core.TOUCH_MS;
+        for (Voter p : core.voters()) {
+            if (p.wanted() > 0 && p.heard() > from && core.reached(bound(promised, promisedTo, p) ? core.now() : NEVER,
+                    v -> bound(v.promised(), v.promisedTo(), p) ? v.heard() : NEVER) > from) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean bound(long number, String to, Voter p) {
+        return number == p.wanted() && to.equals(p.id());
     }
 
     private void promise(long number, String to, long asked) {
         writing = true;
         promisedUntil = core.now() + SPAN_MS;
-        core.store(Map.of("promised", Long.toString(number), "promised-to", to)).whenComplete((done, fault) -> {
+        long above = core.without(Defence.LEASE_NUMBERS_RISE) ? 0 : binds() ? Math.max(floor, promised) : floor;
+        core.store(Map.of("promised", Long.toString(number), "promised-to", to, "promised-above", Long.toString(above),
+                "asked", Long.toString(lastAsked))).whenComplete((done, fault) -> {
             writing = false;
             if (fault == null) {
                 promised = number;
                 promisedTo = to;
+                floor = above;
+                empty = false;
                 if (!to.equals(core.self())) {
                     // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
                     giveUp();
@@ -182,17 +239,14 @@
         }
         long now = core.now();
         // Whoever promised is bound for the whole span from when he was asked, also where the set has changed since.
-        return core.reachedBy(now, p -> p.promised() != mine || !p.promisedTo().equals(core.self()) ? NEVER
+        return core.reached(now, p -> p.promised() != mine || !p.promisedTo().equals(core.self()) ? NEVER
                 : core.without(Defence.LEASE_FROM_ASKED) ? now : p.granted()) + SPAN_MS - EARLY_MS;
     }
 
     public boolean holds() {
-        return core.now() < until();
-    }
-
-    /** Since when, without a gap; -1 where it does not. */
-    long since() {
-        return heldSince;
+        boolean is = core.now() < until();
+        held = is ? mine : held;
+        return is;
     }
 
     /** From now on it is not wanted here any more. */
@@ -205,17 +259,20 @@
         long now = core.now();
         boolean unfit = leaving || core.stalledFor() > DISK_MS;
         if (holds() && !unfit) {
-            heldSince = heldSince < 0 ? now : heldSince;
             heldEpoch = core.epoch();
             promisedUntil = now + SPAN_MS;
             return;
         }
-        if (heldSince >= 0) {
+        if (mine > 0 && mine == held) {
             // It ended: another number next time, so that whoever saw this one pass is not asked to take it again.
             giveUp();
             // Another set is asked at once: nobody else may be promised anything before this one's time is over.
             candidateAt = heldEpoch == core.epoch() ? now + SPAN_MS : now;
         }
+        if (core.alone() && !writing) {
+            // Whoever hears nobody cannot win, and binds those that hear him.
+            giveUp();
+        }
         if (!core.votes() || core.alone() || writing || unfit) {
             // Whoever had it last goes first: nobody who promised waits for others.
             boolean last = promisedTo.equals(core.self()) && !unfit;
@@ -226,16 +283,23 @@
             candidateAt = promisedUntil + core.rank() * STAGGER_MS;
             return;
         }
+        if (led()) {
+            giveUp();
+            candidateAt = Math.max(candidateAt, now + core.rank() * STAGGER_MS);
+            return;
+        }
         if (now < candidateAt) {
             return;
         }
-        long highest = Math.max(promised, core.epoch() << WITHIN);
+        giveUp();
+        long highest = Math.max(core.without(Defence.LEASE_ASKED_ONCE) ? promised : Math.max(promised, lastAsked), core.epoch() << WITHIN);
         for (Voter p : core.voters()) {
             // What no set that may be in force can have given out is a spoilt message's.
             highest = p.promised() >> WITHIN > core.epoch() + 1 ? highest : Math.max(highest, p.promised());
         }
         candidateAt = now + 4 * STAGGER_MS + core.chance(STAGGER_MS * 2);
-        mine = highest + 1;
-        promise(mine, core.self(), now);
+        lastAsked = highest + 1;
+        promise(lastAsked, core.self(), now);
+        mine = lastAsked;
     }
 }
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -43,6 +43,8 @@
     long promised;
     String promisedTo = "";
     long granted = Lease.NEVER;
+    /** The number of the lease that it asks for, or holds. */
+    long wanted;
     long record = -1;
     /** Records that all of its fronts have, by service. */
     final Map<String, Long> cleared = new HashMap<>();
@@ -77,4 +79,14 @@
     public long granted() {
         return granted;
     }
+
+    @Override
+    public long wanted() {
+        return wanted;
+    }
+
+    @Override
+    public long heard() {
+        return heard;
+    }
 }
--- a/src/main/java/dillfront/lab/ControlWorld.java
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -31,7 +31,7 @@
  * force never falls, sets change by one step of two at a time; what a process takes for decided is one of them;
  * <li>what was acknowledged stands in that line, what was refused stands there with another content, for ever;
  * <li>the calls of the operators are linearizable ({@link History});
- * <li>one process at a time holds the lease, and a number of it belongs to one life of one process.
+ * <li>one process at a time holds the lease, a number of it belongs to one life of one process, and each is above those held before.
  * </ul>
  */
 final class ControlWorld {
@@ -432,6 +432,9 @@
         }
         if (scene.lease && p.lease.holds()) {
             String life = p.id + " life " + p.life;
+            if (!fences.isEmpty() && p.lease.number() < fences.lastKey()) {
+                breaks("the lease's number " + p.lease.number() + " is held after " + fences.lastKey());
+            }
             if (!life.equals(fences.computeIfAbsent(p.lease.number(), n -> life))) {
                 breaks("the lease's number " + p.lease.number() + " is of " + fences.get(p.lease.number()) + " and of " + life);
             }
@@ -516,6 +519,8 @@
         long promised;
         String promisedTo = "";
         long granted = Lease.NEVER;
+        long wanted;
+        long heard = Lease.NEVER;
         boolean fresh;
         boolean answers;
         long itsToken;
@@ -545,10 +550,20 @@
         public long granted() {
             return granted;
         }
+
+        @Override
+        public long wanted() {
+            return wanted;
+        }
+
+        @Override
+        public long heard() {
+            return heard;
+        }
     }
 
     /** One control process: what {@code core.Core} does around register and lease, and no more. */
-    final class Process implements Lease.Ground {
+    final class Process implements Lease.Ground<View> {
         private static final long LOOK_MS = 50;
         final int index;
         final TreeMap<String, String> disk = new TreeMap<>();
@@ -684,6 +699,8 @@
             out.put("pt", lease.promisedTo());
             out.put("pg", lease.granted());
             out.put("w", lease.wanted());
+            out.put("rl", lease.given());
+            out.put("rh", lease.gaveUpHeld());
             return out;
         }
 
@@ -700,6 +717,7 @@
                 v.id = in.text("id");
                 v.promised = 0;
                 v.promisedTo = "";
+                v.wanted = 0;
                 v.echo = Long.MIN_VALUE / 2;
                 v.answers = false;
                 v.token = -1;
@@ -726,8 +744,11 @@
             v.promised = in.number("p", 0);
             v.promisedTo = in.text("pt");
             v.granted = in.number("pg", Lease.NEVER);
+            v.wanted = in.number("w", 0);
+            v.heard = now;
             if (scene.lease) {
-                lease.wants(v, in.number("w", 0), v.itsNow);
+                lease.wants(v, v.wanted, v.itsNow);
+                lease.released(v, in.number("rl", 0), in.bit("rh"));
             }
         }
 
@@ -880,18 +901,14 @@
         }
 
         @Override
-        public Iterable<? extends Lease.Voter> voters() {
+        public Iterable<View> voters() {
             List<View> others = new ArrayList<>(Arrays.asList(views));
             others.remove(index);
             return others;
         }
 
         @Override
-        public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
-            return reached(itself, moment::applyAsLong);
-        }
-
-        private long reached(long itself, ToLongFunction<View> moment) {
+        public long reached(long itself, ToLongFunction<? super View> moment) {
             Value is = register.held();
             return is == null ? Lease.NEVER : is.reached(of -> of.equals(id) ? itself : view(of) == null ? Lease.NEVER
                     : moment.applyAsLong(view(of)));
--- a/src/main/java/dillfront/lab/ControlWorlds.java
+++ b/src/main/java/dillfront/lab/ControlWorlds.java
@@ -137,6 +137,20 @@
             + "MESSAGE 3 0, SETS 0 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, "
             + "DISK 0 0, TIME 250 0, TIME 250 0, TIME 250 0, MESSAGE 0 3, MESSAGE 3 0, TIME 250 0, TIME 250 0, TIME 250 0, "
             + "MESSAGE 2 1, SENT 1 2, MESSAGE 1 2, TIME 250 0, TIME 250 0, DISK 2 0, TIME 250 0, TIME 250 0, DISK 2 0");
+    private static final Map<Kind, Integer> FEW = Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.REFUSED, 0);
+    /** Two ask for one number in the same moment; what the first one asked for is not on its disk yet. */
+    private static final String TIE = "MESSAGE 0 1, MESSAGE 1 0, MESSAGE 0 1, MESSAGE 1 0, TIME 1000 0, DISK 1 0, ";
+    /** The second one held the lease by it, and lost it; the first one's disk goes on. */
+    private static final String HELD = TIE + "MESSAGE 1 2, DISK 2 0, DISK 2 0, MESSAGE 2 1, TIME 1000 0, TIME 1000 0, TIME 1000 0, ";
+    private static final Walk GIVEN_UP = new Walk(LEASE, 40, FEW, HELD + "DISK 0 0, MESSAGE 0 1");
+    /** The same, and whoever promised it asked for a higher one, in vain. */
+    private static final Walk VOTED = new Walk(LEASE, 40, FEW, HELD + "MESSAGE 1 2, MESSAGE 2 1, MESSAGE 1 2, TIME 1000 0, DISK 2 0, "
+            + "TIME 1000 0, TIME 1000 0, DISK 0 0, MESSAGE 0 2");
+    /** The first one got it; the second asked for the next, and gave that up once it saw so. */
+    private static final Walk LOST = new Walk(LEASE, 60, FEW, TIE + "DISK 0 0, MESSAGE 0 2, DISK 2 0, DISK 2 0, MESSAGE 2 0, "
+            + "MESSAGE 0 1, MESSAGE 1 0, MESSAGE 0 1, TIME 250 0, ".repeat(6) + "DISK 1 0, DISK 1 0, MESSAGE 0 2, MESSAGE 2 0, MESSAGE 2 1, "
+            + "MESSAGE 0 1, TIME 50 0, MESSAGE 0 1, DISK 1 0, CRASH 0 0, TIME 1000 0, TIME 1000 0, MESSAGE 1 2, MESSAGE 2 1, MESSAGE 1 2, "
+            + "TIME 1000 0");
     /** Where a defence is missed soonest; any walk finds the others. */
     private static final Map<Defence, List<Walk>> NEAREST = Map.ofEntries(
             Map.entry(Defence.PROMISE_ON_DISK, List.of(PROMISED)),
@@ -153,7 +167,10 @@
             Map.entry(Defence.LEASE_ON_DISK, List.of(LEASING)),
             Map.entry(Defence.LEASE_AFTER_START, List.of(LEASING)),
             Map.entry(Defence.LEASE_FROM_ASKED, List.of(LEASING)),
-            Map.entry(Defence.LEASE_PROMISE_STANDS, List.of(LEASING)));
+            Map.entry(Defence.LEASE_PROMISE_STANDS, List.of(LEASING)),
+            Map.entry(Defence.LEASE_NEVER_HELD, List.of(GIVEN_UP)),
+            Map.entry(Defence.LEASE_NUMBERS_RISE, List.of(VOTED)),
+            Map.entry(Defence.LEASE_ASKED_ONCE, List.of(LOST)));
 
     private ControlWorlds() { }
 
--- a/src/test/java/dillfront/lab/ControlWorldsTest.java
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dillfront.core.Defence;
+import dillfront.lab.ControlWorld.Kind;
+import dillfront.lab.ControlWorld.Step;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -46,6 +48,126 @@
         assertEquals(3, world.processes[2].register.decided().epoch());
     }
 
+    /**
+     * Two asked for one number in the same moment, and one got it: the other asked for higher ones for ever, which nobody could promise,
+     * and never supported the holder.
+     */
+    @Test
+    void whoLostATieSupportsTheHolder() {
+        ControlWorld world = tie(ControlWorlds.LEASE);
+        rounds(world, 1_200);
+        ControlWorld.Process holder = world.processes[0];
+        ControlWorld.Process other = world.processes[1];
+        assertTrue(holder.lease.holds());
+        assertEquals((1 << 20) + 1, holder.lease.number());
+        assertEquals(0, other.lease.wanted());
+        assertEquals(holder.id, other.lease.promisedTo());
+        assertEquals(holder.lease.number(), other.lease.promised());
+        // Nobody's disk is troubled any more, and another loss ends nothing.
+        rounds(world, 5_000);
+        assertEquals(0, written);
+        crash(world, 2);
+        rounds(world, 5_000);
+        assertTrue(holder.lease.holds());
+        assertEquals((1 << 20) + 1, holder.lease.number());
+        assertNull(world.broken);
+    }
+
+    /** The loser is killed with its own promise taken back: it asks for none of the numbers again that it asked for before. */
+    @Test
+    void whatWasAskedForIsNeverAskedForAgain() {
+        ControlWorld world = tie(ControlWorlds.LEASE);
+        rounds(world, 1_200);
+        assertEquals(world.processes[0].id, world.processes[1].lease.promisedTo());
+        long asked = Long.parseLong(world.processes[1].disk.get("asked"));
+        crash(world, 1);
+        take(world, Kind.START, 1, 0);
+        crash(world, 0);
+        rounds(world, 6_000);
+        assertTrue(world.processes[1].lease.holds() || world.processes[2].lease.holds());
+        assertTrue(Math.max(world.processes[1].lease.number(), world.processes[2].lease.number()) > asked);
+        assertNull(world.broken);
+    }
+
+    /** Five, of which one had promised the number to the loser: it comes to the holder too. */
+    @Test
+    void soDoesWhoeverPromisedTheLoser() {
+        ControlWorld world = new ControlWorld(ControlWorlds.FIVE, null, 1);
+        for (int time = 0; time < 2; time++) {
+            for (int i = 0; i < 3; i++) {
+                for (int j = 0; j < 3; j++) {
+                    take(world, Kind.MESSAGE, i, j);
+                }
+            }
+        }
+        take(world, Kind.CUT, 2, 0);
+        take(world, Kind.CUT, 2, 1);
+        take(world, Kind.TIME, 600, 0);
+        writes(world, 0);
+        writes(world, 1);
+        assertEquals(world.processes[0].lease.wanted(), world.processes[1].lease.wanted());
+        take(world, Kind.MESSAGE, 1, 4);
+        writes(world, 4);
+        assertEquals(world.processes[1].id, world.processes[4].lease.promisedTo());
+        take(world, Kind.JOIN, 2, 0);
+        take(world, Kind.JOIN, 2, 1);
+        rounds(world, 3_000);
+        assertTrue(world.processes[0].lease.holds());
+        assertEquals((1 << 20) + 1, world.processes[0].lease.number());
+        for (ControlWorld.Process p : world.processes) {
+            assertEquals(world.processes[0].id, p.lease.promisedTo());
+        }
+        assertNull(world.broken);
+    }
+
+    /** Process 0 holds the lease by the promise of 2; 1 asked for the same number in the same moment. */
+    private static ControlWorld tie(ControlWorld.Scene scene) {
+        ControlWorld world = ControlWorlds.played(scene, 1, "MESSAGE 0 1, MESSAGE 1 0, MESSAGE 0 1, MESSAGE 1 0, TIME 1000 0, DISK 0 0, DISK 1 0, "
+                + "MESSAGE 0 2, DISK 2 0, DISK 2 0, MESSAGE 2 0");
+        assertTrue(world.processes[0].lease.holds());
+        assertEquals(world.processes[0].lease.number(), world.processes[1].lease.promised());
+        assertEquals(world.processes[1].id, world.processes[1].lease.promisedTo());
+        return world;
+    }
+
+    private int written;
+
+    private static int writes(ControlWorld world, int which) {
+        int many = 0;
+        while (take(world, Kind.DISK, which, 0)) {
+            many++;
+        }
+        return many;
+    }
+
+    /** All is heard and written, over and over, for so long. */
+    private void rounds(ControlWorld world, long ms) {
+        written = 0;
+        int n = world.processes.length;
+        for (long until = world.now + ms; world.now < until;) {
+            for (int i = 0; i < n; i++) {
+                for (int j = 0; j < n; j++) {
+                    take(world, Kind.MESSAGE, i, j);
+                }
+                written += writes(world, i);
+            }
+            take(world, Kind.TIME, 50, 0);
+        }
+    }
+
+    private static void crash(ControlWorld world, int which) {
+        take(world, Kind.CRASH, which, 0);
+    }
+
+    private static boolean take(ControlWorld world, Kind kind, int a, int b) {
+        Step step = new Step(kind, a, b);
+        boolean can = world.can(step);
+        if (can) {
+            world.step(step);
+        }
+        return can;
+    }
+
     /** All there is up to these depths. */
     @Test
     void allHolds() {
