A person may accept that commits are lost: POST /Services.AcceptDataLoss

Cause: where the only copy of an acknowledged commit is gone for good, nobody is named and the service stays without a primary; that it is given up is for a person, who had no call for it.

Change: `GET /status` of a control process shows under `lacking` what a service waits for; the call says exactly that back, to any process. It is part of the record of the move, acknowledged once a majority has it on disk, and counts for that one loss: marks of acknowledged commits within it, and sessions' positions, hold nothing back any more; what the next primary acknowledges is told as past it.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -33,7 +33,7 @@
     private static final long LOOK_MS = 50;
     private static final long LATE_MS = 300;
     /** One that was not heard for so long is out of touch. */
-    private static final long TOUCH_MS = 1_300;
+    static final long TOUCH_MS = 1_300;
     /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
     private static final long FRESH_MS = 850;
     /** That a primary leads is sure for so long after the duty's holder last said so. */
@@ -45,14 +45,14 @@
     /** A connection that brought no answer for so long is left. */
     private static final long DEAF_MS = 1_500;
     /** Who calls waits a second for an answer. */
-    private static final long ANSWER_MS = 900;
+    static final long ANSWER_MS = 900;
     /** Where it ends in order, others get so long to have what only it holds. */
     private static final long HAND_OVER_MS = 2_000;
     private static final long LAST_WORD_MS = 50;
     private static final long FORGOTTEN_MS = 60_000;
     private static final long BEAT_ANSWER_MS = 850;
     private static final long FEWER_MS = 15_000;
-    private static final long TOGETHER_MS = 20;
+    static final long TOGETHER_MS = 20;
     private static final int MOST_BEATS = 60_000;
     private static final int MOST_PEERS = 32;
 
@@ -63,6 +63,7 @@
     final Lease lease;
     final Askers askers;
     final Duty duty;
+    final DataLosses losses;
     private final Store store;
     private final String boot;
     /** The seeds of the first start of all; empty where this process began later. */
@@ -114,6 +115,7 @@
         lease = new Lease(this);
         askers = new Askers(this);
         duty = new Duty(this);
+        losses = new DataLosses(this);
     }
 
     /** Takes over what the disk holds, and begins. */
@@ -695,6 +697,7 @@
         if (duty.settled()) {
             out.put("h", true);
         }
+        losses.tell(out);
         out.put("f", askers.count());
         if (duty.settled() && !suspects.isEmpty()) {
             out.put("sq", suspects());
@@ -808,6 +811,7 @@
         if (in.bit("h")) {
             suspects(new TreeSet<>(in.texts("sq")));
         }
+        losses.heard(in, ours);
         lease.wants(p, in.number("w", 0), p.itsNow);
         lease.released(p, in.number("rl", 0));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
@@ -966,22 +970,25 @@
         } else if (path.equals("/Configuration.Read")) {
             return method.equals("GET") ? answerRead() : said(405, "GET only");
         }
+        if (path.equals(DataLosses.ACCEPT)) {
+            return !post ? said(405, "POST only") : losses.accept(body, !alone() && !leaving);
+        }
         if (path.equals("/status")) {
-            return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status()).toString()
-                    .getBytes(StandardCharsets.UTF_8)));
+            return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status())
+                    .add("lacking", losses.shown()).toString().getBytes(StandardCharsets.UTF_8)));
         }
         return said(404, "no such call");
     }
 
-    private static CompletableFuture<Host.Answer> said(int status, String fault) {
+    static CompletableFuture<Host.Answer> said(int status, String fault) {
         return CompletableFuture.completedFuture(HttpDoor.said(status, fault));
     }
 
-    private static final String NOBODY = "no majority of control processes is heard; ask another";
+    static final String NOBODY = "no majority of control processes is heard; ask another";
     private static final Host.Answer FINE = new Host.Answer(200, "{}".getBytes(StandardCharsets.UTF_8));
 
     /** An answer once this is done, or 503 where it is not done in time. */
-    private CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, java.util.function.Supplier<Host.Answer> answer) {
+    CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, java.util.function.Supplier<Host.Answer> answer) {
         CompletableFuture<Host.Answer> out = new CompletableFuture<>();
         done.whenComplete((is, fault) -> out.complete(fault == null ? answer.get() : HttpDoor.said(503, fault.getMessage())));
         host.after(ms, () -> {
@@ -1034,7 +1041,7 @@
         return m.draining() ? once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE) : CompletableFuture.completedFuture(FINE);
     }
 
-    private static String text(JsonObject in, String name) {
+    static String text(JsonObject in, String name) {
         JsonValue is = in.get(name);
         if (is == null || !is.isString() || is.asString().isEmpty()) {
             throw new UnsupportedOperationException(name + ": no text");
@@ -1094,7 +1101,8 @@
                 .append(votes() ? "" : " learner").append(alone() ? " alone" : "").append(leaving ? " leaving" : "")
                 .append(" lease=").append(lease.number()).append(lease.holds() ? " held" : "").append(" promised=")
                 .append(lease.promised()).append(" to=").append(lease.promisedTo()).append(" fronts=").append(fronts);
-        leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : ""));
+        leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : "")
+                .append(losses.status(l.service())));
         return line.toString();
     }
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -3,6 +3,7 @@
 import com.eclipsesource.json.Json;
 import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
+import dillfront.host.DataLoss;
 import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.List;
@@ -67,7 +68,7 @@
 
     /** A service on its way to another primary. */
     private static final class Move {
-        final Lead lead;
+        Lead lead;
         final boolean planned;
         final long since;
         /** Found as it was left by an earlier holder: a call of that one may still be on its way. */
@@ -84,6 +85,10 @@
         long term;
         /** Since when every log that is left lacks what may have been acknowledged; -1 while that is not so. */
         long lacksFrom = -1;
+        /** What no log that is left holds; null while that is not so. */
+        DataLosses.Lack lack;
+        /** Whoever leads is asked how far its log reaches. */
+        boolean measuring;
         long toldLackAt = Long.MIN_VALUE / 2;
         long toldWaitAt = Long.MIN_VALUE / 2;
         final Map<String, Question.Row> rows = new TreeMap<>();
@@ -187,7 +192,7 @@
         List<Lead> all = new ArrayList<>();
         core.leads().forEach(all::add);
         for (Lead lead : all) {
-            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving(), lead.paused());
+            Lead mine = lead.again(number());
             core.lead(mine);
             if (lead.moving()) {
                 moves.put(lead.service(), new Move(mine, false, true, now()));
@@ -350,7 +355,7 @@
 
     private void move(Lead lead, boolean planned) {
         watchOf(lead.service()).misses = 0;
-        Lead moving = new Lead(lead.service(), number(), lead.primary(), true, lead.paused());
+        Lead moving = lead.moves(number());
         core.lead(moving);
         moves.put(lead.service(), new Move(moving, planned, false, now()));
         if (planned) {
@@ -388,7 +393,7 @@
     }
 
     private void go(Move m) {
-        if (!mayAct() || !recorded(m)) {
+        if (!mayAct() || !recorded(m) || m.measuring) {
             return;
         }
         String service = m.lead.service();
@@ -617,7 +622,7 @@
         }
         w.paused.removeIf(id -> core.members.get(id) == null || core.members.get(id).left());
         if (w.paused.isEmpty()) {
-            core.lead(new Lead(lead.service(), number(), lead.primary(), false, false));
+            core.lead(lead.leads(number(), lead.primary(), false, lead.loss()));
             return;
         }
         for (String id : w.paused) {
@@ -649,6 +654,9 @@
             core.host.wrong("move " + m.lead.service() + ": the longest log that is left ends at " + furthest + " and lacks what was"
                     + " acknowledged, " + known + "; waiting for " + m.lead.primary() + " or another that has it");
         }
+        // Past that only commits can be missing that were under way together; that is waited for no longer than UNSURE_MS.
+        m.lack = furthest.covers(known.least()) ? null : new DataLosses.Lack(m.lead.service(), m.lead.move(), furthest, known,
+                m.lead.primary(), m.lack == null ? now() : m.lack.since());
         for (Member r : core.members.of(m.lead.service())) {
             Question.ask(core, r, PROBE_MS, Duty::resumes);
         }
@@ -685,6 +693,28 @@
         return false;
     }
 
+    /** What services wait for that have no log left with all that was acknowledged. */
+    List<DataLosses.Lack> lacking() {
+        List<DataLosses.Lack> all = new ArrayList<>();
+        moves.values().stream().filter(m -> m.lack != null).forEach(m -> all.add(m.lack));
+        return all;
+    }
+
+    /** A person gives up what no log that is left holds: recorded first, like all that the next holder must go on with. */
+    void giveUp(DataLosses.Lack shown) {
+        Move m = moves.get(shown.service());
+        if (!settled() || m == null || m.lack == null || !m.lack.same(shown)) {
+            return;
+        }
+        DataLoss given = DataLoss.of(shown.move(), shown.log(), shown.lacked(), m.lead.loss());
+        core.host.wrong("data loss accepted: " + m.lead.service() + " goes on from " + shown.log() + ", acknowledged was " + shown.lacked()
+                + "; " + m.lead.primary() + " is given up");
+        m.lack = null;
+        m.lead = m.lead.without(number(), given);
+        core.lead(m.lead);
+        core.poke();
+    }
+
     private void choose(Move m, Member from) {
         String best = null;
         Position furthest = null;
@@ -712,6 +742,9 @@
         if (m.last != null) {
             known = known.and(new Acknowledged(Position.NONE, m.last));
         }
+        if (m.lead.loss() != null) {
+            known = m.lead.loss().without(known);
+        }
         if (best != null && !holdsAll(m, furthest, known)) {
             m.refused.clear();
             lacks(m, furthest, known);
@@ -725,6 +758,7 @@
             m.again = now() + AGAIN_MS;
             return;
         }
+        m.lack = null;
         m.target = best;
         m.fence = number();
         m.claimed = core.members.get(best).leads();
@@ -773,12 +807,31 @@
     }
 
     private void done(Move m, String primary) {
-        if (moves.get(m.lead.service()) != m || !settled()) {
+        if (m.measuring || moves.get(m.lead.service()) != m || !settled()) {
             return;
         }
+        DataLoss loss = m.lead.loss();
+        Member leads = core.members.get(primary);
+        if (loss == null || !loss.any()) {
+            done(m, primary, loss);
+        } else if (leads == null) {
+            done(m, primary, loss.leads(loss.until()));
+        } else {
+            // What it holds is not given up; where that is not heard, nothing is.
+            m.measuring = true;
+            Question.ask(core, leads, PROBE_MS, null).whenComplete((row, fault) -> {
+                m.measuring = false;
+                if (moves.get(m.lead.service()) == m && settled()) {
+                    done(m, primary, loss.leads(fault == null && row.leads() ? row.position() : loss.until()));
+                }
+            });
+        }
+    }
+
+    private void done(Move m, String primary, DataLoss loss) {
         moves.remove(m.lead.service());
         core.host.note("lead " + m.lead.service() + " " + primary + " after " + (now() - m.since) + " ms");
-        Lead leads = new Lead(m.lead.service(), number(), primary, false, m.paused);
+        Lead leads = m.lead.leads(number(), primary, m.paused, loss);
         core.lead(leads);
         core.poke();
         if (m.paused) {
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -1,6 +1,7 @@
 package dillfront.front;
 
 import dillfront.host.Configuration;
+import dillfront.host.DataLoss;
 import dillfront.host.Deflate;
 import dillfront.host.Delta;
 import dillfront.host.Host;
@@ -282,6 +283,7 @@
                 s.record = row.number("k", 0);
                 s.primary = row.text("p");
                 s.moving = row.bit("m");
+                s.loss = DataLoss.of(row.text("dl"));
                 s.changed();
             }
         }
--- a/src/main/java/dillfront/front/Service.java
+++ b/src/main/java/dillfront/front/Service.java
@@ -1,6 +1,7 @@
 package dillfront.front;
 
 import dillfront.host.Acknowledged;
+import dillfront.host.DataLoss;
 import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,8 @@
     int openAtPrimary;
     /** Of the commits whose answers came here. */
     Acknowledged acknowledged = Acknowledged.NONE;
+    /** What a person gave up, as the record says; null for nothing. */
+    DataLoss loss;
     private final List<Runnable> waiting = new ArrayList<>();
 
     private static final double SPILL_BURST = 4;
@@ -148,6 +151,20 @@
         return false;
     }
 
+    /** What a read has to wait for, of what it would: no log has what was given up. */
+    Position without(Position need) {
+        return loss == null ? need : loss.without(need);
+    }
+
+    /**
+     * This server answered a commit. Behind a loss its log may be shorter than what was given up; what it acknowledges stands past
+     * that all the same, in a later term, and is not given up with it.
+     */
+    void acknowledged(Server by, Position before, Position answered) {
+        Position behind = loss != null && loss.any() && by.id.equals(primary) ? Position.later(before, loss.until()) : before;
+        acknowledged = acknowledged.and(Acknowledged.of(behind, answered));
+    }
+
     /** Runs once something has changed that whoever waits should look at. */
     void await(Runnable again) {
         waiting.add(again);
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -1,6 +1,5 @@
 package dillfront.front;
 
-import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
 import dillfront.host.Configuration.Kind;
 import dillfront.host.Configuration.Route;
@@ -103,7 +102,7 @@
         /** What a log must hold for its reads; null where that is not known. */
         private Position need(Service service) {
             Position floor = service.floors.since(since - route.stale());
-            return floor == null ? null : route.kind() == Kind.OWN ? Position.later(floor, token) : floor;
+            return floor == null ? null : service.without(route.kind() == Kind.OWN ? Position.later(floor, token) : floor);
         }
 
         /**
@@ -659,7 +658,7 @@
                 server.fresh();
                 boolean sure = service.sure(server);
                 if (of.writes) {
-                    service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
+                    service.acknowledged(server, before, position);
                 }
                 if (of.writes || sure) {
                     service.floors.led(position, sent);
@@ -868,7 +867,7 @@
         on.ask(values, asked.shape, asked.id, line(asked), asked.overdue(), (rows, stamp, code, text, state, position) -> {
             asked.on = null;
             if (code == null && commit && wrote) {
-                service.acknowledged = service.acknowledged.and(Acknowledged.of(before, position));
+                service.acknowledged(on.server, before, position);
             }
             if (asked.over || over || txn != of) {
                 return;
--- /dev/null
+++ b/src/main/java/dillfront/host/DataLoss.java
@@ -0,0 +1,63 @@
+package dillfront.host;
+
+/**
+ * Acknowledged commits of a service that a person has given up, so that a log without them may lead. It holds for what he was
+ * shown and for nothing newer: positions past `kept` up to `until` are asked of no log any more.
+ *
+ * @param move the record with which the service began to move: no two losses have the same
+ * @param log where the longest log ended that was left when he was asked
+ * @param lacked what was known to be acknowledged then
+ * @param kept no commit up to here is given up: the end of that log, or of the one that leads since
+ * @param until the last position that is given up, also by an earlier loss that this one goes on from
+ */
+public record DataLoss(long move, Position log, Acknowledged lacked, Position kept, Position until) {
+
+    /** What a person gives up, beside what was given up of this service before (null for nothing). */
+    public static DataLoss of(long move, Position log, Acknowledged lacked, DataLoss before) {
+        return new DataLoss(move, log, lacked, log, before == null ? lacked.most() : Position.later(before.until, lacked.most()));
+    }
+
+    /** It is the answer to the same question. */
+    public boolean same(long ofMove, Position ofLog, Acknowledged ofLacked) {
+        return move == ofMove && log.equals(ofLog) && lacked.equals(ofLacked);
+    }
+
+    /** Whether anything is given up: not where what leads turned out to hold all of it. */
+    public boolean any() {
+        return !kept.covers(until);
+    }
+
+    /** Once a log that ends here leads: what that one holds is not given up. */
+    public DataLoss leads(Position end) {
+        return new DataLoss(move, log, lacked, Position.later(kept, end), until);
+    }
+
+    /** What of it is not given up. */
+    public Position without(Position of) {
+        return of != null && !kept.covers(of) && until.covers(of) ? kept : of;
+    }
+
+    public Acknowledged without(Acknowledged of) {
+        return new Acknowledged(without(of.least()), without(of.most()));
+    }
+
+    @Override
+    public String toString() {
+        return move + " " + log + " " + lacked + " " + kept + " " + until;
+    }
+
+    /** What toString() wrote; null where it is something else. */
+    public static DataLoss of(String text) {
+        String[] part = text.split(" ", -1);
+        if (part.length != 6 || !part[0].matches("\\d{1,18}")) {
+            return null;
+        }
+        Position log = Position.of(part[1]);
+        Position least = Position.of(part[2]);
+        Position most = Position.of(part[3]);
+        Position kept = Position.of(part[4]);
+        Position until = Position.of(part[5]);
+        return log == null || least == null || most == null || kept == null || until == null ? null
+                : new DataLoss(Long.parseLong(part[0]), log, new Acknowledged(least, most), kept, until);
+    }
+}
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -42,6 +42,7 @@
     final Controls controls;
     final Orders orders;
     final ConfigAudit configAudit;
+    private final DataLossCalls dataLossCalls;
     private final TreeMap<String, FrontMachine> fronts = new TreeMap<>();
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, long[]> fences = new HashMap<>();
@@ -69,6 +70,9 @@
         platform = sim.new Machine("platform", "a", "10.9.0.2");
         orders = new Orders(this, sim.new Machine("operator", "b", "10.9.0.3"));
         configAudit = new ConfigAudit(this);
+        dataLossCalls = new DataLossCalls(this, sim.new Machine("person", "c", "10.9.0.4"));
+        audit.forgets = (database, number) -> sessions.stream().filter(s -> s.database.equals(database))
+                .forEach(s -> s.token = Math.min(s.token, number));
         controls = new Controls(this, controlMachines, (m, first) -> settings(m, true, first));
         platform.serve(PLATFORM, this::promotion);
         for (int z = 0; z < ZONES.length; z++) {
@@ -558,6 +562,9 @@
                 platformDown = true;
                 sim.after(ms, () -> platformDown = false);
                 break;
+            case "accept":
+                dataLossCalls.happen(database(w[1]).name, w.length > 2 && !w[2].equals("for") ? w[2] : "", ms);
+                break;
             case "all":
                 restartAll(w[1].equals("power"));
                 break;
@@ -650,6 +657,11 @@
         return audit.configMs;
     }
 
+    /** Acknowledged commits that a person gave up. */
+    public int givenUp() {
+        return audit.givenUp;
+    }
+
     public int lost() {
         return audit.lost;
     }
--- a/src/test/java/dillfront/lab/whole/AuditTest.java
+++ b/src/test/java/dillfront/lab/whole/AuditTest.java
@@ -71,6 +71,40 @@
         found("LOST");
     }
 
+    /** Guards against an auditor that lets more pass as given up than a person said. */
+    @Test
+    void aPromotionThatLosesWhatWasGivenUpAndNoMore() {
+        wrote("v", 1, primary, replica);
+        wrote("w", 2, primary);
+        day.audit.acknowledge("db0", "v");
+        day.audit.acknowledge("db0", "w");
+        Audit.Given refused = day.audit.gives("db0", new Position(1, 1), new Position(1, 2));
+        day.audit.refused(refused);
+        day.audit.gives("db0", new Position(1, 0), new Position(1, 1));
+        day.audit.promoted(replica);
+        found("LOST");
+        day.audit.breaches.clear();
+        day.audit.gives("db0", new Position(1, 1), new Position(1, 2));
+        day.audit.promoted(replica);
+        assertTrue(day.breaches().isEmpty() && day.givenUp() == 1, day.breaches().toString());
+        // It counted once; the next loss is another.
+        wrote("x", 3, primary);
+        day.audit.acknowledge("db0", "x");
+        day.audit.promoted(replica);
+        found("LOST");
+    }
+
+    @Test
+    void aLossThatIsOverIsNotGivenUpAnyMore() {
+        wrote("w", 1, primary);
+        day.audit.acknowledge("db0", "w");
+        day.audit.gives("db0", new Position(1, 0), new Position(1, 2));
+        wrote("x", 2, primary);
+        day.audit.acknowledge("db0", "x");
+        day.audit.promoted(replica);
+        found("LOST");
+    }
+
     @Test
     void aWriteThatIsThereTwiceOrThoughItWasPromisedNotToBe() {
         wrote("w", 1, primary);
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -20,7 +20,7 @@
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   seeds HOW_MANY       the day is played with each from SEED on; one without this line
  *   at SECONDS what happens, as Day.happen() and ControlTroubles have it
- *   expect served|promotions|promote_ms|config_ms|noted|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
+ *   expect served|promotions|promote_ms|config_ms|noted|given_up|said|losses|acknowledged|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
@@ -70,6 +70,44 @@
         }
     }
 
+    /** A person gives commits up, and whoever holds the duty goes at any moment about his call. */
+    @Test
+    void whatWasGivenUpStaysSoWhoeverHolds() {
+        for (long at = 23_950; at < 25_700; at += 50) {
+            Day day = onlyCopyIsGone("gone db0 primary");
+            day.at(at / 1e3, "holder for 4");
+            day.play();
+            String told = "holder at " + at + "\n" + String.join("\n", day.story) + "\n" + String.join("\n", day.told());
+            assertEquals(List.of(), day.breaches(), told);
+            assertEquals(1, day.promotions(), told);
+            assertTrue(day.givenUp() > 0 && day.story.stream().anyMatch(l -> l.contains("accept db0") && l.endsWith(" 200")), told);
+        }
+    }
+
+    /** The one that has them is back at any moment about the call: it leads on and nothing is lost, or another leads without them. */
+    @Test
+    void whatWasGivenUpIsBack() {
+        int leadOn = 0;
+        for (long back = 23_000; back < 27_000; back += 50) {
+            Day day = onlyCopyIsGone("crash db0 primary for " + (back - 16_500) / 1e3);
+            day.play();
+            String told = "back at " + back + "\n" + String.join("\n", day.story) + "\n" + String.join("\n", day.told());
+            assertEquals(List.of(), day.breaches(), told);
+            assertEquals(day.promotions() > 0, day.givenUp() > 0, told);
+            leadOn += day.promotions() == 0 ? 1 : 0;
+        }
+        assertTrue(leadOn > 0 && leadOn < 80, leadOn + " times it led on");
+    }
+
+    private static Day onlyCopyIsGone(String how) {
+        Day day = new Day(31, 1, 1, 6, 36_000);
+        day.at(6, "deaf db0 last for 14");
+        day.at(7, "release db0 replica same");
+        day.at(16.5, how);
+        day.at(24, "accept db0 twice for 12");
+        return day;
+    }
+
     private static Day primaryIsBack(long ms, String also) {
         Day day = new Day(31, 1, 1, 6, 21_000);
         day.at(8, "dark db0 primary for 1");
@@ -131,6 +169,9 @@
                 case "replace_ms" -> within(day.control().replaceMs, w[2], told);
                 case "behind" -> assertTrue(day.control().behindChanges >= Long.parseLong(w[2]), day.control().behindChanges + "\n" + told);
                 case "catch_up_ms" -> within(day.control().catchUpMs, w[2], told);
+                case "given_up" -> assertTrue(w[2].equals("0") ? day.givenUp() == 0 : day.givenUp() >= Integer.parseInt(w[2]),
+                        "given up " + day.givenUp() + "\n" + told);
+                case "said" -> assertTrue(day.story.stream().anyMatch(l -> l.contains(w[2])), told);
                 case "noted" -> assertTrue(day.told().stream().anyMatch(l -> l.contains(w[2])), told);
                 default -> throw new IllegalArgumentException(file + ": " + line);
             }
