What a holder says is sure ends 600 ms past its lease, so the next one waits 700 ms

Cause: with the holder and a primary lost at once, the next holder waited 3.1 s from its beginning, as long as what the former one had called sure may last. Change: a holder says nothing sure past the end of its lease and 600 ms (the most for which the wait covers clocks that differ by a tenth), and tells others what is left of it, which they date by their own clock before the holder's. Since a lease may be given back early or end with its process, a voter tells until when those before may have said that theirs runs; the next holder waits 700 ms from that or from its beginning. What was asked for is given up before a promise to another takes its place, else nobody was told.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -36,8 +36,13 @@
     static final long TOUCH_MS = 1_300;
     /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
     private static final long FRESH_MS = 850;
-    /** That a primary leads is sure for so long after the duty's holder last said so. */
+    /** That a primary leads is sure for no longer than this after the duty's holder last said so. */
     static final long SURE_MS = 3_000;
+    /**
+     * Nor for longer than this past the end of its lease. At the most for which the next holder's wait covers clocks that differ by a
+     * tenth: (2250 + 600) * 1.1 < 2500 + 700 / 1.1.
+     */
+    static final long PAST_MS = 600;
     private static final int DIAL_MS = 700;
     private static final long REDIAL_MS = 200;
     /** A dial that is out for so long went to a life that is over, where another is heard. */
@@ -95,7 +100,7 @@
     private boolean inContact;
     private TreeSet<String> suspects = new TreeSet<>();
     private long suspectsAt;
-    private long sureFrom = Long.MIN_VALUE / 2;
+    private long sureUntil = Long.MIN_VALUE / 2;
     private long started;
     private int fronts = 1;
     private long frontsAt;
@@ -384,9 +389,9 @@
     /** For how long from now it is sure that no other leads than the records say. */
     long sureFor() {
         if (duty.settled()) {
-            return SURE_MS;
+            return Math.min(SURE_MS, lease.until() - host.now() + PAST_MS);
         }
-        return sureFrom + SURE_MS - host.now();
+        return sureUntil - host.now();
     }
 
     int fronts() {
@@ -660,6 +665,9 @@
         out.put("p", lease.promised());
         out.put("pt", lease.promisedTo());
         out.put("pg", lease.granted());
+        if (lease.formerUntil() > now) {
+            out.put("pf", lease.formerUntil() - now);
+        }
         out.put("w", lease.wanted());
         out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
@@ -690,6 +698,7 @@
         }
         if (duty.settled()) {
             out.put("h", true);
+            out.put("hl", lease.until() - now);
         }
         out.put("f", askers.count());
         if (duty.settled() && !suspects.isEmpty()) {
@@ -782,6 +791,7 @@
         p.promisedTo = in.text("pt");
         p.granted = in.number("pg", Lease.NEVER);
         p.wanted = in.number("w", 0);
+        p.formerUntil = in.number("pf", 0) > 0 ? now + in.number("pf", 0) : Lease.NEVER;
         p.record = in.number("k", -1);
         for (Pack.Fields row : in.list("l")) {
             lead(Lead.of(row));
@@ -809,7 +819,9 @@
         lease.wants(p, p.wanted, p.itsNow);
         lease.released(p, in.number("rl", 0), in.bit("rh"));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
-            sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
+            // Dated from before the holder looked at its clock: it ends no later than by that one's.
+            long left = Math.min(SURE_MS, in.number("hl", -PAST_MS) + PAST_MS);
+            sureUntil = Math.max(sureUntil, in.number("e", Long.MIN_VALUE / 2) + left);
         }
         if (changed) {
             news();
--- a/src/main/java/dillfront/core/Defence.java
+++ b/src/main/java/dillfront/core/Defence.java
@@ -51,5 +51,7 @@
     /** A voter whose promise binds nobody any more still promises no number up to those that may have been held before. */
     LEASE_NUMBERS_RISE,
     /** What was asked for and given up is never asked for again, in no later life either. */
-    LEASE_ASKED_ONCE
+    LEASE_ASKED_ONCE,
+    /** A voter tells until when those before may have said that their lease runs, be it given back or ended sooner. */
+    LEASE_FORMER
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -372,8 +372,10 @@
 
     /** No front takes the old one for sure any more: each has said so, or its time is over. */
     private boolean cleared(Move m) {
+        // Of earlier holders nothing is sure for longer than this past the end of their lease.
+        long former = Math.max(heldFrom, core.lease.formerUntil()) + Core.PAST_MS + 100;
         long over = now() - Core.SURE_MS - 100;
-        if (heldFrom > over || !core.askers.cleared(m.lead.number()) && m.since > over) {
+        if (now() < former || !core.askers.cleared(m.lead.number()) && m.since > over) {
             return false;
         }
         for (Peer p : core.peers()) {
--- a/src/main/java/dillfront/core/Lease.java
+++ b/src/main/java/dillfront/core/Lease.java
@@ -56,6 +56,9 @@
 
         /** This one's clock when it was heard last. */
         long heard();
+
+        /** As {@link Lease#formerUntil}, by its last message. */
+        long formerUntil();
     }
 
     static final long SPAN_MS = 2_500;
@@ -73,6 +76,9 @@
     private long promised;
     private String promisedTo = "";
     private long promisedUntil;
+    /** Until when the one that has the promise may have said that its lease runs, however soon that ended; and so of all promises before. */
+    private long countedUntil = NEVER;
+    private long formerUntil = NEVER;
     /** The clock of the one that has the promise, in the last message of it that was granted. */
     private long granted = NEVER;
     /** No number up to this is promised any more: some process may have held it. On the disk. */
@@ -106,6 +112,10 @@
         boolean runs = promised > 0 && !promisedTo.equals(core.self()) && !core.without(Defence.LEASE_AFTER_START);
         promisedUntil = core.now() + (runs ? SPAN_MS : 0);
         candidateAt = promisedUntil;
+        if (promised > 0) {
+            countedUntil = core.now() + SPAN_MS;
+            formerUntil = countedUntil;
+        }
     }
 
     public long promised() {
@@ -146,6 +156,7 @@
         long now = core.now();
         if (number == promised && p.id().equals(promisedTo)) {
             promisedUntil = now + SPAN_MS;
+            countedUntil = promisedUntil;
             granted = Math.max(granted, asked);
             empty = false;
         } else if (!writing && number > (binds() ? promised : floor) && (now >= promisedUntil || p.id().equals(promisedTo)
@@ -217,14 +228,17 @@
                 "asked", Long.toString(lastAsked))).whenComplete((done, fault) -> {
             writing = false;
             if (fault == null) {
+                if (!to.equals(core.self())) {
+                    // Whoever asked for one himself has lost, or lost it; to go on asking would bind those that promised it.
+                    giveUp();
+                }
                 promised = number;
                 promisedTo = to;
                 floor = above;
                 empty = false;
-                if (!to.equals(core.self())) {
-                    // Whoever asked for a lower one has lost; to go on asking would bind those that promised it.
-                    giveUp();
-                }
+                formerUntil = Math.max(formerUntil, countedUntil);
+                // One's own counts from when it is held.
+                countedUntil = to.equals(core.self()) ? NEVER : core.now() + SPAN_MS;
                 granted = asked;
                 promisedUntil = core.now() + SPAN_MS;
                 core.tell();
@@ -233,7 +247,7 @@
     }
 
     /** Until when this process holds it, on its own clock; in the past where it does not. */
-    long until() {
+    public long until() {
         if (mine == 0 || promised != mine || !promisedTo.equals(core.self()) || !core.votes()) {
             return -1;
         }
@@ -243,9 +257,26 @@
                 : core.without(Defence.LEASE_FROM_ASKED) ? now : p.granted()) + SPAN_MS - EARLY_MS;
     }
 
+    /**
+     * Until when those that had this voter's promise before, or that of others by whom this one holds the lease, may have said that theirs
+     * runs: it may have been given back sooner, or have ended with its process.
+     */
+    public long formerUntil() {
+        long until = core.without(Defence.LEASE_FORMER) ? NEVER : formerUntil;
+        for (Voter p : core.voters()) {
+            boolean counts = promised == mine && p.promised() == mine && p.promisedTo().equals(core.self());
+            until = counts ? Math.max(until, p.formerUntil()) : until;
+        }
+        return until;
+    }
+
     public boolean holds() {
-        boolean is = core.now() < until();
-        held = is ? mine : held;
+        long until = until();
+        boolean is = core.now() < until;
+        if (is) {
+            held = mine;
+            countedUntil = Math.max(countedUntil, until);
+        }
         return is;
     }
 
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -45,6 +45,8 @@
     long granted = Lease.NEVER;
     /** The number of the lease that it asks for, or holds. */
     long wanted;
+    /** What those that had its promise before may have said of their lease is over by then. */
+    long formerUntil = Lease.NEVER;
     long record = -1;
     /** Records that all of its fronts have, by service. */
     final Map<String, Long> cleared = new HashMap<>();
@@ -85,6 +87,11 @@
         return wanted;
     }
 
+    @Override
+    public long formerUntil() {
+        return formerUntil;
+    }
+
     @Override
     public long heard() {
         return heard;
--- a/src/main/java/dillfront/lab/ControlWorld.java
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -31,7 +31,8 @@
  * force never falls, sets change by one step of two at a time; what a process takes for decided is one of them;
  * <li>what was acknowledged stands in that line, what was refused stands there with another content, for ever;
  * <li>the calls of the operators are linearizable ({@link History});
- * <li>one process at a time holds the lease, a number of it belongs to one life of one process, and each is above those held before.
+ * <li>one process at a time holds the lease, a number of it belongs to one life of one process, and each is above those held before;
+ * <li>whoever holds the lease knows until when those before could say that theirs runs.
  * </ul>
  */
 final class ControlWorld {
@@ -103,6 +104,8 @@
     private final TreeMap<Ballot, Value> chosen = new TreeMap<>();
     private final TreeMap<String, Boolean> answered = new TreeMap<>();
     private final TreeMap<Long, String> fences = new TreeMap<>();
+    /** Until when a holder could say that its lease runs. */
+    private long spokenUntil;
     private final Map<String, Configuration> contents = new HashMap<>();
     long now = 1_000_000;
     /** Something was answered or chosen in this step. */
@@ -435,6 +438,10 @@
             if (!fences.isEmpty() && p.lease.number() < fences.lastKey()) {
                 breaks("the lease's number " + p.lease.number() + " is held after " + fences.lastKey());
             }
+            if (!fences.containsKey(p.lease.number()) && Math.max(now, p.lease.formerUntil()) < spokenUntil) {
+                breaks("the lease is " + life + "'s, who may think that what was said before is over by " + p.lease.formerUntil() + ", not " + spokenUntil);
+            }
+            spokenUntil = Math.max(spokenUntil, p.lease.until());
             if (!life.equals(fences.computeIfAbsent(p.lease.number(), n -> life))) {
                 breaks("the lease's number " + p.lease.number() + " is of " + fences.get(p.lease.number()) + " and of " + life);
             }
@@ -491,7 +498,7 @@
     /** All that the future depends on. */
     String state() {
         Dump dump = new Dump();
-        dump.add(now).add(left).add(told).add(cut).add(asked).add(chosen).add(accepted).add(fences).add(answered);
+        dump.add(now).add(left).add(told).add(cut).add(asked).add(chosen).add(accepted).add(fences).add(spokenUntil).add(answered);
         TreeSet<String> ways = new TreeSet<>();
         for (Sent one : sent) {
             ways.add(new Dump().add(one.from).add(one.to).add(one.message).toString());
@@ -521,6 +528,7 @@
         long granted = Lease.NEVER;
         long wanted;
         long heard = Lease.NEVER;
+        long formerUntil = Lease.NEVER;
         boolean fresh;
         boolean answers;
         long itsToken;
@@ -556,6 +564,11 @@
             return wanted;
         }
 
+        @Override
+        public long formerUntil() {
+            return formerUntil;
+        }
+
         @Override
         public long heard() {
             return heard;
@@ -699,6 +712,7 @@
             out.put("pt", lease.promisedTo());
             out.put("pg", lease.granted());
             out.put("w", lease.wanted());
+            out.put("pf", Math.max(0, lease.formerUntil() - now));
             out.put("rl", lease.given());
             out.put("rh", lease.gaveUpHeld());
             return out;
@@ -746,6 +760,7 @@
             v.granted = in.number("pg", Lease.NEVER);
             v.wanted = in.number("w", 0);
             v.heard = now;
+            v.formerUntil = in.number("pf", 0) > 0 ? now + in.number("pf", 0) : Lease.NEVER;
             if (scene.lease) {
                 lease.wants(v, v.wanted, v.itsNow);
                 lease.released(v, in.number("rl", 0), in.bit("rh"));
--- a/src/main/java/dillfront/lab/ControlWorlds.java
+++ b/src/main/java/dillfront/lab/ControlWorlds.java
@@ -125,16 +125,17 @@
     private static final Walk EMPTIED = new Walk(POWER, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.EMPTY, 8, Kind.CRASH, 3),
             "MESSAGE 1 0, ORDER 0 16, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, CRASH 0 0");
     private static final Walk LEASING = new Walk(LEASE, 200, Map.of());
-    /** A member promised the lease to one that is not heard any more, and another asks for it. */
-    private static final Walk TURNING = new Walk(LEASE, 60, Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0), "MESSAGE 0 1, MESSAGE 1 0, "
-            + "CRASH 1 0, TIME 1000 0, START 1 0, DISK 2 0, MESSAGE 1 2, MESSAGE 0 1, DISK 1 0, TIME 1000 0, MESSAGE 2 1, MESSAGE 1 2, DISK 1 0, "
-            + "TIME 1000 0, DISK 2 0, TIME 1000 0");
+    /** A member promised the lease to one whose disk then does nothing, and another, which asked before, asks for a higher number. */
+    private static final Walk TURNING = new Walk(LEASE, 60, Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0), "MESSAGE 1 2, MESSAGE 2 1, "
+            + "TIME 600 0, DISK 1 0, CRASH 1 0, START 1 0, MESSAGE 0 2, MESSAGE 2 0, MESSAGE 1 2, MESSAGE 2 1, TIME 250 0, DISK 0 0, DISK 0 0, "
+            + "DISK 1 0, MESSAGE 0 2, DISK 2 0, DISK 2 0, MESSAGE 1 0, " + "MESSAGE 1 2, MESSAGE 2 1, TIME 1000 0, DISK 1 0, ".repeat(3)
+            + "MESSAGE 1 2");
     /** The holder is at work with a set of its own choice; a member of the former one asks another of them for the lease. */
     private static final Walk OVER = new Walk(LEASE_SETS, 60, Map.of(Kind.SENT, 0, Kind.OLD, 0, Kind.CRASH, 0, Kind.CUT, 0),
-            "MESSAGE 0 1, MESSAGE 1 0, TIME 50 0, MESSAGE 3 0, TIME 50 0, TIME 50 0, TIME 50 0, TIME 50 0, MESSAGE 0 1, "
-            + "DISK 0 0, DISK 1 0, MESSAGE 1 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, DISK 0 0, "
-            + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 0 3, MESSAGE 1 0, MESSAGE 3 0, DISK 3 0, TIME 50 0, "
-            + "MESSAGE 3 0, SETS 0 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, "
+            "MESSAGE 0 1, MESSAGE 1 0, TIME 50 0, MESSAGE 3 0, TIME 50 0, TIME 50 0, TIME 50 0, TIME 50 0, DISK 0 0, "
+            + "MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, SETS 0 9, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, DISK 0 0, "
+            + "MESSAGE 0 1, MESSAGE 0 3, DISK 1 0, DISK 3 0, MESSAGE 0 3, MESSAGE 1 0, MESSAGE 3 0, DISK 3 0, MESSAGE 3 0, "
+            + "TIME 50 0, SETS 0 0, DISK 0 0, MESSAGE 0 1, DISK 1 0, MESSAGE 1 0, MESSAGE 0 3, DISK 3 0, MESSAGE 3 0, "
             + "DISK 0 0, TIME 250 0, TIME 250 0, TIME 250 0, MESSAGE 0 3, MESSAGE 3 0, TIME 250 0, TIME 250 0, TIME 250 0, "
             + "MESSAGE 2 1, SENT 1 2, MESSAGE 1 2, TIME 250 0, TIME 250 0, DISK 2 0, TIME 250 0, TIME 250 0, DISK 2 0");
     private static final Map<Kind, Integer> FEW = Map.of(Kind.CRASH, 0, Kind.SENT, 0, Kind.OLD, 0, Kind.CUT, 0, Kind.REFUSED, 0);
@@ -169,6 +170,7 @@
             Map.entry(Defence.LEASE_FROM_ASKED, List.of(LEASING)),
             Map.entry(Defence.LEASE_PROMISE_STANDS, List.of(LEASING)),
             Map.entry(Defence.LEASE_NEVER_HELD, List.of(GIVEN_UP)),
+            Map.entry(Defence.LEASE_FORMER, List.of(LEASING)),
             Map.entry(Defence.LEASE_NUMBERS_RISE, List.of(VOTED)),
             Map.entry(Defence.LEASE_ASKED_ONCE, List.of(LOST)));
 
@@ -222,7 +224,12 @@
 
     /** Steps as {@link #told} writes them, played again. */
     static ControlWorld played(Scene scene, long seed, String steps) {
-        return played(scene, null, seed, steps(steps));
+        return played(scene, null, seed, steps);
+    }
+
+    /** The same without this defence. */
+    static ControlWorld played(Scene scene, Defence without, long seed, String steps) {
+        return played(scene, without, seed, steps(steps));
     }
 
     private static List<Step> steps(String text) {
--- a/src/test/java/dillfront/lab/ControlWorldsTest.java
+++ b/src/test/java/dillfront/lab/ControlWorldsTest.java
@@ -17,11 +17,14 @@
     /** While its promise to another was on its way to the disk, a voter went on with the one before, and said so: two held the lease. */
     @Test
     void aVoterThatTurnsToAnotherGoesOnWithNobody() {
-        ControlWorld world = ControlWorlds.played(ControlWorlds.LEASE, 15,
-                "MESSAGE 0 1, MESSAGE 1 0, CRASH 1 0, TIME 1000 0, START 1 0, DISK 2 0, MESSAGE 1 2, MESSAGE 0 1, DISK 1 0, TIME 1000 0, "
-                        + "MESSAGE 2 1, MESSAGE 1 2, DISK 1 0, TIME 1000 0, DISK 2 0, TIME 1000 0, DISK 0 0, MESSAGE 2 1, MESSAGE 0 1, "
-                        + "MESSAGE 1 0, DISK 1 0, MESSAGE 1 2");
+        String steps = "MESSAGE 1 2, MESSAGE 2 1, TIME 600 0, DISK 1 0, CRASH 1 0, START 1 0, MESSAGE 0 2, MESSAGE 2 0, MESSAGE 1 2, MESSAGE 2 1, "
+                + "TIME 250 0, DISK 0 0, DISK 0 0, DISK 1 0, MESSAGE 0 2, DISK 2 0, DISK 2 0, MESSAGE 1 0, "
+                + "MESSAGE 1 2, MESSAGE 2 1, TIME 1000 0, DISK 1 0, ".repeat(3)
+                + "MESSAGE 1 2, MESSAGE 0 2, MESSAGE 2 0, DISK 2 0, DISK 2 0, MESSAGE 2 1";
+        ControlWorld world = ControlWorlds.played(ControlWorlds.LEASE, 1, steps);
         assertNull(world.broken);
+        assertTrue(world.processes[1].lease.holds());
+        assertNotNull(ControlWorlds.played(ControlWorlds.LEASE, Defence.LEASE_TURNS, 1, steps).broken);
     }
 
     /** The founder's first ballot was told before it was on its disk, and was used for another set after a loss of power. */
