Tests of how long a holder's word of a primary is sure

Cause: no scenario fails where a holder says 'sure' for 3 s whatever is left of its lease, as one without contact says nothing anyway. Change: AskersTest looks at what a front is told by a holder, and at what is passed on of another's word.

--- a/src/test/java/dillfront/core/AskersTest.java
+++ b/src/test/java/dillfront/core/AskersTest.java
@@ -154,4 +154,36 @@
         host.until(3_700);
         assertEquals(Set.of("q", "alone"), subset(answers.get(0), "q", "alone", "b", "r", "m", "cv", "cx", "cz", "p", "su"));
     }
+
+    /** Of a primary it says 'sure' for no longer than 600 ms past the end of its lease, which is 2250 ms from its last question. */
+    @Test
+    void aHolderSaysSureNoLongerThanItsLeaseAndALittle() throws Exception {
+        Core core = core("10.0.0.1");
+        Host.Ear front = front(core);
+        configure(core, 1);
+        assertEquals(2_850, ask(front, 1).number("su", 0));
+    }
+
+    /** What is left of another's lease counts from this one's clock when it said what that one had heard last. */
+    @Test
+    void whatAHolderSaysIsSureIsPassedOnWithWhatIsLeftOfItsLease() throws Exception {
+        Core core = core("10.0.0.1", "10.0.0.2");
+        Host.Ear other = core.accept();
+        host.until(5_000);
+        long now = host.now();
+        holderSays(core, other, 1, now - 300, 1_000);
+        assertEquals(1_000 + 600 - 300, core.sureFor());
+        host.until(now + 200);
+        assertEquals(1_000 + 600 - 500, core.sureFor());
+        // Over for more than that, or from one that says nothing of its lease: nothing is sure that was not before.
+        holderSays(core, other, 2, now, -700);
+        assertEquals(1_000 + 600 - 500, core.sureFor());
+        holderSays(core, other, 3, now, 1 << 20);
+        assertEquals(3_000 - 200, core.sureFor());
+    }
+
+    private static void holderSays(Core core, Host.Ear ear, long clock, long echo, long left) {
+        ear.message(Pack.write(Map.of("t", "word", "i", "10.0.0.2", "id", "10.0.0.2/1", "b", "other", "n", clock, "e", echo,
+                "eb", core.boot(), "p", (1L << 20) + 1, "h", true, "hl", left)));
+    }
 }
