A control process that restarts cut off sends orders on to members on its disk

Change: once it has been up for 1.3 s and has heard nobody, it names a member of its disk's set, or a seed where it knows no set.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -993,19 +993,21 @@
     }
 
     /**
-     * The caller is sent on to one of those that were heard last: he may know nobody else, or call here again and again. One that is down
-     * itself costs him a second, as one that he picks may; two that are cut off send him back and forth twice, and no further. Servers
-     * are not sent on: they go on by themselves at once, and a second is most of what a beat has.
+     * The caller is sent on to one of those that were heard last; to a member, or where members are not known to a seed, where this process
+     * was started out of contact. He may know nobody else, or call here again and again. One that is down itself costs him a second, as one
+     * that he picks may; two that are cut off send him back and forth twice, and no further. Servers are not sent on: they go on by
+     * themselves at once, and a second is most of what a beat has.
      */
     private Host.Answer elsewhere(String path) {
         List<Peer> able = new ArrayList<>();
-        peers.values().forEach(p -> {
-            if (!p.leaving && p.heard >= started) {
+        long last = peers.values().stream().mapToLong(p -> p.heard).max().orElse(Long.MIN_VALUE);
+        Value is = register.held();
+        for (Peer p : peers.values()) {
+            boolean member = is == null || is.members().stream().anyMatch(of -> Value.ip(of).equals(p.ip));
+            if (last >= started ? !p.leaving && p.heard > last - TOUCH_MS : member && host.now() > started + TOUCH_MS) {
                 able.add(p);
             }
-        });
-        long last = able.stream().mapToLong(p -> p.heard).max().orElse(0);
-        able.removeIf(p -> p.heard < last - TOUCH_MS);
+        }
         if (able.isEmpty()) {
             return HttpDoor.said(503, NOBODY);
         }
