A server that leaves without a word of draining is one that drains

A Leave made it gone at once: a primary was moved as lost, a replica's log was neither asked nor counted. The Leave of an id that this process did not know was answered and forgotten, so a beat on its way brought it back. A beat that came late made its server look alive. Change: a fourth state, leaving, between draining and left; it only goes forward, is on a majority's disks before it is acknowledged, also where nothing else is known of the id. It counts as draining everywhere; after two questions in vain it is not waited for; 30 s after the leave and the last beat it is gone. A Leave after draining says gone, as before. A beat with a lower call_sequence than one before refreshes nothing. Fronts dial no server again that leaves and is down. Simulated servers learn the word ("release db0 primary by leave", with a late beat behind it).

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -51,6 +51,8 @@
     private static final long LAST_WORD_MS = 50;
     private static final long FORGOTTEN_MS = 60_000;
     private static final long BEAT_ANSWER_MS = 850;
+    /** One that said that it leaves has ended by then, even where it serves on for many seconds past its time. */
+    private static final long ENDED_MS = 30_000;
     private static final long FEWER_MS = 15_000;
     private static final long TOGETHER_MS = 20;
     private static final int MOST_BEATS = 60_000;
@@ -451,6 +453,9 @@
         }
         peers.values().forEach(this::tell);
         register.retain(of -> peerOf(of) != null);
+        if (members.expire(host.now(), ENDED_MS)) {
+            news();
+        }
     }
 
     private void look() {
@@ -1010,19 +1015,22 @@
             // Whoever is heard by a majority is to hear it.
             return said(503, NOBODY);
         }
-        boolean fresh = members.get(id) == null;
-        boolean changed = members.merge(new Pack.Fields(row), host.now());
+        Member before = members.get(id);
+        // One that was sent before another that is known here says nothing of now.
+        boolean late = before != null && (long) row.get("q") < before.sequence;
+        boolean changed = members.merge(new Pack.Fields(row), late ? before.heard : host.now());
         Member m = members.get(id);
         if (m == null) {
             return said(400, "no id in the path");
         }
-        if (fresh) {
+        if (before == null) {
             members.succeeds(m);
         }
-        m.heard = host.now();
-        m.heardHere = host.now();
-        beats.addFirst(m);
-        while (host.now() - beats.getLast().heardHere > 3 * settings.beat() || beats.size() > MOST_BEATS) {
+        if (!late) {
+            m.heardHere = host.now();
+            beats.addFirst(m);
+        }
+        while (!beats.isEmpty() && (host.now() - beats.getLast().heardHere > 3 * settings.beat() || beats.size() > MOST_BEATS)) {
             beats.removeLast();
         }
         if (changed) {
@@ -1046,12 +1054,14 @@
         if (alone() || leaving) {
             return said(503, NOBODY);
         }
-        Member m = members.get(id);
-        if (m == null) {
-            return CompletableFuture.completedFuture(FINE);
+        if (id.isEmpty()) {
+            return said(400, "no id in the path");
         }
-        if (members.left(id)) {
+        long before = members.changes();
+        Member m = members.leaves(id);
+        if (members.changes() > before) {
             news();
+            poke();
             duty.look();
         }
         return once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE);
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -32,6 +32,8 @@
     private static final long CATCH_UP_MS = 2_500;
     /** A server that was silent for so long when its primary was still there is not waited for. */
     private static final long LONG_SILENT_MS = 10_000;
+    /** One that said that it leaves does not come back: with so many questions in vain it has ended. */
+    private static final int ENDED_AFTER = 2;
     /** Where logs may lack a commit, they receive for so long before they are stopped and looked at again. */
     private static final long RECEIVE_MS = 1_000;
     /** Where it is not known whether they do, for so long altogether. */
@@ -96,6 +98,8 @@
         final Map<String, Question.Row> rows = new TreeMap<>();
         final TreeSet<String> asking = new TreeSet<>();
         final Map<String, Long> askAgain = new TreeMap<>();
+        /** How often each gave no answer at all, one after the other. */
+        final Map<String, Integer> unanswered = new TreeMap<>();
         final TreeSet<String> refused = new TreeSet<>();
         /** Once it is named, it is the only one that may lead, until the platform says that the call is not carried out. */
         String target;
@@ -498,6 +502,8 @@
         Question.ask(core, to, PROBE_MS, then).whenComplete((row, fault) -> {
             m.asking.remove(to.id);
             m.askAgain.put(to.id, now() + gap);
+            boolean alive = fault == null || fault instanceof Question.Unanswered u && u.alive;
+            m.unanswered.put(to.id, alive ? 0 : m.unanswered.getOrDefault(to.id, 0) + 1);
             if (fault == null && moves.get(m.lead.service()) == m) {
                 got.accept(row);
                 look();
@@ -530,10 +536,11 @@
                 continue;
             }
             long goneFor = (from == null ? now() : Math.max(from.heard, m.since)) - r.heard;
-            if (goneFor > LONG_SILENT_MS) {
+            boolean ended = r.leaving() && m.unanswered.getOrDefault(r.id, 0) >= ENDED_AFTER;
+            if (goneFor > LONG_SILENT_MS && !r.leaving()) {
                 continue;
             }
-            all = false;
+            all &= ended;
             m.paused = true;
             ask(m, r, AGAIN_MS, row -> pauses(m, row), row -> {
                 if (row.leads()) {
--- a/src/main/java/dillfront/core/Member.java
+++ b/src/main/java/dillfront/core/Member.java
@@ -11,7 +11,7 @@
     final String service;
     String address;
     String zone;
-    /** "ready", "draining" or "left"; it only goes on in this order. */
+    /** "ready", "draining", "leaving" or "left"; it only goes on in this order. */
     String state = "ready";
     String role = "";
     /** Of its last call that counted. */
@@ -20,6 +20,8 @@
     long heard;
     /** And by this one itself. */
     long heardHere = Long.MIN_VALUE / 2;
+    /** Since when this process knows that it leaves; -1 where it does not. */
+    long leavingFrom = -1;
     /** The change of the table in which it was last changed. */
     long changed;
 
@@ -29,15 +31,27 @@
     }
 
     static int rank(String state) {
-        return state.equals("left") ? 2 : state.equals("draining") ? 1 : 0;
+        return switch (state) {
+            case "left" -> 3;
+            case "leaving" -> 2;
+            case "draining" -> 1;
+            default -> 0;
+        };
     }
 
+    /** It is gone, and its log with it. */
     boolean left() {
         return state.equals("left");
     }
 
+    /** It said that it will end, by either word, and serves on until then. */
     boolean draining() {
-        return state.equals("draining");
+        return state.equals("draining") || leaving();
+    }
+
+    /** It said so by its leave, without a word of draining before; no more may be heard of it. */
+    boolean leaving() {
+        return state.equals("leaving");
     }
 
     boolean leads() {
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -21,6 +21,8 @@
     /** By the change that made them what they are, so that whoever lacks a few is told of a few. */
     private final TreeMap<Long, Member> byChange = new TreeMap<>();
     private final TreeSet<String> forgotten = new TreeSet<>();
+    /** Those that said that they leave, and may serve on. */
+    private final TreeSet<String> leaving = new TreeSet<>();
     private long changes;
 
     Member get(String id) {
@@ -53,11 +55,21 @@
         byChange.remove(m.changed);
         m.changed = ++changes;
         byChange.put(m.changed, m);
+        if (m.leaving()) {
+            leaving.add(m.id);
+        } else {
+            leaving.remove(m.id);
+        }
     }
 
     private void add(Member m) {
+        if (!rows.containsKey(m.id) && rows.size() >= MOST) {
+            forget();
+        }
         rows.put(m.id, m);
-        services.computeIfAbsent(m.service, s -> new TreeMap<>()).put(m.id, m);
+        if (!m.service.isEmpty()) {
+            services.computeIfAbsent(m.service, s -> new TreeMap<>()).put(m.id, m);
+        }
     }
 
     /** What the disk held, at the start. */
@@ -86,16 +98,21 @@
     /** Takes a row in, from a beat or from another control process; whether it changed anything. */
     boolean merge(Pack.Fields row, long heard) {
         String id = row.text("i");
-        if (id.isEmpty() || row.text("v").isEmpty()) {
+        String service = row.text("v");
+        if (id.isEmpty() || service.isEmpty() && Member.rank(row.text("st")) < Member.rank("leaving")) {
             return false;
         }
         Member is = rows.get(id);
-        boolean fresh = is == null;
+        boolean fresh = is == null || is.service.isEmpty() && !service.isEmpty();
         if (fresh) {
-            if (rows.size() >= MOST) {
-                forget();
+            Member before = is;
+            is = new Member(id, service);
+            if (before != null) {
+                // Its leave was heard before it was: that stands.
+                is.state = before.state;
+                is.leavingFrom = before.leavingFrom;
+                byChange.remove(before.changed);
             }
-            is = new Member(id, row.text("v"));
             add(is);
         }
         is.heard = Math.max(is.heard, heard);
@@ -120,6 +137,41 @@
         return any;
     }
 
+    /**
+     * It said that it leaves. One that said before that it drains ends now; any other serves on as long as one that drains. That
+     * of a server that is not known here, and may be elsewhere, is kept like any other, so that no late beat undoes it.
+     */
+    Member leaves(String id) {
+        Member is = rows.get(id);
+        if (is == null) {
+            is = new Member(id, "");
+            is.address = "";
+            is.zone = "";
+            add(is);
+        }
+        if (is.state.equals("draining")) {
+            left(id);
+        } else if (Member.rank(is.state) < Member.rank("leaving")) {
+            is.state = "leaving";
+            changed(is);
+        }
+        return is;
+    }
+
+    /** Those that left so long ago that they have surely ended, and were not heard since, are gone. */
+    boolean expire(long now, long after) {
+        boolean any = false;
+        for (String id : List.copyOf(leaving)) {
+            Member m = rows.get(id);
+            if (m.leavingFrom < 0) {
+                m.leavingFrom = now;
+            } else if (now - Math.max(m.leavingFrom, m.heard) > after) {
+                any |= left(id);
+            }
+        }
+        return any;
+    }
+
     boolean left(String id) {
         Member is = rows.get(id);
         if (is == null || is.left()) {
@@ -133,16 +185,18 @@
     private void forget() {
         Member oldest = null;
         for (Member m : rows.values()) {
-            if (m.left() && (oldest == null || m.changed < oldest.changed)) {
+            if ((m.left() || m.service.isEmpty()) && (oldest == null || m.changed < oldest.changed)) {
                 oldest = m;
             }
         }
         if (oldest != null) {
             rows.remove(oldest.id);
             forgotten.add(oldest.id);
+            leaving.remove(oldest.id);
             byChange.remove(oldest.changed);
-            services.get(oldest.service).remove(oldest.id);
-            if (services.get(oldest.service).isEmpty()) {
+            TreeMap<String, Member> same = services.getOrDefault(oldest.service, NONE);
+            same.remove(oldest.id);
+            if (same.isEmpty()) {
                 services.remove(oldest.service);
             }
         }
--- a/src/main/java/dillfront/front/News.java
+++ b/src/main/java/dillfront/front/News.java
@@ -379,26 +379,42 @@
     }
 
     private void member(Pack.Fields row) {
-        Service s = front.service(row.text("v"));
         String id = row.text("i");
-        Server is = s.servers.get(id);
         String state = row.text("st");
-        if (state.equals("left")) {
-            if (is != null) {
-                is.leave();
-                s.servers.remove(id);
+        if (row.text("v").isEmpty()) {
+            // Who told this knows no more of it than that it leaves.
+            for (Service any : front.services()) {
+                if (any.servers.containsKey(id)) {
+                    leaves(any, any.servers.get(id), state);
+                }
             }
             return;
         }
+        Service s = front.service(row.text("v"));
+        Server is = s.servers.get(id);
+        if (state.equals("left")) {
+            leaves(s, is, state);
+            return;
+        }
         if (is == null) {
             is = new Server(front, s, id, row.text("a"), row.text("z"));
             s.servers.put(id, is);
         }
         is.leads = row.text("ro").equals("primary");
-        if (state.equals("draining") && !is.draining) {
+        leaves(s, is, state);
+        s.changed();
+    }
+
+    private static void leaves(Service s, Server is, String state) {
+        if (is == null) {
+            return;
+        }
+        if (state.equals("left")) {
+            is.leave();
+            s.servers.remove(is.id);
+        } else if (!is.draining && (state.equals("draining") || state.equals("leaving"))) {
             is.drain();
         }
-        s.changed();
     }
 
     /** Until then no other than the recorded primary leads a service. */
--- a/src/main/java/dillfront/front/Server.java
+++ b/src/main/java/dillfront/front/Server.java
@@ -158,7 +158,7 @@
 
     /** Looks whether it is back, where it was out of reach. */
     void tryAgain() {
-        if (downSince >= 0 && dialing == 0 && front.host.now() >= tryAt && !gone) {
+        if (downSince >= 0 && dialing == 0 && front.host.now() >= tryAt && !leaves()) {
             dialing++;
             Connection fresh = new Connection(this);
             all.add(fresh);
--- a/src/main/java/dillfront/lab/whole/Database.java
+++ b/src/main/java/dillfront/lab/whole/Database.java
@@ -108,6 +108,8 @@
         final String address;
         boolean leads;
         boolean draining;
+        /** It says no more of itself. */
+        boolean quiet;
         long term = 1;
         long held;
         /** What was received, and how much of it is applied. */
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -130,7 +130,9 @@
             @Override
             public void run() {
                 if (s.machine.life == life && db.servers.contains(s)) {
-                    beat(db, s, false, 0);
+                    if (!s.quiet) {
+                        beat(db, s, false, 0);
+                    }
                     s.machine.after(BEAT_MS, this);
                 }
             }
@@ -144,15 +146,10 @@
         if (!s.machine.up || tries > 6) {
             return;
         }
-        List<ControlMachine> all = controls.known();
-        ControlMachine to = all.get(sim.random.nextInt(all.size()));
-        boolean drains = s.draining;
-        String json = Json.object().add("service", db.name).add("address", s.address).add("zone_name", s.machine.zone)
-                .add("state", drains ? "draining" : "ready").add("database_role", s.leads ? "primary" : "replica")
-                .add("call_sequence", ++calls).toString();
-        String path = (leaves ? "/Instances.Leave/" : "/Instances.Heartbeat/") + s.id;
-        s.machine.call("POST", to.machine.ip + ":" + Controls.HTTP, path, Sim.bytes(json), Map.of(), 1_000).whenComplete((is, fault) -> {
-            if (fault != null || is.status() != 200) {
+        boolean drains = s.draining || leaves;
+        String json = said(db, s);
+        send(s, (leaves ? "/Instances.Leave/" : "/Instances.Heartbeat/") + s.id, json, is -> {
+            if (!is) {
                 s.machine.after(50L * (tries + 1), () -> beat(db, s, leaves, tries + 1));
             } else if (drains) {
                 audit.drained.putIfAbsent(s.id, sim.micros());
@@ -160,6 +157,20 @@
         });
     }
 
+    /** What it says of itself now. */
+    private String said(Database db, Database.Server s) {
+        return Json.object().add("service", db.name).add("address", s.address).add("zone_name", s.machine.zone)
+                .add("state", s.draining ? "draining" : "ready").add("database_role", s.leads ? "primary" : "replica")
+                .add("call_sequence", ++calls).toString();
+    }
+
+    private void send(Database.Server s, String path, String json, java.util.function.Consumer<Boolean> acknowledged) {
+        List<ControlMachine> all = controls.known();
+        ControlMachine to = all.get(sim.random.nextInt(all.size()));
+        s.machine.call("POST", to.machine.ip + ":" + Controls.HTTP, path, Sim.bytes(json), Map.of(), 1_000)
+                .whenComplete((is, fault) -> acknowledged.accept(fault == null && is.status() == 200));
+    }
+
     private CompletableFuture<Host.Answer> promotion(String method, String path, byte[] body, Map<String, String> headers) {
         if (platformDown) {
             return new CompletableFuture<>();
@@ -371,19 +382,27 @@
      * It drains, counts as a synchronous replica until it is gone, and takes its log along. A new one, empty, starts first at
      * another address, or later at the same.
      */
-    private void release(Database db, Database.Server s, boolean same, long longerMs) {
+    private void release(Database db, Database.Server s, boolean same, long longerMs, boolean byLeave) {
         if (s == null) {
             return;
         }
-        say("release " + s.id);
+        say("release " + s.id + (byLeave ? " by its leave" : ""));
         if (!same) {
             comes(db, s, false, 0);
         }
         sim.after(1_500, () -> {
-            s.draining = true;
-            beat(db, s, false, 0);
+            if (byLeave) {
+                // What it said before comes late, and its beats end.
+                String late = said(db, s);
+                s.quiet = true;
+                beat(db, s, true, 0);
+                s.machine.after(3_000, () -> send(s, "/Instances.Heartbeat/" + s.id, late, is -> { }));
+            } else {
+                s.draining = true;
+                beat(db, s, false, 0);
+            }
             sim.after(7_500 + longerMs, () -> {
-                if (s.machine.up) {
+                if (s.machine.up && !byLeave) {
                     beat(db, s, true, 0);
                 }
                 sim.after(300, () -> {
@@ -482,7 +501,7 @@
             }
             case "release": {
                 Database db = database(w[1]);
-                release(db, which(db, w[2]), line.contains(" same"), line.contains(" longer") ? ms : 0);
+                release(db, which(db, w[2]), line.contains(" same"), line.contains(" longer") ? ms : 0, line.contains(" by leave"));
                 break;
             }
             case "lag":
