A person may give up replicas out of reach with the commits that only they have

Cause: a replica that was silent for less than 10 s when the primary was lost is waited for without a bound. Where both are gone for good and neither has left, the service waited for ever and nothing was shown as lacking; seen in a trial of only-copy-given-up-then-lost.txt with the second loss 8 s after the first.

Change: once all others are stopped and the rest was silent for 10 s, `status` shows them under `out_of_reach` of what is lacking, and the call gives up what only they hold, for this move; one that is heard again before another is named is waited for again. The auditor counts what such a call gives up without an upper position, for commits acknowledged before it.

--- a/src/main/java/dillfront/core/DataLosses.java
+++ b/src/main/java/dillfront/core/DataLosses.java
@@ -32,14 +32,16 @@
      * @param move the record with which it began to move
      * @param log where the longest log ends that is left
      * @param lacked what is known to be acknowledged
+     * @param servers out of reach: they may hold more, and are waited for
      * @param primary who led, and would have it
      * @param since when that was found out, by this process's clock
      */
-    record Lack(String service, long move, Position log, Acknowledged lacked, String primary, long since) {
+    record Lack(String service, long move, Position log, Acknowledged lacked, List<String> servers, String primary, long since) {
 
         /** It names the same commits of the same loss. */
         boolean same(Lack other) {
-            return service.equals(other.service) && move == other.move && log.equals(other.log) && lacked.equals(other.lacked);
+            return service.equals(other.service) && move == other.move && log.equals(other.log) && lacked.equals(other.lacked)
+                    && servers.equals(other.servers);
         }
 
         Map<String, Object> row(long now) {
@@ -48,6 +50,7 @@
             row.put("mv", move);
             row.put("l", log.toString());
             row.put("a", lacked.toString());
+            row.put("o", servers);
             row.put("p", primary);
             row.put("t", now - since);
             return row;
@@ -56,9 +59,8 @@
         /** null where it is none */
         static Lack of(Pack.Fields row, long now) {
             Position log = Position.of(row.text("l"));
-            Acknowledged lacked = Acknowledged.of(row.text("a"));
-            return log == null || lacked.equals(Acknowledged.NONE) ? null
-                    : new Lack(row.text("s"), row.number("mv", 0), log, lacked, row.text("p"), now - row.number("t", 0));
+            return log == null ? null : new Lack(row.text("s"), row.number("mv", 0), log, Acknowledged.of(row.text("a")), row.texts("o"),
+                    row.text("p"), now - row.number("t", 0));
         }
     }
 
@@ -143,7 +145,12 @@
             if (log == null || least == null || most == null) {
                 return Core.said(400, "log_position, least_acknowledged, most_acknowledged: expected TERM.NUMBER");
             }
-            shown = new Lack(Core.text(in, "service"), Long.parseLong(Core.text(in, "move")), log, new Acknowledged(least, most), "", 0);
+            List<String> servers = new ArrayList<>();
+            if (in.get("out_of_reach") != null) {
+                in.get("out_of_reach").asArray().forEach(id -> servers.add(id.asString()));
+            }
+            shown = new Lack(Core.text(in, "service"), Long.parseLong(Core.text(in, "move")), log, new Acknowledged(least, most),
+                    servers, "", 0);
         } catch (ParseException | UnsupportedOperationException | NumberFormatException bad) {
             return Core.said(400, String.valueOf(bad.getMessage()));
         }
@@ -172,7 +179,7 @@
     }
 
     private static boolean given(Lead lead, Lack shown) {
-        return lead != null && lead.loss() != null && lead.loss().same(shown.move(), shown.log(), shown.lacked());
+        return lead != null && lead.loss() != null && lead.loss().same(shown.move(), shown.log(), shown.lacked(), shown.servers());
     }
 
     /** Until a majority that answers from now on has it on its disks, or something else is lacking. */
@@ -203,9 +210,11 @@
     }
 
     private JsonObject json(Lack l) {
+        JsonArray servers = Json.array().asArray();
+        l.servers().forEach(servers::add);
         return Json.object().add("service", l.service()).add("move", Long.toString(l.move())).add("primary", l.primary())
                 .add("log_position", l.log().toString()).add("least_acknowledged", l.lacked().least().toString())
-                .add("most_acknowledged", l.lacked().most().toString()).add("for_ms", core.host.now() - l.since());
+                .add("most_acknowledged", l.lacked().most().toString()).add("out_of_reach", servers).add("for_ms", core.host.now() - l.since());
     }
 
     /** For `status`: what each service waits for. */
@@ -221,7 +230,7 @@
     /** The same in its line. */
     String status(String service) {
         Lack l = known(service);
-        return l == null ? "" : " lacking=" + l.lacked().least() + ".." + l.lacked().most() + " longest_log=" + l.log() + " for_s="
+        return l == null ? "" : " lacking=" + l.lacked().least() + ".." + l.lacked().most() + " longest_log=" + l.log() + (l.servers().isEmpty() ? "" : " out_of_reach=" + String.join(",", l.servers())) + " for_s="
                 + (core.host.now() - l.since()) / 1_000;
     }
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -525,7 +525,7 @@
                 continue;
             }
             long goneFor = (from == null ? now() : Math.max(from.heard, m.since)) - r.heard;
-            if (goneFor > LONG_SILENT_MS) {
+            if (goneFor > LONG_SILENT_MS || givenUp(m, r)) {
                 continue;
             }
             all = false;
@@ -548,7 +548,10 @@
         }
         if (all && replicas > 0 && !m.rows.isEmpty()) {
             m.step = Step.CHOOSE;
-        } else if (now() > m.since + TELL_WAIT_MS && now() > m.toldWaitAt + LONG_SILENT_MS) {
+            return;
+        }
+        outOfReach(m);
+        if (now() > m.since + TELL_WAIT_MS && now() > m.toldWaitAt + LONG_SILENT_MS) {
             m.toldWaitAt = now();
             List<String> waited = new ArrayList<>();
             core.members.of(m.lead.service()).forEach(r -> waited.add(r.id));
@@ -557,6 +560,45 @@
         }
     }
 
+    /** A person said that this move does not wait for it; it does once that one is heard again. */
+    private boolean givenUp(Move m, Member r) {
+        DataLoss loss = m.lead.loss();
+        return loss != null && loss.move() == m.lead.move() && loss.servers().contains(r.id) && silent(r);
+    }
+
+    /** All that can be heard are stopped, and others that may have more were silent for long: that these are given up is for a person. */
+    private void outOfReach(Move m) {
+        List<String> silent = new ArrayList<>();
+        for (Member r : core.members.of(m.lead.service())) {
+            if (r.id.equals(m.lead.primary()) || m.rows.containsKey(r.id) || givenUp(m, r)) {
+                continue;
+            }
+            if (now() - Math.max(r.heard, awayAt) < LONG_SILENT_MS) {
+                m.lack = m.lack == null || m.lack.servers().isEmpty() ? m.lack : null;
+                return;
+            }
+            silent.add(r.id);
+        }
+        Position furthest = null;
+        for (Map.Entry<String, Question.Row> one : m.rows.entrySet()) {
+            Member r = core.members.get(one.getKey());
+            furthest = r == null || r.left() ? furthest : Position.later(furthest, one.getValue().position());
+        }
+        if (furthest != null && !silent.isEmpty()) {
+            m.lack = new DataLosses.Lack(m.lead.service(), m.lead.move(), furthest, known(m), silent, m.lead.primary(),
+                    m.lack == null ? now() : m.lack.since());
+        }
+    }
+
+    /** What is known to be acknowledged, without what a person gave up. */
+    private Acknowledged known(Move m) {
+        Acknowledged known = core.askers.acknowledged(m.lead.service());
+        if (m.last != null) {
+            known = known.and(new Acknowledged(Position.NONE, m.last));
+        }
+        return m.lead.loss() == null ? known : m.lead.loss().without(known);
+    }
+
     /** Above the newest term of the service, which a replica that received nothing for long does not know itself. */
     private String pauses(Move m, Question.Row row) {
         m.term = Math.max(m.term, Math.max(row.next(), core.askers.acknowledged(m.lead.service()).most().term() + 1));
@@ -656,7 +698,7 @@
         }
         // Past that only commits can be missing that were under way together; that is waited for no longer than UNSURE_MS.
         m.lack = furthest.covers(known.least()) ? null : new DataLosses.Lack(m.lead.service(), m.lead.move(), furthest, known,
-                m.lead.primary(), m.lack == null ? now() : m.lack.since());
+                List.of(), m.lead.primary(), m.lack == null ? now() : m.lack.since());
         for (Member r : core.members.of(m.lead.service())) {
             Question.ask(core, r, PROBE_MS, Duty::resumes);
         }
@@ -706,9 +748,9 @@
         if (!settled() || m == null || m.lack == null || !m.lack.same(shown)) {
             return;
         }
-        DataLoss given = DataLoss.of(shown.move(), shown.log(), shown.lacked(), m.lead.loss());
+        DataLoss given = DataLoss.of(shown.move(), shown.log(), shown.lacked(), shown.servers(), m.lead.loss());
         core.host.wrong("data loss accepted: " + m.lead.service() + " goes on from " + shown.log() + ", acknowledged was " + shown.lacked()
-                + "; " + m.lead.primary() + " is given up");
+                + "; " + m.lead.primary() + " is given up" + (shown.servers().isEmpty() ? "" : ", and what these have, out of reach: " + shown.servers()));
         m.lack = null;
         m.lead = m.lead.without(number(), given);
         core.lead(m.lead);
@@ -738,13 +780,7 @@
                 best = null;
             }
         }
-        Acknowledged known = core.askers.acknowledged(m.lead.service());
-        if (m.last != null) {
-            known = known.and(new Acknowledged(Position.NONE, m.last));
-        }
-        if (m.lead.loss() != null) {
-            known = m.lead.loss().without(known);
-        }
+        Acknowledged known = known(m);
         if (best != null && !holdsAll(m, furthest, known)) {
             m.refused.clear();
             lacks(m, furthest, known);
--- a/src/main/java/dillfront/lab/whole/DataLossCalls.java
+++ b/src/main/java/dillfront/lab/whole/DataLossCalls.java
@@ -68,7 +68,7 @@
 
     private static JsonObject invented(String service) {
         return Json.object().add("service", service).add("move", "7").add("log_position", "1.1").add("least_acknowledged", "1.9")
-                .add("most_acknowledged", "1.9");
+                .add("most_acknowledged", "1.9").add("out_of_reach", Json.array());
     }
 
     private static JsonObject with(JsonObject of, String name, String value) {
@@ -83,6 +83,9 @@
         }
         send(with(lacking, "service", "another"), how, 0);
         send(with(lacking, "move", "7"), how, 0);
+        JsonObject more = Json.parse(lacking.toString()).asObject();
+        more.get("out_of_reach").asArray().add("another");
+        send(more, how, 0);
         for (String name : new String[] {"log_position", "least_acknowledged", "most_acknowledged"}) {
             Position is = Position.of(lacking.getString(name, ""));
             send(with(lacking, name, new Position(is.term(), is.number() + 1).toString()), how, 0);
@@ -94,7 +97,8 @@
         ControlMachine to = any();
         String service = body.getString("service", "");
         Audit.Given given = day.audit.gives(service, Position.of(body.getString("log_position", "")),
-                Position.of(body.getString("most_acknowledged", "")));
+                // Of what others have that are out of reach nobody knows how far it goes.
+                body.get("out_of_reach").asArray().isEmpty() ? Position.of(body.getString("most_acknowledged", "")) : new Position(Long.MAX_VALUE, 0));
         person.call("POST", to.machine.ip + ":" + Controls.HTTP, "/Services.AcceptDataLoss", Sim.bytes(body.toString()), Map.of(), 1_000)
                 .whenComplete((is, fault) -> {
                     int status = fault == null ? is.status() : 0;
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -274,6 +274,9 @@
         if (which.equals("primary")) {
             return leader;
         }
+        if (db.of(which) != null) {
+            return db.of(which);
+        }
         List<Database.Server> replicas = db.servers.stream().filter(s -> s != leader && s.machine.up).toList();
         return replicas.isEmpty() ? null : replicas.get(which.equals("last") ? replicas.size() - 1 : 0);
     }
--- a/src/test/java/dillfront/core/LeadTest.java
+++ b/src/test/java/dillfront/core/LeadTest.java
@@ -7,12 +7,14 @@
 import dillfront.host.DataLoss;
 import dillfront.host.Pack;
 import dillfront.host.Position;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What was recorded of a service is the same on a disk, and at another process. */
 class LeadTest {
 
-    private final DataLoss loss = DataLoss.of(5, new Position(1, 10), new Acknowledged(new Position(1, 70), new Position(1, 72)), null);
+    private final DataLoss loss = DataLoss.of(5, new Position(1, 10), new Acknowledged(new Position(1, 70), new Position(1, 72)),
+            List.of("i\n3"), null);
 
     private static Lead passed(Lead of) throws Pack.Bad {
         assertEquals(of, Lead.kept(of.service(), of.kept()));
--- a/src/test/java/dillfront/host/DataLossTest.java
+++ b/src/test/java/dillfront/host/DataLossTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What a person gave up counts for what he was shown, and for nothing before or behind it. */
@@ -18,7 +19,7 @@
         return new Acknowledged(at(least), at(most));
     }
 
-    private final DataLoss loss = DataLoss.of(7, at("1.10"), known("1.70", "1.72"), null);
+    private final DataLoss loss = DataLoss.of(7, at("1.10"), known("1.70", "1.72"), List.of("i 1,2", "i-3"), null);
 
     @Test
     void onlyWhatWasShownIsGivenUp() {
@@ -44,17 +45,18 @@
 
     @Test
     void aSecondLossGoesOnFromTheFirst() {
-        DataLoss second = DataLoss.of(9, at("1.8"), known("1.10", "1.10"), loss);
+        DataLoss second = DataLoss.of(9, at("1.8"), known("1.10", "1.10"), List.of(), loss);
         assertEquals(at("1.8"), second.without(at("1.72")));
-        assertTrue(second.same(9, at("1.8"), known("1.10", "1.10")));
-        assertFalse(second.same(7, at("1.8"), known("1.10", "1.10")));
+        assertTrue(second.same(9, at("1.8"), known("1.10", "1.10"), List.of()));
+        assertFalse(second.same(7, at("1.8"), known("1.10", "1.10"), List.of()));
+        assertFalse(second.same(9, at("1.8"), known("1.10", "1.10"), List.of("i-3")));
     }
 
     @Test
     void itsTextSaysAll() {
         DataLoss some = loss.leads(at("1.40"));
         assertEquals(some, DataLoss.of(some.toString()));
-        for (String bad : new String[] {"", "7 1.10 1.70 1.72 1.10", "x 1.10 1.70 1.72 1.10 1.72", "7 1 1.70 1.72 1.10 1.72", "7 1.10 1.70 1.72 1.10 1.72 1"}) {
+        for (String bad : new String[] {"", "7 1.10 1.70 1.72 1.10", "x 1.10 1.70 1.72 1.10 1.72", "7 1 1.70 1.72 1.10 1.72", "7 1.10 1.70 1.72 1.10 1.72 %"}) {
             assertNull(DataLoss.of(bad), bad);
         }
     }
