dillfront system accept-data-loss: shows what is lacking, and gives up just that

Cause: the call at the control door asks for five values as `status` shows them; a person copies them wrongly, and a script that reads and posts in one step gives up what nobody looked at.

`system status` says so where the answer is no 200, as before.

Tests: WholeSystemTest.whatWasShownIsGivenUpAndNothingElse, on sockets.

Not run: the command against real control processes.

--- a/src/main/java/dillfront/cli/WholeSystem.java
+++ b/src/main/java/dillfront/cli/WholeSystem.java
@@ -18,9 +18,9 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-/** What operators of the whole system call: it reads and asks, and changes nothing. */
+/** What operators of the whole system call: it reads and asks, and changes nothing but by accept-data-loss. */
 @Command(name = "system", mixinStandardHelpOptions = true, description = "Checks and asks the two programs of the whole system.",
-        subcommands = {WholeSystem.CheckSettings.class, WholeSystem.CheckConfiguration.class, WholeSystem.Asks.class})
+        subcommands = {WholeSystem.CheckSettings.class, WholeSystem.CheckConfiguration.class, WholeSystem.Asks.class, AcceptDataLoss.class})
 final class WholeSystem implements Runnable {
 
     private static final int PATIENCE_MS = 3_000;
@@ -30,7 +30,7 @@
 
     @Override
     public void run() {
-        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "expected settings, configuration or status");
+        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "expected settings, configuration, status or accept-data-loss");
     }
 
     /** As a start would. */
@@ -85,29 +85,50 @@
 
         @Override
         public Integer call() {
-            HttpURLConnection asked = null;
             try {
-                InetSocketAddress to = Address.parse(address);
-                if (to == null) {
-                    return Commands.fault(address + ": no IP:PORT");
-                }
-                asked = (HttpURLConnection) URI.create("http://" + to.getHostString() + ":" + to.getPort() + "/status").toURL().openConnection();
-                asked.setConnectTimeout(PATIENCE_MS);
-                asked.setReadTimeout(PATIENCE_MS);
-                try (InputStream in = asked.getInputStream()) {
-                    String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
-                    System.out.println(json ? text : Json.parse(text).asObject().getString("status", "").replace(" | ", "\n"));
+                Answer is = ask(address, "/status", null);
+                if (is.status() != 200) {
+                    return Commands.fault(address + ": " + is.status() + " " + is.text());
                 }
+                String text = is.text();
+                System.out.println(json ? text : Json.parse(text).asObject().getString("status", "").replace(" | ", "\n"));
                 return 0;
-            } catch (IllegalArgumentException | ParseException | UnsupportedOperationException bad) {
+            } catch (ParseException | UnsupportedOperationException bad) {
                 return Commands.fault(address + ": " + bad.getMessage());
             } catch (IOException none) {
                 return Commands.fault("no answer from " + address + ": " + none.getMessage());
-            } finally {
-                if (asked != null) {
-                    asked.disconnect();
-                }
             }
         }
     }
+
+    /** What was answered. */
+    record Answer(int status, String text) { }
+
+    /**
+     * Asks a process.
+     *
+     * @param address IP:PORT
+     * @param body of a POST; null for a GET
+     */
+    static Answer ask(String address, String path, String body) throws IOException {
+        InetSocketAddress to = Address.parse(address);
+        if (to == null) {
+            throw new IOException("no IP:PORT");
+        }
+        HttpURLConnection asked = (HttpURLConnection) URI.create("http://" + to.getHostString() + ":" + to.getPort() + path).toURL().openConnection();
+        try {
+            asked.setConnectTimeout(PATIENCE_MS);
+            asked.setReadTimeout(PATIENCE_MS);
+            if (body != null) {
+                asked.setDoOutput(true);
+                asked.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+            }
+            int status = asked.getResponseCode();
+            try (InputStream in = status < 400 ? asked.getInputStream() : asked.getErrorStream()) {
+                return new Answer(status, in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8));
+            }
+        } finally {
+            asked.disconnect();
+        }
+    }
 }
--- a/src/test/java/dillfront/cli/WholeSystemTest.java
+++ b/src/test/java/dillfront/cli/WholeSystemTest.java
@@ -1,10 +1,20 @@
 package dillfront.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.eclipsesource.json.Json;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -31,4 +41,77 @@
         assertEquals(1, Commands.run("system", "status", "127.0.0.1:1"));
         assertEquals(2, Commands.run("system"));
     }
+
+    private static final String LACKING = "{'service':'db','move':'1099512676354','primary':'db-a','log_position':'1.10','least_acknowledged':'1.70',"
+            + "'most_acknowledged':'1.%s','out_of_reach':['db-b'],'for_ms':%s}";
+
+    private final List<String> posted = new ArrayList<>();
+    private volatile String most = "72";
+    private volatile int answers = 200;
+
+    /** A control process that says what is lacking, and writes down what is posted. */
+    private HttpServer control() throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.createContext("/status", call -> say(call, 200, "{'status':'-','lacking':[" + String.format(LACKING, most, System.nanoTime()) + "]}"));
+        server.createContext("/Services.AcceptDataLoss", call -> {
+            posted.add(new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
+            say(call, answers, "{'log_position':'1.10','error_message':'something else'}");
+        });
+        server.start();
+        return server;
+    }
+
+    private static void say(HttpExchange call, int status, String text) throws IOException {
+        byte[] body = text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+        call.sendResponseHeaders(status, body.length);
+        call.getResponseBody().write(body);
+        call.close();
+    }
+
+    private String out;
+
+    private int run(String... args) {
+        PrintStream before = System.out;
+        ByteArrayOutputStream into = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(into, true, StandardCharsets.UTF_8));
+        try {
+            return Commands.run(args);
+        } finally {
+            System.setOut(before);
+            out = into.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Guards against a call that gives up more than the person was shown. */
+    @Test
+    void whatWasShownIsGivenUpAndNothingElse() throws IOException {
+        HttpServer control = control();
+        try {
+            String to = "127.0.0.1:" + control.getAddress().getPort();
+            assertEquals(0, run("system", "accept-data-loss", to, "db"));
+            assertTrue(out.contains("longest log left   1.10") && out.contains("1.72 at the most") && out.contains("db-b"), out);
+            String seal = out.replaceAll("(?s).*--shown (\\w+) --yes.*", "$1");
+            assertEquals(0, run("system", "accept-data-loss", to, "db", "--json"));
+            assertEquals(seal, Json.parse(out).asObject().getString("seal", ""), "the same, however long it lasts");
+            assertEquals(3, run("system", "accept-data-loss", to, "other"));
+            assertEquals(2, run("system", "accept-data-loss", to, "db", "--yes"));
+            assertEquals(2, run("system", "accept-data-loss", to, "db", "--shown", seal));
+            assertEquals(1, run("system", "accept-data-loss", to, "db", "--shown", "0000", "--yes"));
+            most = "73";
+            assertEquals(1, run("system", "accept-data-loss", to, "db", "--shown", seal, "--yes"));
+            assertEquals(List.of(), posted);
+            most = "72";
+            assertEquals(0, run("system", "accept-data-loss", to, "db", "--shown", seal, "--yes"));
+            assertEquals(List.of("{'service':'db','move':'1099512676354','log_position':'1.10','least_acknowledged':'1.70','most_acknowledged':'1.72',"
+                    .replace('\'', '"') + "\"out_of_reach\":[\"db-b\"]}"), posted);
+            for (int refused : new int[] {409, 503}) {
+                answers = refused;
+                assertEquals(1, run("system", "accept-data-loss", to, "db", "--shown", seal, "--yes"));
+            }
+        } finally {
+            control.stop(0);
+        }
+        assertEquals(1, run("system", "accept-data-loss", "127.0.0.1:1", "db"));
+        assertEquals(1, run("system", "accept-data-loss", "nowhere", "db"));
+    }
 }
