--- a/src/main/java/dillfront/lab/CapacityMeasure.java
+++ b/src/main/java/dillfront/lab/CapacityMeasure.java
@@ -2,7 +2,6 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import dillfront.host.Configuration;
 import dillfront.host.Deflate;
@@ -12,12 +11,8 @@
 import dillfront.host.Pack;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +20,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Stream;
 
 /**
  * Three real control processes on loopback, and hollow fronts and database servers in this one: they ask for news and beat as
@@ -35,8 +29,8 @@
 
     private static final int INNER = 17_400;
     private static final int CONTROL = 17_300;
-    private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
-    private static final long BEAT_MS = 1_200;
+    private static final String[] IPS = ControlProcesses.IPS;
+    private static final long BEAT_MS = ControlProcesses.BEAT_MS;
     /** Where all hollow servers are asked how they are, each at an address of its own. */
     private static final int HOLLOW = 17_500;
     private static final int CALM_S = 6;
@@ -45,8 +39,8 @@
     private static final int TRIES = 60;
 
     private final NettyHost host = new NettyHost(1);
-    private final List<Process> processes = new ArrayList<>();
-    private final Path folder = Files.createTempDirectory("capacity");
+    private final ControlProcesses processes = new ControlProcesses("capacity", CONTROL, INNER, "-Xmx192m", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-jar", "target/dillfront.jar");
     private final AtomicLong bytes = new AtomicLong();
     private final AtomicLong messages = new AtomicLong();
     private final int fronts;
@@ -85,28 +79,6 @@
         System.exit(0);
     }
 
-    private void startControl() throws IOException {
-        JsonArray seeds = Json.array().asArray();
-        for (String ip : IPS) {
-            seeds.add(ip + ":" + CONTROL);
-        }
-        for (String ip : IPS) {
-            Path data = Files.createDirectories(folder.resolve(ip));
-            JsonObject settings = Json.object().add("node_name", "core-" + ip).add("ip_address", ip).add("zone_name", ip).add("region", ip)
-                    .add("zones", Json.object().add(ip, ip)).add("listen_addresses", Json.object().add("control_address", ip + ":" + CONTROL))
-                    .add("internal_port_range", Json.array(INNER, INNER + 9)).add("seed_addresses", seeds).add("first_start", true)
-                    .add("data_directory", data.toString()).add("tolerated_losses", Json.object().add("machines", 1))
-                    .add("heartbeat_interval_ms", BEAT_MS).add("bounds", Json.object()).add("cloud_api", Json.object().add("address", "127.0.0.1:1"));
-            Path file = folder.resolve(ip + ".json");
-            Files.writeString(file, settings.toString());
-            ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx192m",
-                    "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/dillfront.jar", "control-plane");
-            start.environment().put("DILLFRONT_SETTINGS", file.toString());
-            start.redirectErrorStream(true).redirectOutput(folder.resolve(ip + ".log").toFile());
-            processes.add(start.start());
-        }
-    }
-
     /** Leads, and does nothing. */
     private static final class Server implements Host.Ear {
         private Host.Link link;
@@ -131,7 +103,7 @@
 
     private Row run() throws Exception {
         host.listen("0.0.0.0:" + HOLLOW, Host.Form.LINES, h -> new Server());
-        startControl();
+        processes.start(true);
         TimeUnit.MILLISECONDS.sleep(1_500);
         configure(1).get(10, TimeUnit.SECONDS);
         host.loop().submit(() -> {
@@ -145,11 +117,11 @@
             }
         }).get();
         TimeUnit.SECONDS.sleep(SETTLE_S);
-        long cpu = cpu();
+        long cpu = processes.cpuNanos();
         long b = bytes.get();
         long m = messages.get();
         TimeUnit.SECONDS.sleep(CALM_S);
-        double share = (cpu() - cpu) / 1e9 / CALM_S / IPS.length;
+        double share = (processes.cpuNanos() - cpu) / 1e9 / CALM_S / IPS.length;
         double bytesEach = (double) (bytes.get() - b) / CALM_S / fronts;
         double messagesEach = (double) (messages.get() - m) / CALM_S / fronts;
         List<Long> took = new ArrayList<>();
@@ -163,26 +135,12 @@
         }
         Collections.sort(took);
         double mb = 0;
-        for (Process p : processes) {
-            mb = Math.max(mb, peak(p));
+        for (int i = 0; i < IPS.length; i++) {
+            mb = Math.max(mb, processes.peakMb(i));
         }
         return new Row(fronts, bytesEach, messagesEach, share, took.get(took.size() - 1), mb);
     }
 
-    private long cpu() {
-        long all = 0;
-        for (Process p : processes) {
-            all += p.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
-        }
-        return all;
-    }
-
-    private static double peak(Process p) throws IOException {
-        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(p.pid()), "status"))) {
-            return lines.filter(l -> l.startsWith("VmHWM:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D", "")) / 1024).sum();
-        }
-    }
-
     private CompletableFuture<Host.Answer> configure(long version) {
         JsonArray routes = Json.array().asArray();
         JsonArray services = Json.array().asArray();
@@ -199,7 +157,7 @@
 
     /** As an operator does: one that got no clear answer goes again as it was. */
     private void send(String body, int tries, CompletableFuture<Host.Answer> taken) {
-        host.post(IPS[tries % IPS.length] + ":" + CONTROL, "/Configuration.Replace", body, Map.of(), 8_000).whenComplete((is, fault) -> {
+        host.post(processes.control(tries), "/Configuration.Replace", body, Map.of(), 8_000).whenComplete((is, fault) -> {
             if (fault == null && is.status() == 200) {
                 taken.complete(is);
             } else if (tries == 0 || fault == null && is.status() < 500) {
@@ -214,7 +172,7 @@
         host.after(in, () -> {
             String body = Json.object().add("service", service).add("address", address).add("zone_name", "z").add("state", "ready")
                     .add("database_role", leads ? "primary" : "replica").add("call_sequence", host.now()).toString();
-            host.post(IPS[host.chance().nextInt(IPS.length)] + ":" + CONTROL, "/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
+            host.post(processes.control(host.chance().nextInt(IPS.length)), "/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
             beats(id, address, service, leads, BEAT_MS);
         });
     }
@@ -236,7 +194,7 @@
         }
 
         void dial() {
-            link = host.dial(IPS[number % IPS.length] + ":" + INNER, Host.Form.FRAMES, 1_000, this);
+            link = host.dial(processes.inner(number), Host.Form.FRAMES, 1_000, this);
         }
 
         @Override
@@ -310,16 +268,7 @@
     }
 
     private void end() throws IOException, InterruptedException {
-        for (Process p : processes) {
-            p.destroy();
-            p.waitFor(5, TimeUnit.SECONDS);
-            p.destroyForcibly();
-        }
+        processes.end();
         host.loop().parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(3, TimeUnit.SECONDS);
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(one);
-            }
-        }
     }
 }
--- a/src/main/java/dillfront/lab/ChangesMeasure.java
+++ b/src/main/java/dillfront/lab/ChangesMeasure.java
@@ -2,7 +2,6 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
 import dillfront.host.Deflate;
 import dillfront.host.Delta;
 import dillfront.host.Host;
@@ -13,17 +12,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Stream;
 
 /**
  * Three real control processes on loopback, a front that only asks, and hundreds of changes of a configuration of 300 routes: what
@@ -35,16 +31,13 @@
 
     private static final int INNER = 17_700;
     private static final int CONTROL = 17_600;
-    private static final String[] IPS = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
     private static final int ROUTES = 300;
     private static final int CHANGES = 200;
     private static final int AWAY = 600;
     private static final long WITHIN_MS = 30_000;
 
     private final NettyHost host = new NettyHost(1);
-    private final Process[] processes = new Process[IPS.length];
-    private final Path folder = Files.createTempDirectory("changes");
-    private final String jar;
+    private final ControlProcesses processes;
     private final AtomicLong heard = new AtomicLong();
     private final AtomicLong has = new AtomicLong(-1);
     private final List<Long> took = new ArrayList<>();
@@ -52,7 +45,8 @@
     private int length;
 
     private ChangesMeasure(String jar) throws IOException {
-        this.jar = jar;
+        processes = new ControlProcesses("changes", CONTROL, INNER, "-Xms40m", "-Xmx40m", "-Xss256k", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-jar", jar);
     }
 
     public static void main(String[] args) throws Exception {
@@ -68,39 +62,16 @@
         System.exit(0);
     }
 
-    private void start(int which) throws IOException {
-        String ip = IPS[which];
-        JsonArray seeds = Json.array().asArray();
-        for (String one : IPS) {
-            seeds.add(one + ":" + CONTROL);
-        }
-        Path data = Files.createDirectories(folder.resolve(ip));
-        JsonObject settings = Json.object().add("node_name", "core-" + ip).add("ip_address", ip).add("zone_name", ip).add("region", ip)
-                .add("zones", Json.object().add(ip, ip)).add("listen_addresses", Json.object().add("control_address", ip + ":" + CONTROL))
-                .add("internal_port_range", Json.array(INNER, INNER + 9)).add("seed_addresses", seeds).add("first_start", version == 0)
-                .add("data_directory", data.toString()).add("tolerated_losses", Json.object().add("machines", 1))
-                .add("heartbeat_interval_ms", 1_200).add("bounds", Json.object()).add("cloud_api", Json.object().add("address", "127.0.0.1:1"));
-        Path file = folder.resolve(ip + ".json");
-        Files.writeString(file, settings.toString());
-        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms40m", "-Xmx40m",
-                "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", jar, "control-plane");
-        start.environment().put("DILLFRONT_SETTINGS", file.toString());
-        start.redirectErrorStream(true).redirectOutput(folder.resolve(ip + ".log").toFile());
-        processes[which] = start.start();
-    }
-
     private void run() throws Exception {
-        for (int i = 0; i < IPS.length; i++) {
-            start(i);
-        }
+        processes.start(true);
         TimeUnit.MILLISECONDS.sleep(2_500);
         configure();
         host.loop().submit(() -> new Front().dial()).get();
         await(() -> has.get() == version);
         long front = heard.get();
-        long read = io(1, "rchar");
-        long written = io(1, "write_bytes");
-        long cpu = cpu(1);
+        long read = processes.io(1, "rchar");
+        long written = processes.io(1, "write_bytes");
+        long cpu = processes.cpuNanos(1);
         took.clear();
         for (int i = 0; i < CHANGES; i++) {
             configure();
@@ -110,28 +81,28 @@
         Collections.sort(took);
         System.out.printf("changes: routes=%d bytes=%d changes=%d front_bytes_a_change=%d control_read_a_change=%d control_disk_a_change=%d "
                 + "control_cpu_ms_a_change=%.1f acknowledged_ms_p50=%d acknowledged_ms_p99=%d%n", ROUTES, length, CHANGES,
-                (heard.get() - front) / CHANGES, (io(1, "rchar") - read) / CHANGES, (io(1, "write_bytes") - written) / CHANGES,
-                (cpu(1) - cpu) / 1e6 / CHANGES, took.get(CHANGES / 2), took.get(CHANGES * 99 / 100));
+                (heard.get() - front) / CHANGES, (processes.io(1, "rchar") - read) / CHANGES, (processes.io(1, "write_bytes") - written) / CHANGES,
+                (processes.cpuNanos(1) - cpu) / 1e6 / CHANGES, took.get(CHANGES / 2), took.get(CHANGES * 99 / 100));
         for (boolean emptied : new boolean[] {false, true}) {
-            processes[2].destroyForcibly().waitFor();
+            processes.kill(2, false);
             for (int i = 0; i < AWAY; i++) {
                 configure();
             }
             if (emptied) {
-                delete(folder.resolve(IPS[2]));
+                processes.kill(2, true);
             }
             long from = System.nanoTime();
-            start(2);
+            processes.start(2, false);
             await(() -> status(2).contains("version=" + version + " "));
             System.out.printf("changes: behind=%d emptied=%b catch_up_ms=%d read=%d peak_mb=%.0f%n", AWAY, emptied,
-                    (System.nanoTime() - from) / 1_000_000, io(2, "rchar"), peak(2));
+                    (System.nanoTime() - from) / 1_000_000, processes.io(2, "rchar"), processes.peakMb(2));
         }
         System.out.println("changes: " + status(0));
     }
 
     /** A configuration of some 300 KB, kept as a control process keeps it: how long a put takes, and how long the file gets. */
     private void disk() throws Exception {
-        Path data = Files.createDirectories(folder.resolve("disk"));
+        Path data = Files.createDirectories(processes.folder().resolve("disk"));
         Keep keep = Keep.open(data, "measure");
         List<Long> puts = new ArrayList<>();
         long most = 0;
@@ -167,7 +138,7 @@
 
     private String status(int of) {
         try {
-            return new String(host.post(IPS[of] + ":" + CONTROL, "/status", "{}", Map.of(), 1_000).join().body(), StandardCharsets.UTF_8);
+            return new String(host.post(processes.control(of), "/status", "{}", Map.of(), 1_000).join().body(), StandardCharsets.UTF_8);
         } catch (CompletionException notYet) {
             return "";
         }
@@ -194,7 +165,7 @@
         long from = System.nanoTime();
         for (int tries = 0; tries < 50; tries++) {
             try {
-                Host.Answer answer = host.post(IPS[tries % 2] + ":" + CONTROL, "/Configuration.Replace", body, Map.of(), 5_000).join();
+                Host.Answer answer = host.post(processes.control(tries % 2), "/Configuration.Replace", body, Map.of(), 5_000).join();
                 if (answer.status() == 200) {
                     took.add((System.nanoTime() - from) / 1_000_000);
                     return;
@@ -218,7 +189,7 @@
         private boolean told;
 
         void dial() {
-            link = host.dial(IPS[1] + ":" + INNER, Host.Form.FRAMES, 1_000, this);
+            link = host.dial(processes.inner(1), Host.Form.FRAMES, 1_000, this);
         }
 
         @Override
@@ -276,37 +247,8 @@
         }
     }
 
-    private long io(int of, String name) throws IOException {
-        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(processes[of].pid()), "io"))) {
-            return lines.filter(l -> l.startsWith(name + ":")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
-        }
-    }
-
-    private double peak(int of) throws IOException {
-        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(processes[of].pid()), "status"))) {
-            return lines.filter(l -> l.startsWith("VmHWM:")).mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D", "")) / 1_024).sum();
-        }
-    }
-
-    private long cpu(int of) {
-        return processes[of].toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
-    }
-
-    private static void delete(Path of) throws IOException {
-        try (Stream<Path> all = Files.walk(of)) {
-            for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(one);
-            }
-        }
-    }
-
     private void end() throws IOException, InterruptedException {
-        for (Process p : processes) {
-            if (p != null) {
-                p.destroyForcibly().waitFor();
-            }
-        }
+        processes.end();
         host.loop().parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(3, TimeUnit.SECONDS);
-        delete(folder);
     }
 }
--- a/src/test/java/dillfront/core/AskersTest.java
+++ b/src/test/java/dillfront/core/AskersTest.java
@@ -10,7 +10,6 @@
 import dillfront.host.Host;
 import dillfront.host.ManualHost;
 import dillfront.host.Pack;
-import dillfront.host.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -26,29 +25,6 @@
     private final ManualHost host = new ManualHost();
     private final List<Pack.Fields> answers = new ArrayList<>();
 
-    private static final class Kept implements Store {
-        @Override
-        public Map<String, String> all() {
-            return Map.of();
-        }
-
-        @Override
-        public CompletableFuture<Void> put(Map<String, String> texts) {
-            return CompletableFuture.completedFuture(null);
-        }
-    }
-
-    private Core core(String... seeds) throws Exception {
-        List<String> all = new ArrayList<>();
-        for (String seed : seeds) {
-            all.add(seed + ":8002");
-        }
-        Core core = new Core(host, new Settings("core-1", "a", "ra", Map.of("a", "ra"), "10.0.0.1", null, null, "10.0.0.1:8002", 7400, all, true,
-                "/", 1, 1_200, 7_000, 6_000, null), new Kept());
-        core.start();
-        return core;
-    }
-
     private Host.Ear front(Core core) {
         Host.Ear ear = core.accept();
         ear.opened(new Host.Link() {
@@ -104,7 +80,7 @@
 
     @Test
     void aFrontThatHasAVersionIsToldWhatChanged() throws Exception {
-        Core core = core("10.0.0.1");
+        Core core = Alone.start(host);
         Host.Ear front = front(core);
         configure(core, 1);
         Pack.Fields first = ask(front, 1);
@@ -136,7 +112,7 @@
     /** It hears neither of the two others: whatever it has, it says that alone, and where others may be found, at once. */
     @Test
     void outOfContactItHandsOutNothing() throws Exception {
-        Core core = core("10.0.0.1", "10.0.0.2", "10.0.0.3");
+        Core core = Alone.start(host, "10.0.0.2", "10.0.0.3");
         Host.Ear front = front(core);
         core.call("POST", "/Instances.Heartbeat/i-1", ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone_name\":\"a\",\"state\":\"ready\","
                 + "\"database_role\":\"primary\",\"call_sequence\":1}").getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/dillfront/core/ControlCallsTest.java
+++ b/src/test/java/dillfront/core/ControlCallsTest.java
@@ -6,7 +6,6 @@
 import dillfront.host.Host;
 import dillfront.host.Pack;
 import dillfront.host.ScriptedHost;
-import dillfront.host.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,21 +35,8 @@
 
     @BeforeEach
     void start() throws Exception {
-        Settings settings = new Settings("c", "z", "r", Map.of("z", "r"), "10.0.0.1", null, null, "10.0.0.1:80", 7_440,
-                List.of("10.0.0.1:80"), true, "unused", 0, 1_200, 7_000, 6_000, null);
-        core = new Core(host, settings, new Store() {
-            @Override
-            public Map<String, String> all() {
-                return Map.of();
-            }
-
-            @Override
-            public CompletableFuture<Void> put(Map<String, String> texts) {
-                return CompletableFuture.completedFuture(null);
-            }
-        });
-        core.start();
-        host.pass(6_000);
+        core = Alone.start(host);
+        host.pass(Alone.HOLDS_MS);
         assertEquals(200, call("POST", "/Configuration.Replace", bytes(GOOD)));
     }
 
--- a/src/test/java/dillfront/core/DurableTest.java
+++ b/src/test/java/dillfront/core/DurableTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dillfront.host.ManualHost;
-import dillfront.host.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -182,9 +181,7 @@
     @Test
     void aRecordThatTheDiskRefusedIsThereLater() throws Exception {
         Hand disk = new Hand();
-        Core core = new Core(host, new Settings("core-1", "a", "ra", Map.of("a", "ra"), "10.0.0.1", null, null, "10.0.0.1:8002", 7400,
-                List.of("10.0.0.1:8002"), true, "/", 1, 1_200, 7_000, 6_000, null), disk);
-        core.start();
+        Core core = Alone.start(host, disk);
         host.until(8_000);
         for (int i = 1; i <= 6; i++) {
             disk.refuses = i <= 1;
--- a/src/test/java/dillfront/core/QuestionTest.java
+++ b/src/test/java/dillfront/core/QuestionTest.java
@@ -5,9 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dillfront.host.ScriptedHost;
-import dillfront.host.Settings;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
@@ -25,21 +22,8 @@
 
     @BeforeEach
     void holder() throws Exception {
-        Settings settings = new Settings("c", "z", "r", Map.of("z", "r"), "10.0.0.1", null, null, "10.0.0.1:80", 7_440,
-                List.of("10.0.0.1:80"), true, "unused", 0, 1_200, 7_000, 6_000, null);
-        core = new Core(host, settings, new Store() {
-            @Override
-            public Map<String, String> all() {
-                return Map.of();
-            }
-
-            @Override
-            public CompletableFuture<Void> put(Map<String, String> texts) {
-                return CompletableFuture.completedFuture(null);
-            }
-        });
-        core.start();
-        host.pass(6_000);
+        core = Alone.start(host);
+        host.pass(Alone.HOLDS_MS);
         assertTrue(core.lease.holds(), "alone, it holds the lease");
         to.address = "10.0.0.9:5432";
     }
