--- a/src/test/java/dillfront/core/ControlCallsTest.java
+++ b/src/test/java/dillfront/core/ControlCallsTest.java
@@ -6,7 +6,6 @@
 import dillfront.host.Host;
 import dillfront.host.Pack;
 import dillfront.host.ScriptedHost;
-import dillfront.host.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,27 +34,10 @@
     private final SplittableRandom random = new SplittableRandom(8_241);
     private Core core;
 
-    private Core core(String... seeds) {
-        Settings settings = new Settings("c", "z", "r", Map.of("z", "r"), "10.0.0.1", null, null, "10.0.0.1:80", 7_440,
-                List.of(seeds), true, "unused", 0, 1_200, 7_000, 6_000, null);
-        return new Core(host, settings, new Store() {
-            @Override
-            public Map<String, String> all() {
-                return Map.of();
-            }
-
-            @Override
-            public CompletableFuture<Void> put(Map<String, String> texts) {
-                return CompletableFuture.completedFuture(null);
-            }
-        });
-    }
-
     @BeforeEach
     void start() throws Exception {
-        core = core("10.0.0.1:80");
-        core.start();
-        host.pass(6_000);
+        core = Alone.start(host);
+        host.pass(Alone.HOLDS_MS);
         assertEquals(200, call("POST", "/Configuration.Replace", bytes(GOOD)));
     }
 
@@ -155,8 +137,7 @@
      */
     @Test
     void outOfContactItSendsOrdersOnToWhoeverItHeardLast() throws Exception {
-        Core cut = core("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80");
-        cut.start();
+        Core cut = Alone.start(host, "10.0.0.2", "10.0.0.3");
         assertEquals(503, answer(cut, "POST", "/Configuration.Replace", GOOD).status(), "it has heard nobody, and others may be starting too");
         host.pass(2_000);
         Set<String> seeds = new TreeSet<>();
@@ -164,17 +145,17 @@
             Host.Answer order = answer(cut, "POST", "/Configuration.Replace", GOOD);
             seeds.add(order.status() + " " + order.location());
         }
-        assertEquals("[307 http://10.0.0.2:80/Configuration.Replace, 307 http://10.0.0.3:80/Configuration.Replace]", seeds.toString());
+        assertEquals("[307 http://10.0.0.2:8002/Configuration.Replace, 307 http://10.0.0.3:8002/Configuration.Replace]", seeds.toString());
         hears(cut, "10.0.0.2", false);
         host.pass(2_000);
         hears(cut, "10.0.0.3", false);
         host.pass(20_000);
         for (int i = 0; i < 20; i++) {
             Host.Answer order = answer(cut, "POST", "/Configuration.Replace", GOOD);
-            assertEquals("307 http://10.0.0.3:80/Configuration.Replace", order.status() + " " + order.location());
+            assertEquals("307 http://10.0.0.3:8002/Configuration.Replace", order.status() + " " + order.location());
         }
         Host.Answer read = answer(cut, "GET", "/Configuration.Read", "");
-        assertEquals("307 http://10.0.0.3:80/Configuration.Read", read.status() + " " + read.location());
+        assertEquals("307 http://10.0.0.3:8002/Configuration.Read", read.status() + " " + read.location());
         assertEquals(400, answer(cut, "POST", "/Configuration.Replace", "{}").status());
         assertEquals(503, answer(cut, "POST", "/Instances.Heartbeat/i-1", BEAT).status());
         assertEquals(503, answer(cut, "POST", "/Instances.Leave/i-1", BEAT).status());
@@ -182,7 +163,7 @@
         hears(cut, "10.0.0.3", true);
         host.pass(20_000);
         Host.Answer later = answer(cut, "POST", "/Configuration.Replace", GOOD);
-        assertEquals("307 http://10.0.0.2:80/Configuration.Replace", later.status() + " " + later.location());
+        assertEquals("307 http://10.0.0.2:8002/Configuration.Replace", later.status() + " " + later.location());
     }
 
     private static Map<String, Object> question() {
