Records, table of servers and the rule for joint sets: classes of their own

Cause: what Core decides of records, of the table of servers and of when a joint set is settled ran only in Core, so no small world could run it. Change: Records (who leads, and how far that is on the disk), Table with Progress (how far two processes have each other's table) and Settling (when the new set goes on alone) hold it, without I/O; Core, Duty and Askers call them. Behaviour is as before.

--- a/src/main/java/dillfront/core/Askers.java
+++ b/src/main/java/dillfront/core/Askers.java
@@ -112,7 +112,7 @@
             return false;
         }
         boolean lacks = core.alone() || !a.boot.equals(core.boot()) || a.has < core.members.changes()
-                || a.version < core.register.committed().version() || a.record < core.record()
+                || a.version < core.register.committed().version() || a.record < core.records.newest()
                 || a.suspects != core.suspectsAt() && (a.suspects >= 0 || !core.suspects().isEmpty());
         if (lacks) {
             send(a);
@@ -145,7 +145,7 @@
             out.put(delta == null ? "cz" : "cx", delta == null ? versions.whole() : delta);
         }
         List<Object> records = new ArrayList<>();
-        for (Lead lead : core.leads()) {
+        for (Lead lead : core.records.all()) {
             if (a.record < lead.number()) {
                 records.add(lead.row());
             }
--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -59,6 +59,8 @@
     final Host host;
     final Settings settings;
     final Members members = new Members();
+    final Table table = new Table(this, members);
+    final Records records = new Records(this);
     final Register register;
     final Lease lease;
     final Askers askers;
@@ -68,22 +70,13 @@
     /** The seeds of the first start of all; empty where this process began later. */
     private String firstSeeds = "";
     private final TreeMap<String, Peer> peers = new TreeMap<>();
-    private final TreeMap<String, Lead> leads = new TreeMap<>();
-    /** The newest record that is known here, and that is on the disk with all before it. */
-    private long record = -1;
-    private long durableRecord = -1;
-    /** The change of the table of servers that the disk has. */
-    private long keptChange;
     /** Those that beat here, the last one first; one that beat again stands there twice for a while. */
     private final ArrayDeque<Member> beats = new ArrayDeque<>();
-    private boolean keeping;
     private String id = "";
     /** Its id is on the disk, so it may be told. */
     private boolean named;
     private boolean leaving;
-    /** While two sets count: the ballot that made it so, and this one's table when a majority of each had that. */
-    private Ballot jointAt = Ballot.NONE;
-    private long jointMark = -1;
+    private final Settling settling = new Settling();
     private TreeSet<String> changesTo = new TreeSet<>();
     private boolean poked;
     private long pokedAt = -TOGETHER_MS;
@@ -134,16 +127,8 @@
             firstSeeds = kept.getOrDefault("first-seeds", "");
         }
         register.load(kept);
-        members.load(kept, started);
-        keptChange = members.changes();
-        kept.forEach((name, text) -> {
-            Lead lead = name.startsWith(LEAD) ? Lead.kept(name.substring(LEAD.length()), text) : null;
-            if (lead != null) {
-                leads.put(lead.service(), lead);
-                record = Math.max(record, lead.number());
-            }
-        });
-        durableRecord = record;
+        table.load(kept, started);
+        records.load(kept);
         fronts = Integer.parseInt(kept.getOrDefault("fronts", "1"));
         frontsAt = started;
         lease.load(kept);
@@ -309,34 +294,18 @@
         return store.put(texts);
     }
 
-    Iterable<Lead> leads() {
-        return leads.values();
-    }
-
     Lead lead(String service) {
-        return leads.get(service);
+        return records.of(service);
     }
 
     /** Takes a record in where it is newer. */
     void lead(Lead next) {
-        Lead is = leads.get(next.service());
-        record = Math.max(record, next.number());
-        if (is == null || is.number() < next.number()) {
-            leads.put(next.service(), next);
-            long upTo = record;
-            store(Map.of(LEAD + next.service(), next.kept())).thenRun(() -> {
-                durableRecord = Math.max(durableRecord, upTo);
-                poke();
-            });
+        if (records.take(next)) {
             news();
             poke();
         }
     }
 
-    long record() {
-        return record;
-    }
-
     /** The holder suspects the primaries of these: whoever sees them is asked what he sees. */
     void suspects(TreeSet<String> now) {
         if (!now.equals(suspects)) {
@@ -357,32 +326,10 @@
         return suspectsAt;
     }
 
-    /** What is on this disk of the records. */
-    long durableRecord() {
-        return durableRecord;
-    }
-
-    /** The table goes to the disk behind what happens: a restart then begins with it, and servers tell again anyway. */
     private void keep() {
-        if (keeping) {
-            return;
-        }
-        if (members.changes() == keptChange) {
-            peers.values().forEach(p -> p.stored = p.known);
-            return;
-        }
-        keeping = true;
-        long upTo = members.changes();
-        Map<String, Long> heard = new HashMap<>();
-        peers.values().forEach(p -> heard.put(p.ip + " " + p.boot, p.known));
-        store(members.kept(keptChange)).whenComplete((done, fault) -> {
-            keeping = false;
-            if (fault == null) {
-                keptChange = upTo;
-                peers.values().forEach(p -> p.stored = Math.max(p.stored, heard.getOrDefault(p.ip + " " + p.boot, 0L)));
-                acknowledge();
-                poke();
-            }
+        table.keep(peers.values().stream().map(p -> p.table).toList(), () -> {
+            acknowledge();
+            poke();
         });
     }
 
@@ -514,13 +461,13 @@
             return;
         }
         if (!is.joint()) {
-            jointMark = -1;
+            settling.none();
             List<Membership.Process> seen = new ArrayList<>();
             seen.add(new Membership.Process(id, settings.zone(), 0, true, leaving));
             for (Peer p : peers.values()) {
                 if (!p.id.isEmpty()) {
                     long silent = host.now() - Math.max(Math.max(p.heard, started), awayAt);
-                    boolean near = p.echo > host.now() - TOUCH_MS && p.epoch == is.epoch() && p.record >= record
+                    boolean near = p.echo > host.now() - TOUCH_MS && p.epoch == is.epoch() && p.record >= records.newest()
                             && register.acceptedBy(p.id).equals(register.decidedBallot());
                     seen.add(new Membership.Process(p.id, p.zone, silent, near, p.leaving));
                 }
@@ -546,16 +493,16 @@
         }
         // All that the old set had when it agreed to the joint one is known here; then the new one has it on its disks.
         Ballot joint = register.decidedBallot();
-        if (!joint.equals(jointAt) || jointMark < 0) {
-            jointAt = joint;
-            jointMark = is.quorum(of -> register.acceptedBy(of).equals(joint)) ? members.changes() : -1;
-        }
-        if (jointMark >= 0 && is.settled().quorum(of -> of.equals(id) ? keptChange >= jointMark && durableRecord >= record
-                : peerOf(of) != null && peerOf(of).kept >= jointMark && peerOf(of).record >= record)) {
+        if (settling.may(is, joint, of -> register.acceptedBy(of).equals(joint), table.changes(), records.newest(), this::onDisk)) {
             register.settle(is.epoch());
         }
     }
 
+    private boolean onDisk(String of, long change, long record) {
+        return of.equals(id) ? table.durable() >= change && records.durable() >= record
+                : peerOf(of) != null && table.kept(peerOf(of).table) >= change && peerOf(of).record >= record;
+    }
+
     private void leave(Peer p) {
         p.link.close();
         p.up = false;
@@ -641,13 +588,7 @@
             p.placesTold = places.toString();
             out.put("pl", places);
         }
-        out.put("r", members.changes());
-        out.put("a", p.known);
-        out.put("ak", p.stored);
-        List<Object> rows = members.since(p.knows);
-        if (!rows.isEmpty()) {
-            out.put("m", rows);
-        }
+        table.say(out, p.table);
         List<Object> alive = new ArrayList<>();
         for (Member m : beats) {
             if (m.heardHere < p.toldAt) {
@@ -665,14 +606,10 @@
         out.put("pt", lease.promisedTo());
         out.put("pg", lease.granted());
         out.put("w", lease.wanted());
-        out.put("k", durableRecord);
-        List<Object> records = new ArrayList<>();
+        records.say(out, p.record);
         List<Object> cleared = new ArrayList<>();
         List<Object> sights = new ArrayList<>();
-        for (Lead lead : leads.values()) {
-            if (lead.number() > p.record) {
-                records.add(lead.row());
-            }
+        for (Lead lead : records.all()) {
             if (lead.moving() && askers.cleared(lead.number())) {
                 cleared.add(lead.service());
                 cleared.add(lead.number());
@@ -683,9 +620,6 @@
                         askers.acknowledged(lead.service()).toString()));
             }
         }
-        if (!records.isEmpty()) {
-            out.put("l", records);
-        }
         if (!cleared.isEmpty()) {
             out.put("cl", cleared);
         }
@@ -729,10 +663,7 @@
             }
             poke();
             p.id = in.text("id");
-            p.known = 0;
-            p.stored = 0;
-            p.knows = 0;
-            p.kept = 0;
+            p.table = new Progress();
             p.promised = 0;
             p.promisedTo = "";
             p.echo = Long.MIN_VALUE / 2;
@@ -749,17 +680,8 @@
         boolean ours = in.text("eb").equals(boot);
         if (ours) {
             p.echo = Math.max(p.echo, in.number("e", Long.MIN_VALUE / 2));
-            p.knows = in.number("a", 0);
-            p.kept = in.number("ak", 0);
-        } else {
-            p.knows = 0;
-            p.kept = 0;
         }
-        boolean changed = false;
-        for (Pack.Fields row : in.list("m")) {
-            changed |= members.merge(row, 0);
-        }
-        p.known = Math.max(p.known, in.number("r", 0));
+        boolean changed = table.hear(in, p.table, ours);
         List<String> alive = in.texts("al");
         for (int i = 0; i + 2 < alive.size(); i += 3) {
             Member m = members.get(alive.get(i));
@@ -785,8 +707,9 @@
         p.promisedTo = in.text("pt");
         p.granted = in.number("pg", Lease.NEVER);
         p.record = in.number("k", -1);
-        for (Pack.Fields row : in.list("l")) {
-            lead(Lead.of(row));
+        if (records.hear(in)) {
+            news();
+            poke();
         }
         List<String> cleared = in.texts("cl");
         p.cleared.clear();
@@ -840,9 +763,8 @@
 
     private void leave(Runnable end, long until) {
         Value is = register.held();
-        boolean others = is == null || !votes() || is.quorum(of -> of.equals(id) || peerOf(of) != null
-                && peerOf(of).kept >= members.changes() && peerOf(of).record >= durableRecord
-                && register.acceptedBy(of).compareTo(register.accepted()) >= 0);
+        boolean others = is == null || !votes() || is.quorum(of -> of.equals(id)
+                || onDisk(of, members.changes(), records.durable()) && register.acceptedBy(of).compareTo(register.accepted()) >= 0);
         boolean stays = is != null && votes() && is.members().size() > 2 * settings.losses() + 1;
         if (host.now() < until && (!others || stays)) {
             change();
@@ -869,7 +791,7 @@
         if (waits.isEmpty()) {
             return;
         }
-        long agreed = reached(keptChange, p -> p.kept);
+        long agreed = reached(table.durable(), p -> table.kept(p.table));
         List<Waits> over = new ArrayList<>();
         waits.removeIf(w -> w.done().isDone() || w.change() <= agreed && over.add(w));
         over.forEach(w -> w.done().complete(null));
@@ -950,7 +872,6 @@
         };
     }
 
-    private static final String LEAD = "lead:";
     private static final String BEAT = "/Instances.Heartbeat/";
     private static final String LEAVE = "/Instances.Leave/";
 
@@ -1094,7 +1015,7 @@
                 .append(votes() ? "" : " learner").append(alone() ? " alone" : "").append(leaving ? " leaving" : "")
                 .append(" lease=").append(lease.number()).append(lease.holds() ? " held" : "").append(" promised=")
                 .append(lease.promised()).append(" to=").append(lease.promisedTo()).append(" fronts=").append(fronts);
-        leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : ""));
+        records.all().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : ""));
         return line.toString();
     }
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -180,19 +180,19 @@
 
     /** Once a majority has answered since the lease began, what earlier holders recorded is known, and is recorded anew. */
     private void take() {
-        if (!core.quorum(true, p -> p.echo >= heldFrom && p.record <= core.record())) {
+        if (!core.quorum(true, p -> core.records.covers(p.echo >= heldFrom, p.record))) {
             return;
         }
         taken = true;
-        List<Lead> all = new ArrayList<>();
-        core.leads().forEach(all::add);
-        for (Lead lead : all) {
-            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving(), lead.paused());
-            core.lead(mine);
+        List<Lead> mine = core.records.anew(this::number);
+        for (Lead lead : mine) {
             if (lead.moving()) {
-                moves.put(lead.service(), new Move(mine, false, true, now()));
+                moves.put(lead.service(), new Move(lead, false, true, now()));
             }
         }
+        if (!mine.isEmpty()) {
+            core.news();
+        }
         core.poke();
     }
 
@@ -367,7 +367,7 @@
 
     /** A majority of control processes has the record. */
     private boolean recorded(Move m) {
-        return core.quorum(core.durableRecord() >= m.lead.number(), p -> p.record >= m.lead.number());
+        return core.quorum(core.records.durable() >= m.lead.number(), p -> p.record >= m.lead.number());
     }
 
     /** No front takes the old one for sure any more: each has said so, or its time is over. */
--- a/src/main/java/dillfront/core/Lead.java
+++ b/src/main/java/dillfront/core/Lead.java
@@ -11,7 +11,7 @@
  * @param moving nobody is to be asked as the primary until the next record
  * @param paused replicas may not receive: whoever holds the duty resumes them
  */
-record Lead(String service, long number, String primary, boolean moving, boolean paused) {
+public record Lead(String service, long number, String primary, boolean moving, boolean paused) {
 
     Map<String, Object> row() {
         Map<String, Object> row = new LinkedHashMap<>();
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -26,12 +26,8 @@
     long heard = Long.MIN_VALUE / 2;
     /** The same of its life before this one: what that told fronts, this one does not know. */
     long earlier = Long.MIN_VALUE / 2;
-    /** How far it has this one's table of servers: in memory, and on its disk. */
-    long knows;
-    long kept;
-    /** How far this one has its table: in memory, and on the disk. */
-    long known;
-    long stored;
+    /** How far each has the other's table of servers, in its present life. */
+    Progress table = new Progress();
     /** The id of the process that was heard there last; empty before. */
     String id = "";
     /** Of the set of members that it goes by. */
