Small worlds hold records, servers and settling; five faults they show, mended

Cause: the world did not hold who leads, the table of servers, nor the rule for joint sets. With the real Records, Table, Settling and Numbers in it, it showed five faults of the text before, each by a trace that is a test now: - a word meant for the life before raised how far a table is known, without its rows: a drain was acknowledged that one disk had; - records of one word went to the disk one by one, by name, and the first one's number stood for all; - a member back without its disk took in what is newer than that disk had, and said that it has all before; - a member that did not know of the joint set acknowledged by one that had agreed to it before it had the row: the next set lacked it; - a lease out of hand for a moment, as a set grew, came back under its number, and numbers within it (records, fencing tokens) began anew. Change: words say where rows and records begin (mf, lf); records of a word are one write; what is kept under a newer set acknowledges nothing; Numbers goes on within a lease. Eleven defences (ROWS_*, RECORDS_*, NUMBERS_ONCE), each with its switch.

--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -791,7 +791,7 @@
         if (waits.isEmpty()) {
             return;
         }
-        long agreed = reached(table.durable(), p -> table.kept(p.table));
+        long agreed = reached(table.durable(), p -> table.kept(p.table, p.epoch, epoch()));
         List<Waits> over = new ArrayList<>();
         waits.removeIf(w -> w.done().isDone() || w.change() <= agreed && over.add(w));
         over.forEach(w -> w.done().complete(null));
--- a/src/main/java/dillfront/core/Defence.java
+++ b/src/main/java/dillfront/core/Defence.java
@@ -45,5 +45,27 @@
     /** A voter's promise stands for its time, whoever else asks. */
     LEASE_PROMISE_STANDS,
     /** While a voter's promise to another is on its way to the disk, it grants nothing more to the one before. */
-    LEASE_TURNS
+    LEASE_TURNS,
+    /** What is said to be kept of the table of servers is on the disk. */
+    ROWS_ON_DISK,
+    /** How far another has this table counts only where it is said of this life. */
+    ROWS_OF_THIS_LIFE,
+    /** A table is known as far as a word says only where its rows begin at what was known before. */
+    ROWS_WITHOUT_GAP,
+    /** A server goes from ready to draining to left, and never back. */
+    ROWS_FORWARD,
+    /** A row is acknowledged by what was said to be kept under no newer set than the one gone by. */
+    ROWS_UNDER_EPOCH,
+    /** A record that is said to be kept is on the disk. */
+    RECORDS_ON_DISK,
+    /** Records of one word go to the disk together: a number stands for all before it. */
+    RECORDS_TOGETHER,
+    /** Records are taken in only where they begin at what is known here. */
+    RECORDS_WITHOUT_GAP,
+    /** An older record never takes the place of a newer. */
+    RECORDS_FORWARD,
+    /** A holder acts once a majority has answered since its lease began, and has nothing that it lacks. */
+    RECORDS_OF_MAJORITY,
+    /** A number within a lease is given once. */
+    NUMBERS_ONCE
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -119,10 +119,11 @@
     private long heldFrom;
     private boolean taken;
     private long awayAt = Long.MIN_VALUE / 2;
-    private long next;
+    private final Numbers numbers;
 
     Duty(Core core) {
         this.core = core;
+        numbers = new Numbers(core);
     }
 
     /** This process holds the lease and knows all that earlier holders recorded. */
@@ -147,7 +148,7 @@
         if (held != core.lease.number()) {
             held = core.lease.number();
             heldFrom = now();
-            next = 0;
+            numbers.of(held);
             taken = false;
             moves.clear();
             watches.clear();
@@ -197,7 +198,7 @@
     }
 
     private long number() {
-        return (held << Lease.WITHIN) + ++next;
+        return numbers.next();
     }
 
     private Watch watchOf(String service) {
--- a/src/main/java/dillfront/core/Member.java
+++ b/src/main/java/dillfront/core/Member.java
@@ -76,7 +76,7 @@
     }
 
     /** @return whether anything changed that others must know */
-    boolean merge(Pack.Fields row) {
+    boolean merge(Pack.Fields row, boolean back) {
         boolean changes = false;
         long from = row.number("q", -1);
         if (from >= sequence || address == null) {
@@ -86,7 +86,7 @@
             zone = row.text("z");
             role = row.text("ro");
         }
-        if (rank(row.text("st")) > rank(state)) {
+        if (rank(row.text("st")) > rank(state) || back && !row.text("st").equals(state)) {
             state = row.text("st");
             changes = true;
         }
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -22,6 +22,16 @@
     private final TreeMap<Long, Member> byChange = new TreeMap<>();
     private final TreeSet<String> forgotten = new TreeSet<>();
     private long changes;
+    /** Rows go back too, as only a small world has it. */
+    private final boolean back;
+
+    Members() {
+        this(false);
+    }
+
+    Members(boolean back) {
+        this.back = back;
+    }
 
     Member get(String id) {
         return rows.get(id);
@@ -99,7 +109,7 @@
             add(is);
         }
         is.heard = Math.max(is.heard, heard);
-        if (is.merge(row) || fresh) {
+        if (is.merge(row, back) || fresh) {
             changed(is);
             return true;
         }
--- a/src/main/java/dillfront/core/Records.java
+++ b/src/main/java/dillfront/core/Records.java
@@ -55,14 +55,24 @@
 
     /** Takes a record in where it is newer; whether it was. */
     public boolean take(Lead next) {
-        Lead is = leads.get(next.service());
-        newest = Math.max(newest, next.number());
-        if (is != null && is.number() >= next.number()) {
+        return take(List.of(next));
+    }
+
+    private boolean take(List<Lead> next) {
+        Map<String, String> texts = new TreeMap<>();
+        for (Lead lead : next) {
+            Lead is = leads.get(lead.service());
+            newest = Math.max(newest, lead.number());
+            if (is == null || is.number() < lead.number() || is.number() > lead.number() && ground.without(Defence.RECORDS_FORWARD)) {
+                leads.put(lead.service(), lead);
+                texts.put(KEPT + lead.service(), lead.kept());
+            }
+        }
+        if (texts.isEmpty()) {
             return false;
         }
-        leads.put(next.service(), next);
         long upTo = newest;
-        ground.store(Map.of(KEPT + next.service(), next.kept())).thenRun(() -> {
+        ground.store(texts).thenRun(() -> {
             durable = Math.max(durable, upTo);
             ground.tell();
         });
@@ -80,31 +90,39 @@
         }
         if (!rows.isEmpty()) {
             out.put("l", rows);
+            out.put("lf", has);
         }
     }
 
     /** A word of another process; whether anything was newer. */
     public boolean hear(Pack.Fields in) {
+        if (in.number("lf", -1) > newest && !ground.without(Defence.RECORDS_WITHOUT_GAP)) {
+            // Meant for one that had this disk before it was lost: all that comes before is missing.
+            return false;
+        }
+        List<Lead> next = in.list("l").stream().map(Lead::of).toList();
+        if (!ground.without(Defence.RECORDS_TOGETHER)) {
+            return take(next);
+        }
         boolean any = false;
-        for (Pack.Fields row : in.list("l")) {
-            any |= take(Lead.of(row));
+        for (Lead lead : next) {
+            any |= take(lead);
         }
         return any;
     }
 
     /** Whether nothing is lacked here of what that process has, by what it said since a lease began. */
     public boolean covers(boolean since, long its) {
-        return since && its <= newest;
+        return since && its <= newest || ground.without(Defence.RECORDS_OF_MAJORITY);
     }
 
     /** Who takes the duty over records all of it anew, under numbers of its own. */
     public List<Lead> anew(LongSupplier number) {
         List<Lead> mine = new ArrayList<>();
-        for (Lead lead : List.copyOf(leads.values())) {
-            Lead next = new Lead(lead.service(), number.getAsLong(), lead.primary(), lead.moving(), lead.paused());
-            take(next);
-            mine.add(next);
+        for (Lead lead : leads.values()) {
+            mine.add(new Lead(lead.service(), number.getAsLong(), lead.primary(), lead.moving(), lead.paused()));
         }
+        take(mine);
         return mine;
     }
 }
--- a/src/main/java/dillfront/core/Register.java
+++ b/src/main/java/dillfront/core/Register.java
@@ -187,7 +187,7 @@
     }
 
     /** What that process has accepted, as far as was heard. */
-    Ballot acceptedBy(String id) {
+    public Ballot acceptedBy(String id) {
         return id.equals(ground.self()) ? accepted : views.containsKey(id) ? views.get(id).accepted : Ballot.NONE;
     }
 
--- a/src/main/java/dillfront/core/Table.java
+++ b/src/main/java/dillfront/core/Table.java
@@ -25,7 +25,7 @@
     }
 
     public Table(Register.Ground ground) {
-        this(ground, new Members());
+        this(ground, new Members(ground.without(Defence.ROWS_FORWARD)));
     }
 
     /** What the disk held, at the start. */
@@ -68,6 +68,7 @@
     /** What goes into a word to that process. */
     public void say(Map<String, Object> out, Progress to) {
         out.put("r", members.changes());
+        out.put("mf", to.knows);
         out.put("a", to.known);
         out.put("ak", to.stored);
         List<Object> rows = members.since(to.knows);
@@ -83,13 +84,17 @@
      * @return whether anything changed
      */
     public boolean hear(Pack.Fields in, Progress from, boolean ours) {
-        from.knows = ours ? in.number("a", 0) : 0;
-        from.kept = ours ? in.number("ak", 0) : 0;
+        boolean counts = ours || ground.without(Defence.ROWS_OF_THIS_LIFE);
+        from.knows = counts ? in.number("a", 0) : 0;
+        from.kept = counts ? in.number("ak", 0) : 0;
         boolean changed = false;
         for (Pack.Fields row : in.list("m")) {
             changed |= members.merge(row, 0);
         }
-        from.known = Math.max(from.known, in.number("r", 0));
+        if (in.number("mf", 0) <= from.known || ground.without(Defence.ROWS_WITHOUT_GAP)) {
+            // Else it was meant for a life before this one, which knew more.
+            from.known = Math.max(from.known, in.number("r", 0));
+        }
         return changed;
     }
 
@@ -97,4 +102,33 @@
     public long kept(Progress by) {
         return by.kept;
     }
+
+    /**
+     * The same, as far as it counts for an acknowledgement under the set that is gone by here: what it has on its disk while it goes by a
+     * newer set may be missing in what that one was settled with.
+     */
+    public long kept(Progress by, long itsEpoch, long epoch) {
+        return itsEpoch <= epoch || ground.without(Defence.ROWS_UNDER_EPOCH) ? by.kept : 0;
+    }
+
+    /** A call of a server itself; whether it changed anything. */
+    public boolean merge(Pack.Fields row, long now) {
+        return members.merge(row, now);
+    }
+
+    public boolean left(String server) {
+        return members.left(server);
+    }
+
+    /** The change that made this row what it is; -1 where there is none. */
+    public long changed(String server) {
+        Member is = members.get(server);
+        return is == null ? -1 : is.changed;
+    }
+
+    /** Empty where there is no such row. */
+    public String state(String server) {
+        Member is = members.get(server);
+        return is == null ? "" : is.state;
+    }
 }
