--- a/src/main/java/dillfront/core/DataLosses.java
+++ b/src/main/java/dillfront/core/DataLosses.java
@@ -191,7 +191,7 @@
         Lack known = known(shown.service());
         if (given(lead, shown)) {
             DataLoss loss = lead.loss();
-            if (core.quorum(core.durableRecord() >= lead.number(), p -> p.echo >= from && p.record >= lead.number())) {
+            if (core.quorum(core.records.durable() >= lead.number(), p -> p.echo >= from && p.record >= lead.number())) {
                 done.complete(new Host.Answer(200, Json.object().add("service", shown.service()).add("log_position", loss.log().toString())
                         .add("given_up", loss.until().toString()).toString().getBytes(StandardCharsets.UTF_8)));
                 return;
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -135,10 +135,11 @@
     private long heldFrom;
     private boolean taken;
     private long awayAt = Long.MIN_VALUE / 2;
-    private long next;
+    private final Numbers numbers;
 
     Duty(Core core) {
         this.core = core;
+        numbers = new Numbers(core);
     }
 
     /** This process holds the lease and knows all that earlier holders recorded. */
@@ -163,7 +164,7 @@
         if (held != core.lease.number()) {
             held = core.lease.number();
             heldFrom = now();
-            next = 0;
+            numbers.of(held);
             taken = false;
             moves.clear();
             watches.clear();
@@ -196,24 +197,24 @@
 
     /** Once a majority has answered since the lease began, what earlier holders recorded is known, and is recorded anew. */
     private void take() {
-        if (!core.quorum(true, p -> p.echo >= heldFrom && p.record <= core.record())) {
+        if (!core.quorum(true, p -> core.records.covers(p.echo >= heldFrom, p.record))) {
             return;
         }
         taken = true;
-        List<Lead> all = new ArrayList<>();
-        core.leads().forEach(all::add);
-        for (Lead lead : all) {
-            Lead mine = lead.again(number());
-            core.lead(mine);
+        List<Lead> mine = core.records.anew(this::number);
+        for (Lead lead : mine) {
             if (lead.moving()) {
-                moves.put(lead.service(), new Move(mine, false, true, now()));
+                moves.put(lead.service(), new Move(lead, false, true, now()));
             }
         }
+        if (!mine.isEmpty()) {
+            core.news();
+        }
         core.poke();
     }
 
     private long number() {
-        return (held << Lease.WITHIN) + ++next;
+        return numbers.next();
     }
 
     private Watch watchOf(String service) {
@@ -384,7 +385,7 @@
 
     /** A majority of control processes has the record. */
     private boolean recorded(Move m) {
-        return core.quorum(core.durableRecord() >= m.lead.number(), p -> p.record >= m.lead.number());
+        return core.quorum(core.records.durable() >= m.lead.number(), p -> p.record >= m.lead.number());
     }
 
     /** No front takes the old one for sure any more: each has said so, or its time is over. */
--- a/src/main/java/dillfront/core/Lead.java
+++ b/src/main/java/dillfront/core/Lead.java
@@ -14,10 +14,10 @@
  * @param move the record with which it began to move; 0 while it does not
  * @param loss the commits that a person gave up last; null for none
  */
-record Lead(String service, long number, String primary, boolean moving, boolean paused, long move, DataLoss loss) {
+public record Lead(String service, long number, String primary, boolean moving, boolean paused, long move, DataLoss loss) {
 
     /** Nothing that was given up before counts for this one. */
-    Lead(String service, long number, String primary, boolean moving, boolean paused) {
+    public Lead(String service, long number, String primary, boolean moving, boolean paused) {
         this(service, number, primary, moving, paused, moving ? number : 0, null);
     }
 
--- a/src/main/java/dillfront/core/Members.java
+++ b/src/main/java/dillfront/core/Members.java
@@ -24,6 +24,16 @@
     /** Those that said that they leave, and may serve on. */
     private final TreeSet<String> leaving = new TreeSet<>();
     private long changes;
+    /** Rows go back too, as only a small world has it. */
+    private final boolean back;
+
+    Members() {
+        this(false);
+    }
+
+    Members(boolean back) {
+        this.back = back;
+    }
 
     Member get(String id) {
         return rows.get(id);
@@ -116,7 +126,7 @@
             add(is);
         }
         is.heard = Math.max(is.heard, heard);
-        if (is.merge(row) || fresh) {
+        if (is.merge(row, back) || fresh) {
             changed(is);
             return true;
         }
--- a/src/test/java/dillfront/core/AskersTest.java
+++ b/src/test/java/dillfront/core/AskersTest.java
@@ -134,7 +134,7 @@
     /** Of a primary it says 'sure' for no longer than 600 ms past the end of its lease, which is 2250 ms from its last question. */
     @Test
     void aHolderSaysSureNoLongerThanItsLeaseAndALittle() throws Exception {
-        Core core = core("10.0.0.1");
+        Core core = Alone.start(host);
         Host.Ear front = front(core);
         configure(core, 1);
         assertEquals(2_850, ask(front, 1).number("su", 0));
@@ -143,7 +143,7 @@
     /** What is left of another's lease counts from this one's clock when it said what that one had heard last. */
     @Test
     void whatAHolderSaysIsSureIsPassedOnWithWhatIsLeftOfItsLease() throws Exception {
-        Core core = core("10.0.0.1", "10.0.0.2");
+        Core core = Alone.start(host, "10.0.0.2");
         Host.Ear other = core.accept();
         host.until(5_000);
         long now = host.now();
