The rig records an answer after what was sent before it, also where it had no core

A statement passes a relay on its way to a node, an answer passes none. Where the rig's one thread had no core while both came, it read the answer in one look at its sockets and the statement in the next. The router had sent it before. Change: an answer goes to the record after the next look, as what a router shows to know does already; its time is when it was read. The scene by itself is a test: the rig's thread stands still for 700 ms over a read that hangs and is declined. What this can't see any more: a router that sends within those two looks of its own answer; without a load these are far below a millisecond.

--- a/src/main/java/dillfront/lab/rig/Caller.java
+++ b/src/main/java/dillfront/lab/rig/Caller.java
@@ -165,12 +165,15 @@
         private void over(String ending, String with) {
             Happening.Answered answered = new Happening.Answered(stage.now(), txn, ending, with);
             Consumer<Happening.Answered> told = then;
-            out.remove(txn);
             txn = null;
-            stage.happened(answered);
-            if (told != null) {
-                told.accept(answered);
-            }
+            // What the router sent to nodes before it answered may still lie unread there.
+            stage.afterNextLook(() -> {
+                out.remove(answered.txn());
+                stage.happened(answered);
+                if (told != null) {
+                    told.accept(answered);
+                }
+            });
         }
 
         /** A kept connection that ends as a query crosses its end: once more, on a new one. */
--- a/src/test/java/dillfront/lab/rig/WordsTest.java
+++ b/src/test/java/dillfront/lab/rig/WordsTest.java
@@ -84,6 +84,34 @@
         }
     }
 
+    /** Guards against a breach that is none: the stage had no core, and a statement and the answer behind it lie unread together. */
+    @Test
+    void whatWasSentBeforeAnAnswerIsRecordedBeforeIt() throws Exception {
+        try (Rig one = new Rig(Rig.Plan.of(1, 1, 2))) {
+            one.start();
+            Caller caller = one.router(0).caller();
+            // Both connections are up, and rest.
+            for (int i = 0; i < 8; i++) {
+                one.stage().run(() -> caller.ask("any", 0, "16-warm", 2000, 0, null));
+                one.settle();
+            }
+            one.nodes().forEach(n -> n.mood(Node.Mood.HANGS));
+            one.stage().run(() -> {
+                caller.ask("any", 0, "16-hangs", 500, 0, null);
+                try {
+                    Thread.sleep(700);
+                } catch (InterruptedException stopped) {
+                    throw new IllegalStateException(stopped);
+                }
+            });
+            one.settle();
+            one.router(0).end();
+            Audit audit = Audit.of(one.stage().record());
+            assertEquals(List.of(), audit.breaches());
+            assertEquals(9, audit.asked());
+        }
+    }
+
     /**
      * Hundreds of rounds by a seed: each is a word of the operators or of discovery that comes in one of the ways that go wrong,
      * under load; it ends once each router has shown that it knows. Nothing may go to a node that a router has heard to drain.
