--- a/src/main/java/dillfront/core/Core.java
+++ b/src/main/java/dillfront/core/Core.java
@@ -20,24 +20,31 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 
 /**
  * One control process. It and its like tell each other what they have, often and at once where something changed; there is
  * no log and no leader. One loop calls all of it.
  */
-public final class Core implements Lease.Ground {
+public final class Core implements Lease.Ground<Peer> {
 
     private static final long TICK_MS = 400;
     private static final long LOOK_MS = 50;
     private static final long LATE_MS = 300;
     /** One that was not heard for so long is out of touch. */
-    private static final long TOUCH_MS = 1_300;
+    static final long TOUCH_MS = 1_300;
     /** What a majority answered so long ago is fresh: two ticks, and the way there and back. */
     private static final long FRESH_MS = 850;
-    /** That a primary leads is sure for so long after the duty's holder last said so. */
+    /** That a primary leads is sure for no longer than this after the duty's holder last said so. */
     static final long SURE_MS = 3_000;
+    /**
+     * Nor for longer than this past the end of its lease. At the most for which the next holder's wait covers clocks that differ by a
+     * tenth: (2250 + 600) * 1.1 < 2500 + 700 / 1.1.
+     */
+    static final long PAST_MS = 600;
     private static final int DIAL_MS = 700;
     private static final long REDIAL_MS = 200;
     /** A dial that is out for so long went to a life that is over, where another is heard. */
@@ -45,14 +52,14 @@
     /** A connection that brought no answer for so long is left. */
     private static final long DEAF_MS = 1_500;
     /** Who calls waits a second for an answer. */
-    private static final long ANSWER_MS = 900;
+    static final long ANSWER_MS = 900;
     /** Where it ends in order, others get so long to have what only it holds. */
     private static final long HAND_OVER_MS = 2_000;
     private static final long LAST_WORD_MS = 50;
     private static final long FORGOTTEN_MS = 60_000;
     private static final long BEAT_ANSWER_MS = 850;
     private static final long FEWER_MS = 15_000;
-    private static final long TOGETHER_MS = 20;
+    static final long TOGETHER_MS = 20;
     private static final int MOST_BEATS = 60_000;
     private static final int MOST_PEERS = 32;
 
@@ -63,6 +70,7 @@
     final Lease lease;
     final Askers askers;
     final Duty duty;
+    final DataLosses losses;
     private final Store store;
     private final String boot;
     /** The seeds of the first start of all; empty where this process began later. */
@@ -95,7 +103,7 @@
     private boolean inContact;
     private TreeSet<String> suspects = new TreeSet<>();
     private long suspectsAt;
-    private long sureFrom = Long.MIN_VALUE / 2;
+    private long sureUntil = Long.MIN_VALUE / 2;
     private long started;
     private int fronts = 1;
     private long frontsAt;
@@ -114,6 +122,7 @@
         lease = new Lease(this);
         askers = new Askers(this);
         duty = new Duty(this);
+        losses = new DataLosses(this);
     }
 
     /** Takes over what the disk holds, and begins. */
@@ -272,16 +281,11 @@
         return is != null && is.quorum(of -> of.equals(id) ? itself : peerOf(of) != null && other.test(peerOf(of)));
     }
 
-    /** The latest moment that a majority of each set in force has reached, by this one's clock. */
-    long reached(long itself, ToLongFunction<Peer> moment) {
-        Value is = register.held();
-        return is == null ? Long.MIN_VALUE / 2 : is.reached(of -> of.equals(id) ? itself
-                : peerOf(of) == null ? Long.MIN_VALUE / 2 : moment.applyAsLong(peerOf(of)));
-    }
-
     @Override
-    public long reachedBy(long itself, ToLongFunction<Lease.Voter> moment) {
-        return reached(itself, moment::applyAsLong);
+    public long reached(long itself, ToLongFunction<? super Peer> moment) {
+        Value is = register.held();
+        return is == null ? Lease.NEVER : is.reached(of -> of.equals(id) ? itself
+                : peerOf(of) == null ? Lease.NEVER : moment.applyAsLong(peerOf(of)));
     }
 
     @Override
@@ -389,9 +393,9 @@
     /** For how long from now it is sure that no other leads than the records say. */
     long sureFor() {
         if (duty.settled()) {
-            return SURE_MS;
+            return Math.min(SURE_MS, lease.until() - host.now() + PAST_MS);
         }
-        return sureFrom + SURE_MS - host.now();
+        return sureUntil - host.now();
     }
 
     int fronts() {
@@ -630,6 +634,7 @@
         }
         if (lease.given() > 0) {
             out.put("rl", lease.given());
+            out.put("rh", lease.gaveUpHeld());
         }
         List<String> places = new ArrayList<>();
         peers.values().forEach(o -> {
@@ -664,6 +669,9 @@
         out.put("p", lease.promised());
         out.put("pt", lease.promisedTo());
         out.put("pg", lease.granted());
+        if (lease.formerUntil() > now) {
+            out.put("pf", lease.formerUntil() - now);
+        }
         out.put("w", lease.wanted());
         out.put("k", durableRecord);
         List<Object> records = new ArrayList<>();
@@ -694,7 +702,9 @@
         }
         if (duty.settled()) {
             out.put("h", true);
+            out.put("hl", lease.until() - now);
         }
+        losses.tell(out);
         out.put("f", askers.count());
         if (duty.settled() && !suspects.isEmpty()) {
             out.put("sq", suspects());
@@ -735,6 +745,7 @@
             p.kept = 0;
             p.promised = 0;
             p.promisedTo = "";
+            p.wanted = 0;
             p.echo = Long.MIN_VALUE / 2;
             p.record = -1;
             p.cleared.clear();
@@ -784,6 +795,8 @@
         p.promised = in.number("p", 0);
         p.promisedTo = in.text("pt");
         p.granted = in.number("pg", Lease.NEVER);
+        p.wanted = in.number("w", 0);
+        p.formerUntil = in.number("pf", 0) > 0 ? now + in.number("pf", 0) : Lease.NEVER;
         p.record = in.number("k", -1);
         for (Pack.Fields row : in.list("l")) {
             lead(Lead.of(row));
@@ -808,10 +821,13 @@
         if (in.bit("h")) {
             suspects(new TreeSet<>(in.texts("sq")));
         }
-        lease.wants(p, in.number("w", 0), p.itsNow);
-        lease.released(p, in.number("rl", 0));
+        losses.heard(in, ours);
+        lease.wants(p, p.wanted, p.itsNow);
+        lease.released(p, in.number("rl", 0), in.bit("rh"));
         if (in.bit("h") && ours && p.promised >= lease.promised()) {
-            sureFrom = Math.max(sureFrom, in.number("e", Long.MIN_VALUE / 2));
+            // Dated from before the holder looked at its clock: it ends no later than by that one's.
+            long left = Math.min(SURE_MS, in.number("hl", -PAST_MS) + PAST_MS);
+            sureUntil = Math.max(sureUntil, in.number("e", Long.MIN_VALUE / 2) + left);
         }
         if (changed) {
             news();
@@ -962,30 +978,72 @@
         } else if (path.startsWith(LEAVE)) {
             return post ? leave(path.substring(LEAVE.length())) : said(405, "POST only");
         } else if (path.equals("/Configuration.Replace")) {
-            return post ? replace(body) : said(405, "POST only");
+            return post ? replace(path, body) : said(405, "POST only");
         } else if (path.equals("/Configuration.Read")) {
-            return method.equals("GET") ? answerRead() : said(405, "GET only");
+            return method.equals("GET") ? answerRead(path) : said(405, "GET only");
+        }
+        if (path.equals(DataLosses.ACCEPT)) {
+            return !post ? said(405, "POST only") : losses.accept(body, !alone() && !leaving);
         }
         if (path.equals("/status")) {
-            return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status()).toString()
-                    .getBytes(StandardCharsets.UTF_8)));
+            return CompletableFuture.completedFuture(new Host.Answer(200, Json.object().add("status", status())
+                    .add("lacking", losses.shown()).toString().getBytes(StandardCharsets.UTF_8)));
         }
         return said(404, "no such call");
     }
 
-    private static CompletableFuture<Host.Answer> said(int status, String fault) {
+    static CompletableFuture<Host.Answer> said(int status, String fault) {
         return CompletableFuture.completedFuture(HttpDoor.said(status, fault));
     }
 
-    private static final String NOBODY = "no majority of control processes is heard; ask another";
+    static final String NOBODY = "no majority of control processes is heard; ask another";
     private static final Host.Answer FINE = new Host.Answer(200, "{}".getBytes(StandardCharsets.UTF_8));
 
+    /** It can decide nothing: no majority answers it, it is about to end, or its disk stands still. */
+    private boolean unfit() {
+        return alone() || leaving || store.stalledFor() > ANSWER_MS;
+    }
+
+    /** 503 where another call here may do better. */
+    private Host.Answer failed(String path, String fault) {
+        return unfit() ? elsewhere(path) : HttpDoor.said(503, fault);
+    }
+
+    /**
+     * The caller is sent on to one of those that were heard last; to a member, or where members are not known to a seed, where this process
+     * was started out of contact. He may know nobody else, or call here again and again. One that is down itself costs him a second, as one
+     * that he picks may; two that are cut off send him back and forth twice, and no further. Servers are not sent on: they go on by
+     * themselves at once, and a second is most of what a beat has.
+     */
+    private Host.Answer elsewhere(String path) {
+        List<Peer> able = new ArrayList<>();
+        long last = peers.values().stream().mapToLong(p -> p.heard).max().orElse(Long.MIN_VALUE);
+        Value is = register.held();
+        for (Peer p : peers.values()) {
+            boolean member = is == null || is.members().stream().anyMatch(of -> Value.ip(of).equals(p.ip));
+            if (last >= started ? !p.leaving && p.heard > last - TOUCH_MS : member && host.now() > started + TOUCH_MS) {
+                able.add(p);
+            }
+        }
+        if (able.isEmpty()) {
+            return HttpDoor.said(503, NOBODY);
+        }
+        String to = able.get(host.chance().nextInt(able.size())).ip + settings.control().substring(settings.control().lastIndexOf(':'));
+        return new Host.Answer(307, HttpDoor.said(307, NOBODY).body(), "http://" + to + path);
+    }
+
     /** An answer once this is done, or 503 where it is not done in time. */
-    private CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, java.util.function.Supplier<Host.Answer> answer) {
+    CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, Supplier<Host.Answer> answer) {
+        return once(done, ms, answer, fault -> HttpDoor.said(503, fault));
+    }
+
+    /** An answer once this is done, or another where it fails or is not done in time. */
+    private CompletableFuture<Host.Answer> once(CompletableFuture<?> done, long ms, Supplier<Host.Answer> answer,
+            Function<String, Host.Answer> otherwise) {
         CompletableFuture<Host.Answer> out = new CompletableFuture<>();
-        done.whenComplete((is, fault) -> out.complete(fault == null ? answer.get() : HttpDoor.said(503, fault.getMessage())));
+        done.whenComplete((is, fault) -> out.complete(fault == null ? answer.get() : otherwise.apply(fault.getMessage())));
         host.after(ms, () -> {
-            if (out.complete(HttpDoor.said(503, "no majority in time"))) {
+            if (out.complete(otherwise.apply("no majority in time"))) {
                 done.cancel(false);
             }
         });
@@ -1034,7 +1092,7 @@
         return m.draining() ? once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE) : CompletableFuture.completedFuture(FINE);
     }
 
-    private static String text(JsonObject in, String name) {
+    static String text(JsonObject in, String name) {
         JsonValue is = in.get(name);
         if (is == null || !is.isString() || is.asString().isEmpty()) {
             throw new UnsupportedOperationException(name + ": no text");
@@ -1057,15 +1115,15 @@
         return once(majorityHas(m.changed), BEAT_ANSWER_MS, () -> FINE);
     }
 
-    private CompletableFuture<Host.Answer> replace(byte[] body) {
+    private CompletableFuture<Host.Answer> replace(String path, byte[] body) {
         Configuration next;
         try {
             next = Configuration.read(body);
         } catch (Configuration.Invalid bad) {
             return said(400, bad.getMessage());
         }
-        if (alone() || leaving) {
-            return said(503, NOBODY);
+        if (unfit()) {
+            return CompletableFuture.completedFuture(elsewhere(path));
         }
         // Also what was decided before, or is only heard to be, is said on the ground of a majority's answer just now.
         CompletableFuture<Value.Outcome> order = register.order(next);
@@ -1073,16 +1131,16 @@
         // One that is given up here is proposed no more, unless it is under way.
         done.whenComplete((is, fault) -> order.cancel(false));
         return once(done, ANSWER_MS, () -> done.join() == Value.Outcome.CONFLICT
-                ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE);
+                ? HttpDoor.said(409, "revision_number " + next.version() + " has another content") : FINE, fault -> failed(path, fault));
     }
 
-    private CompletableFuture<Host.Answer> answerRead() {
+    private CompletableFuture<Host.Answer> answerRead(String path) {
         if (alone() || leaving) {
-            return said(503, NOBODY);
+            return CompletableFuture.completedFuture(elsewhere(path));
         }
         CompletableFuture<Configuration> done = read();
         return once(done, ANSWER_MS, () -> done.join() == Configuration.NONE ? HttpDoor.said(503, "no configuration yet")
-                : new Host.Answer(200, done.join().body()));
+                : new Host.Answer(200, done.join().body()), fault -> failed(path, fault));
     }
 
     /** One line for operators and logs. */
@@ -1094,7 +1152,8 @@
                 .append(votes() ? "" : " learner").append(alone() ? " alone" : "").append(leaving ? " leaving" : "")
                 .append(" lease=").append(lease.number()).append(lease.holds() ? " held" : "").append(" promised=")
                 .append(lease.promised()).append(" to=").append(lease.promisedTo()).append(" fronts=").append(fronts);
-        leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : ""));
+        leads.values().forEach(l -> line.append(" | ").append(l.service()).append(" primary=").append(l.primary()).append(l.moving() ? " moving" : "")
+                .append(losses.status(l.service())));
         return line.toString();
     }
 }
--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -3,6 +3,7 @@
 import com.eclipsesource.json.Json;
 import dillfront.host.Acknowledged;
 import dillfront.host.Configuration;
+import dillfront.host.DataLoss;
 import dillfront.host.Position;
 import java.util.ArrayList;
 import java.util.List;
@@ -41,7 +42,13 @@
     /** A word that was on its way when a service settled has arrived, or never does, once this is over. */
     private static final long ON_ITS_WAY_MS = 3_500;
     private static final long NO_LEAD_MS = 4_000;
+    /** From the platform's yes until the one named is asked whether it leads, and from one such question to the next. */
+    private static final long LEAD_FROM_MS = 350;
     private static final long LEAD_PROBE_MS = 350;
+    private static final long LEAD_GAP_MS = 150;
+    /** From one look at whether a replica has what a primary that drains had to the next; twice as long each time, up to a bound. */
+    private static final long COMPARE_GAP_MS = 60;
+    private static final long COMPARE_MOST_MS = 500;
     /** A lease that ends sooner is no ground to begin a call on. */
     private static final long LEFT_MS = 300;
 
@@ -55,6 +62,7 @@
         /** Whether another could take over from one that drains is being asked, and when it was asked last. */
         boolean comparing;
         long comparedAt = Long.MIN_VALUE / 2;
+        long compareGap = COMPARE_GAP_MS;
         /** Of the record under which replicas are resumed: those that have not answered yet. */
         long resuming = -1;
         long resumingFrom;
@@ -67,7 +75,7 @@
 
     /** A service on its way to another primary. */
     private static final class Move {
-        final Lead lead;
+        Lead lead;
         final boolean planned;
         final long since;
         /** Found as it was left by an earlier holder: a call of that one may still be on its way. */
@@ -84,6 +92,10 @@
         long term;
         /** Since when every log that is left lacks what may have been acknowledged; -1 while that is not so. */
         long lacksFrom = -1;
+        /** What no log that is left holds; null while that is not so. */
+        DataLosses.Lack lack;
+        /** Whoever leads is asked how far its log reaches. */
+        boolean measuring;
         long toldLackAt = Long.MIN_VALUE / 2;
         long toldWaitAt = Long.MIN_VALUE / 2;
         final Map<String, Question.Row> rows = new TreeMap<>();
@@ -187,7 +199,7 @@
         List<Lead> all = new ArrayList<>();
         core.leads().forEach(all::add);
         for (Lead lead : all) {
-            Lead mine = new Lead(lead.service(), number(), lead.primary(), lead.moving(), lead.paused());
+            Lead mine = lead.again(number());
             core.lead(mine);
             if (lead.moving()) {
                 moves.put(lead.service(), new Move(mine, false, true, now()));
@@ -326,13 +338,14 @@
                 heirs.add(m);
             }
         }
-        if (heirs.isEmpty() || w.comparing || now() < w.comparedAt + PROBE_GAP_MS) {
+        if (heirs.isEmpty() || w.comparing || now() < w.comparedAt + w.compareGap) {
             return;
         }
         w.comparing = true;
         Question.ask(core, from, PROBE_MS, null).whenComplete((has, fault) -> {
             w.comparing = false;
             w.comparedAt = now();
+            w.compareGap = Math.min(COMPARE_MOST_MS, 2 * w.compareGap);
             if (fault != null) {
                 return;
             }
@@ -350,7 +363,7 @@
 
     private void move(Lead lead, boolean planned) {
         watchOf(lead.service()).misses = 0;
-        Lead moving = new Lead(lead.service(), number(), lead.primary(), true, lead.paused());
+        Lead moving = lead.moves(number());
         core.lead(moving);
         moves.put(lead.service(), new Move(moving, planned, false, now()));
         if (planned) {
@@ -372,8 +385,10 @@
 
     /** No front takes the old one for sure any more: each has said so, or its time is over. */
     private boolean cleared(Move m) {
+        // Of earlier holders nothing is sure for longer than this past the end of their lease.
+        long former = Math.max(heldFrom, core.lease.formerUntil()) + Core.PAST_MS + 100;
         long over = now() - Core.SURE_MS - 100;
-        if (heldFrom > over || !core.askers.cleared(m.lead.number()) && m.since > over) {
+        if (now() < former || !core.askers.cleared(m.lead.number()) && m.since > over) {
             return false;
         }
         for (Peer p : core.peers()) {
@@ -388,7 +403,7 @@
     }
 
     private void go(Move m) {
-        if (!mayAct() || !recorded(m)) {
+        if (!mayAct() || !recorded(m) || m.measuring) {
             return;
         }
         String service = m.lead.service();
@@ -410,11 +425,12 @@
             case CLEAR:
                 if (m.planned) {
                     boolean quiet = cleared(m) && seen(service, m.lead.primary()).open() == 0;
-                    m.step = quiet || now() > m.since + OPEN_MS ? Step.STOP : Step.CLEAR;
-                } else {
-                    m.step = Step.STOP;
+                    if (!quiet && now() <= m.since + OPEN_MS) {
+                        break;
+                    }
                 }
-                break;
+                m.step = Step.STOP;
+                // Nothing is to be waited for before the next step.
             case STOP:
                 if (m.planned && !m.forced) {
                     stepDown(m, from);
@@ -454,6 +470,7 @@
                     m.steppedAt = now();
                     m.last = row.position();
                     m.again = 0;
+                    look();
                 } else if (now() > m.since + CATCH_UP_MS) {
                     m.forced = true;
                 }
@@ -617,7 +634,7 @@
         }
         w.paused.removeIf(id -> core.members.get(id) == null || core.members.get(id).left());
         if (w.paused.isEmpty()) {
-            core.lead(new Lead(lead.service(), number(), lead.primary(), false, false));
+            core.lead(lead.leads(number(), lead.primary(), false, lead.loss()));
             return;
         }
         for (String id : w.paused) {
@@ -649,6 +666,9 @@
             core.host.wrong("move " + m.lead.service() + ": the longest log that is left ends at " + furthest + " and lacks what was"
                     + " acknowledged, " + known + "; waiting for " + m.lead.primary() + " or another that has it");
         }
+        // Past that only commits can be missing that were under way together; that is waited for no longer than UNSURE_MS.
+        m.lack = furthest.covers(known.least()) ? null : new DataLosses.Lack(m.lead.service(), m.lead.move(), furthest, known,
+                m.lead.primary(), m.lack == null ? now() : m.lack.since());
         for (Member r : core.members.of(m.lead.service())) {
             Question.ask(core, r, PROBE_MS, Duty::resumes);
         }
@@ -685,6 +705,28 @@
         return false;
     }
 
+    /** What services wait for that have no log left with all that was acknowledged. */
+    List<DataLosses.Lack> lacking() {
+        List<DataLosses.Lack> all = new ArrayList<>();
+        moves.values().stream().filter(m -> m.lack != null).forEach(m -> all.add(m.lack));
+        return all;
+    }
+
+    /** A person gives up what no log that is left holds: recorded first, like all that the next holder must go on with. */
+    void giveUp(DataLosses.Lack shown) {
+        Move m = moves.get(shown.service());
+        if (!settled() || m == null || m.lack == null || !m.lack.same(shown)) {
+            return;
+        }
+        DataLoss given = DataLoss.of(shown.move(), shown.log(), shown.lacked(), m.lead.loss());
+        core.host.wrong("data loss accepted: " + m.lead.service() + " goes on from " + shown.log() + ", acknowledged was " + shown.lacked()
+                + "; " + m.lead.primary() + " is given up");
+        m.lack = null;
+        m.lead = m.lead.without(number(), given);
+        core.lead(m.lead);
+        core.poke();
+    }
+
     private void choose(Move m, Member from) {
         String best = null;
         Position furthest = null;
@@ -712,6 +754,9 @@
         if (m.last != null) {
             known = known.and(new Acknowledged(Position.NONE, m.last));
         }
+        if (m.lead.loss() != null) {
+            known = m.lead.loss().without(known);
+        }
         if (best != null && !holdsAll(m, furthest, known)) {
             m.refused.clear();
             lacks(m, furthest, known);
@@ -725,6 +770,7 @@
             m.again = now() + AGAIN_MS;
             return;
         }
+        m.lack = null;
         m.target = best;
         m.fence = number();
         m.claimed = core.members.get(best).leads();
@@ -745,7 +791,7 @@
             m.again = now() + AGAIN_MS;
             if (fault == null && status == 200) {
                 m.step = Step.WAIT;
-                m.again = now() + LEAD_PROBE_MS;
+                m.again = now() + LEAD_FROM_MS;
             } else if (fault == null && status == 409) {
                 m.named = false;
                 m.refused.add(m.target);
@@ -764,7 +810,7 @@
         if (target.leads() && !m.claimed) {
             done(m, target.id);
         } else if (now() >= m.again) {
-            ask(m, target, LEAD_PROBE_MS, null, row -> {
+            ask(m, target, LEAD_GAP_MS, null, row -> {
                 if (row.leads()) {
                     done(m, target.id);
                 }
@@ -773,12 +819,31 @@
     }
 
     private void done(Move m, String primary) {
-        if (moves.get(m.lead.service()) != m || !settled()) {
+        if (m.measuring || moves.get(m.lead.service()) != m || !settled()) {
             return;
         }
+        DataLoss loss = m.lead.loss();
+        Member leads = core.members.get(primary);
+        if (loss == null || !loss.any()) {
+            done(m, primary, loss);
+        } else if (leads == null) {
+            done(m, primary, loss.leads(loss.until()));
+        } else {
+            // What it holds is not given up; where that is not heard, nothing is.
+            m.measuring = true;
+            Question.ask(core, leads, PROBE_MS, null).whenComplete((row, fault) -> {
+                m.measuring = false;
+                if (moves.get(m.lead.service()) == m && settled()) {
+                    done(m, primary, loss.leads(fault == null && row.leads() ? row.position() : loss.until()));
+                }
+            });
+        }
+    }
+
+    private void done(Move m, String primary, DataLoss loss) {
         moves.remove(m.lead.service());
         core.host.note("lead " + m.lead.service() + " " + primary + " after " + (now() - m.since) + " ms");
-        Lead leads = new Lead(m.lead.service(), number(), primary, false, m.paused);
+        Lead leads = m.lead.leads(number(), primary, m.paused, loss);
         core.lead(leads);
         core.poke();
         if (m.paused) {
--- a/src/main/java/dillfront/core/Peer.java
+++ b/src/main/java/dillfront/core/Peer.java
@@ -43,6 +43,10 @@
     long promised;
     String promisedTo = "";
     long granted = Lease.NEVER;
+    /** The number of the lease that it asks for, or holds. */
+    long wanted;
+    /** What those that had its promise before may have said of their lease is over by then. */
+    long formerUntil = Lease.NEVER;
     long record = -1;
     /** Records that all of its fronts have, by service. */
     final Map<String, Long> cleared = new HashMap<>();
@@ -77,4 +81,19 @@
     public long granted() {
         return granted;
     }
+
+    @Override
+    public long wanted() {
+        return wanted;
+    }
+
+    @Override
+    public long formerUntil() {
+        return formerUntil;
+    }
+
+    @Override
+    public long heard() {
+        return heard;
+    }
 }
