A front that ends serves who is still sent to it; a move does not make it unready

Cause: who connected later than 2.3 s after SIGTERM was never told to go: its session stayed, and what it had out when the process ended at five sixths of the grace was cut. A front without sessions ended at 2.3 s, though the platform needs two misses, a second apart, before it sends nobody. While the only service's primary moved, every front said 503 at its readiness. Change: a session that comes between 2.3 s and half of the grace gets one operation and is closed; later ones get BUSY. The process ends at 3.2 s (half of the grace where that is shorter) at the earliest. A service that moves counts as known for readiness.

--- a/src/main/java/dillfront/front/Front.java
+++ b/src/main/java/dillfront/front/Front.java
@@ -13,6 +13,10 @@
     /** How much of a connection limit is left for the control plane's own questions. */
     private static final int FOR_CONTROL = 8;
     private static final long LOOK_MS = 100;
+    /** From SIGTERM on: sessions at rest are closed, once the platform has most likely seen that it is not ready. */
+    private static final long CLOSES_MS = 2_300;
+    /** And it has surely seen it: who is sent here until then is served. */
+    private static final long SENT_MS = 3_200;
 
     /** What was done since the start. */
     public static final class Counts {
@@ -35,6 +39,8 @@
     private final List<Session> sessions = new ArrayList<>();
     private boolean leaving;
     private boolean leftAll;
+    private boolean endsNow;
+    private boolean mayEnd;
     private Runnable end = () -> { };
 
     public Front(Host host, Settings settings) {
@@ -105,13 +111,16 @@
         return Math.max(2, (service.connections - FOR_CONTROL) / (news.fronts() + 1));
     }
 
-    /** Whether it can serve: it has a configuration and knows a server of some service. */
+    /**
+     * Whether it can serve: it has a configuration and knows who leads some service, or led it before a move that is under way: no
+     * other front knows better, and replicas serve meanwhile.
+     */
     public boolean ready() {
         if (leaving || configuration == Configuration.NONE) {
             return false;
         }
         for (Service s : services.values()) {
-            if (s.primary() != null) {
+            if (s.primary() != null || s.moving) {
                 return true;
             }
         }
@@ -123,12 +132,19 @@
         Session session = new Session(this);
         sessions.add(session);
         counts.sessions++;
+        if (leftAll) {
+            session.cameLate(endsNow);
+        }
         return session;
     }
 
     void ended(Session session) {
         sessions.remove(session);
-        if (leftAll && sessions.isEmpty()) {
+        endsWhereNobodyIs();
+    }
+
+    private void endsWhereNobodyIs() {
+        if (mayEnd && sessions.isEmpty()) {
             end.run();
         }
     }
@@ -148,15 +164,16 @@
         leaving = true;
         end = done;
         long half = settings.grace() / 2;
-        host.after(Math.min(2_300, half * 3 / 4), () -> {
+        host.after(Math.min(CLOSES_MS, half * 3 / 4), () -> {
             leftAll = true;
             new ArrayList<>(sessions).forEach(Session::leaveAtRest);
-            if (sessions.isEmpty()) {
-                end.run();
-            }
+        });
+        host.after(Math.min(SENT_MS, half), () -> {
+            mayEnd = true;
+            endsWhereNobodyIs();
         });
         host.after(half, () -> {
-            leftAll = true;
+            endsNow = true;
             new ArrayList<>(sessions).forEach(Session::leaveNow);
         });
         host.after(settings.grace() * 5 / 6, end);
--- a/src/main/java/dillfront/front/Session.java
+++ b/src/main/java/dillfront/front/Session.java
@@ -230,6 +230,10 @@
     private boolean over;
     private boolean leaves;
     private boolean leavesNow;
+    /** It came when this front was already on its way out: it gets one operation, or none where that could not end any more. */
+    private boolean late;
+    private boolean tooLate;
+    private boolean asked;
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
 
     Session(Front front) {
@@ -269,7 +273,7 @@
         while (!over && job == null && !ahead.isEmpty()) {
             take(ahead.poll());
         }
-        if (leaves && !over && job == null && txn == null) {
+        if (leaves && !over && job == null && txn == null && (asked || !late)) {
             end();
         } else if (leavesNow && !over && job == null) {
             leaveNow();
@@ -285,6 +289,8 @@
             String host = gap < 0 ? rest : rest.substring(0, gap);
             if (host.isEmpty() || gap < 0) {
                 refuse("MALFORMED", "CONNECT database who");
+            } else if (tooLate) {
+                refuse("BUSY", "the router ends");
             } else if (front.configuration() == Configuration.NONE) {
                 refuse("BUSY", "no configuration yet");
             } else if (front.configuration().route(host) == null) {
@@ -395,6 +401,7 @@
             error("NODATABASE", database);
         } else {
             txn = new Txn(is.verb() == Statement.Verb.BEGIN_READ, id, route);
+            asked = true;
             done();
             rests(txn);
             open(txn);
@@ -502,20 +509,21 @@
         return of.shape == null ? of.text : "EXECUTE " + Connection.name(of.shape) + " " + of.statement.rest();
     }
 
-    private void run(Job asked) {
-        job = asked;
-        asked.limit = front.host.after(Math.max(1, asked.until - front.host.now()), () -> timeIsOver(asked));
+    private void run(Job next) {
+        job = next;
+        asked = true;
+        next.limit = front.host.after(Math.max(1, next.until - front.host.now()), () -> timeIsOver(next));
         if (txn != null) {
             if (txn.on != null) {
-                inside(txn, asked);
+                inside(txn, next);
             } else {
-                txn.first = asked;
+                txn.first = next;
                 if (!txn.opening) {
                     open(txn);
                 }
             }
         } else {
-            asked.take();
+            next.take();
         }
     }
 
@@ -982,6 +990,12 @@
         front.ended(this);
     }
 
+    void cameLate(boolean tooLateToServe) {
+        leaves = true;
+        late = true;
+        tooLate = tooLateToServe;
+    }
+
     /** The front ends: at rest is the time to go. */
     void leaveAtRest() {
         leaves = true;
--- a/src/test/java/dillfront/front/SessionTest.java
+++ b/src/test/java/dillfront/front/SessionTest.java
@@ -245,11 +245,13 @@
     private final class Caller implements Host.Link {
         final Session session = (Session) front.accept();
         final List<String> got = new ArrayList<>();
+        final List<String> welcome;
         private int asked;
 
         Caller(String database) {
             session.opened(this);
             session.message(("CONNECT " + database + " me").getBytes(StandardCharsets.ISO_8859_1));
+            welcome = List.copyOf(got);
             got.clear();
         }
 
@@ -545,4 +547,54 @@
         answers("ERROR ABORTED", c);
         assertEquals("closed", c.got.get(c.got.size() - 1));
     }
+
+    /** The platform takes up to two misses, and then some, to see that it is not ready: who comes until then is served once. */
+    @Test
+    void whoComesWhileTheFrontEndsIsServedOnce() {
+        new Caller("new");
+        front.leave(() -> { });
+        assertFalse(front.ready());
+        pass(2_500);
+        Caller c = new Caller("new");
+        assertEquals(List.of("READY I -"), c.welcome);
+        assertEquals("COMPLETE", c.asks("SET a b"), "what it sets is no operation yet");
+        c.asks("READ k");
+        answers("ROW x", c);
+        assertEquals("closed", c.got.get(c.got.size() - 1));
+    }
+
+    /** Its statement would be out when the process ends. */
+    @Test
+    void whoComesTooLateIsSentElsewhere() {
+        Caller held = new Caller("new");
+        p.mute = text -> text.startsWith("READ slow");
+        front.leave(() -> { });
+        pass(2_900);
+        held.ask("READ slow");
+        pass(300);
+        Caller c = new Caller("new");
+        assertTrue(c.welcome.get(0).startsWith("ERROR BUSY"), c.welcome.toString());
+        assertEquals("closed", c.welcome.get(1));
+    }
+
+    @Test
+    void theFrontStaysUntilNobodyIsSentThereAnyMore() {
+        boolean[] ended = new boolean[1];
+        front.leave(() -> ended[0] = true);
+        pass(2_900);
+        assertFalse(ended[0], "a client may still be sent here");
+        pass(400);
+        assertTrue(ended[0]);
+    }
+
+    /** Each front would say so at once, of what none of them does better, and replicas serve meanwhile. */
+    @Test
+    void aMoveOfThePrimaryDoesNotMakeItUnready() {
+        assertTrue(front.ready());
+        moving = true;
+        record++;
+        pass(400);
+        assertEquals("nothing", new Caller("new").asks("READ k"), "it moves");
+        assertTrue(front.ready());
+    }
 }
