RealControlTest: the loss after a repair waits until the repair is known to be decided

Cause: seen once at a load of 82: two of three held the last order and had not decided it after 12 s. The one that was killed had accepted the set without the former members, but the one that stayed had not heard so; a value that drops a set needs a majority of that set too, of which one was left. Change: the test waits until the one that stays reads, which it does only of what it knows to be decided; all checks behind it are as they were.

--- a/src/test/java/dillfront/programs/RealControlTest.java
+++ b/src/test/java/dillfront/programs/RealControlTest.java
@@ -673,6 +673,8 @@
         d.start(false, List.of(b, c));
         up(List.of(d));
         until("the new machine is a member", () -> memberOf(d, b) && memberOf(d, c) && !memberOf(a.ip, b.status()));
+        // Both have accepted that; the repair is over once it is known to be decided where somebody stays who knows it.
+        until("the repair is known to be over", () -> c.read().status() == 200);
         b.kill();
         acknowledged(configuration(5, 505), List.of(c, d));
         for (Control one : List.of(c, d)) {
