--- a/src/main/java/dillfront/lab/whole/DataLossCalls.java
+++ b/src/main/java/dillfront/lab/whole/DataLossCalls.java
@@ -30,7 +30,7 @@
         this.person = person;
     }
 
-    /** twice: again, to each process; wrong: only what is not so; again: what was said last, whatever is lacking by now. */
+    /** twice: again, to each process; closing: then all control machines lose power; wrong: only what is not so; again: what was said last, whatever is lacking by now. */
     void happen(String service, String how, long ms) {
         if (how.equals("again")) {
             JsonObject last = said.get(service);
@@ -112,6 +112,8 @@
                         }
                     } else if (how.equals("wrong") && status != 409) {
                         day.audit.breach("GIVEN", status + " to what was not shown: " + body);
+                    } else if (how.equals("closing") && status == 200) {
+                        sim.after(1, () -> day.controls.loseAll(true, null, 1_500));
                     } else if (how.equals("twice") && status == 200) {
                         day.controls.all().forEach(c -> again(body, c));
                     }
