RealControlTest: a process that is to stop has stopped before the scene goes on

Cause: whoStoodStillAnswersNothingOld failed once at a load of 70: SIGSTOP takes a process thread by thread some time after the call, and a read was still answered, rightly, before the change that it was to lack.

--- a/src/test/java/dillfront/programs/Control.java
+++ b/src/test/java/dillfront/programs/Control.java
@@ -75,8 +75,28 @@
         process = builder.start();
     }
 
+    /** A process that is to stop does so thread by thread, some time after it was told: that is waited for. */
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        for (long end = System.nanoTime() + 10_000_000_000L; name.equals("STOP") && !stopped();) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it does not stop");
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    private boolean stopped() throws IOException {
+        try (Stream<Path> threads = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path thread : threads.toList()) {
+                String is = Files.readString(thread.resolve("stat"));
+                // Behind the name, which may hold anything: the state.
+                if (is.charAt(is.lastIndexOf(')') + 2) != 'T') {
+                    return false;
+                }
+            }
+        }
+        return true;
     }
 
     boolean runs() {
