--- a/src/main/java/dillfront/lab/ControlWorld.java
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -30,8 +30,8 @@
 import java.util.function.ToLongFunction;
 
 /**
- * A few control processes by their real {@link Register}, {@link Lease}, {@link Records} and {@link Table}, two operators, database servers, their disks and what lies between them,
- * all of it moved by steps that are chosen from outside. After each step it is looked at whether all still holds:
+ * A few control processes by their real {@link Register}, {@link Lease}, {@link Records}, {@link Table} and {@link Settling}, two operators,
+ * database servers, their disks and what lies between them, all of it moved by steps that are chosen from outside. After each step it is looked at whether all still holds:
  *
  * <ul>
  * <li>one ballot has one value; values that enough disks accepted are one line: past numbers keep their contents, the number in
@@ -40,7 +40,7 @@
  * <li>the calls of the operators are linearizable ({@link History});
  * <li>one process at a time holds the lease, and a number of it belongs to one life of one process;
  * <li>that a server drains or left, once acknowledged, and a record that a holder may act on, are on the disks of enough that no majority
- * lacks them; who says to have them has them, and who takes the duty over knows them; rows and records never go back, and a number is one record's.
+ * lacks them; who says to have them has them, and who takes the duty over knows what there was when its lease began; rows and records never go back, and a number is one record's.
  * </ul>
  */
 final class ControlWorld {
@@ -579,7 +579,7 @@
                 dump.add(p.writes.stream().map(Write::texts).toList()).add(p.register).add(p.lease).add(p.views).add(p.token)
                         .add(p.readings);
                 if (scene.duty()) {
-                    dump.add(p.table).add(p.records).add(p.settling).add(p.held).add(p.heldFrom).add(p.taken).add(p.given).add(p.waits).add(p.leaving).add(p.rows)
+                    dump.add(p.table).add(p.records).add(p.settling).add(p.held).add(p.heldFrom).add(p.taken).add(p.given).add(p.began).add(p.waits).add(p.leaving).add(p.rows)
                             .add(p.numbers);
                 }
             }
@@ -668,6 +668,8 @@
         long heldFrom;
         boolean taken;
         Numbers given;
+        /** What was acknowledged to servers when the lease began: later words are for whoever has the duty by then. */
+        TreeMap<String, Integer> began = new TreeMap<>();
         final List<Leaving> leaving = new ArrayList<>();
         final List<Waits> waits = new ArrayList<>();
         /** As far as rows and records were seen here in this life. */
@@ -944,6 +946,7 @@
             if (held != number) {
                 held = number;
                 heldFrom = now;
+                began = new TreeMap<>(acknowledged);
                 if (held != 0) {
                     given.of(held);
                 }
@@ -955,7 +958,7 @@
             }
             if (held != 0 && !taken && quorum(true, v -> records.covers(scene.lease ? v.echo >= heldFrom : v.answers, v.record))) {
                 taken = true;
-                acknowledged.forEach((server, rank) -> {
+                began.forEach((server, rank) -> {
                     if (STATES.indexOf(table.state(server)) < rank) {
                         breaks(id + " takes the duty over and does not know that " + server + " is " + STATES.get(rank));
                     }
