--- a/src/main/java/dillfront/lab/ControlWorld.java
+++ b/src/main/java/dillfront/lab/ControlWorld.java
@@ -31,7 +31,8 @@
 
 /**
  * A few control processes by their real {@link Register}, {@link Lease}, {@link Records}, {@link Table} and {@link Settling}, two operators,
- * database servers, their disks and what lies between them, all of it moved by steps that are chosen from outside. After each step it is looked at whether all still holds:
+ * database servers, their disks and what lies between them, all of it moved by steps that are chosen from outside. After each step it is
+ * looked at whether all still holds:
  *
  * <ul>
  * <li>one ballot has one value; values that enough disks accepted are one line: past numbers keep their contents, the number in
@@ -40,7 +41,8 @@
  * <li>the calls of the operators are linearizable ({@link History});
  * <li>one process at a time holds the lease, and a number of it belongs to one life of one process;
  * <li>that a server drains or left, once acknowledged, and a record that a holder may act on, are on the disks of enough that no majority
- * lacks them; who says to have them has them, and who takes the duty over knows what there was when its lease began; rows and records never go back, and a number is one record's.
+ * lacks them; who says to have them has them, and who takes the duty over knows what there was when its lease began; rows and records
+ * never go back, and a number is one record's.
  * </ul>
  */
 final class ControlWorld {
@@ -579,7 +581,8 @@
                 dump.add(p.writes.stream().map(Write::texts).toList()).add(p.register).add(p.lease).add(p.views).add(p.token)
                         .add(p.readings);
                 if (scene.duty()) {
-                    dump.add(p.table).add(p.records).add(p.settling).add(p.held).add(p.heldFrom).add(p.taken).add(p.given).add(p.began).add(p.waits).add(p.leaving).add(p.rows)
+                    dump.add(p.table).add(p.records).add(p.settling).add(p.held).add(p.heldFrom).add(p.taken)
+                            .add(p.given).add(p.began).add(p.waits).add(p.leaving).add(p.rows)
                             .add(p.numbers);
                 }
             }
@@ -906,7 +909,10 @@
             if (is == null || !holds() || scene.duty() && !taken) {
                 return false;
             }
-            return is.joint() ? mask == 0 && (!scene.duty() || settles(is)) : mask != 0 && set(mask).size() == Integer.bitCount(mask) && !set(mask).equals(is.members());
+            if (is.joint()) {
+                return mask == 0 && (!scene.duty() || settles(is));
+            }
+            return mask != 0 && set(mask).size() == Integer.bitCount(mask) && !set(mask).equals(is.members());
         }
 
         private Value base() {
