--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -417,7 +417,8 @@
         if (leads != null && !leads.id.equals(m.lead.primary()) && (from == null || from.left() || !from.leads())) {
             settle(m, leads.id);
         }
-        if (moves.get(service) != m || m.step != Step.NAME && m.step != Step.WAIT && promotes(m)) {
+        if (moves.get(service) != m || m.measuring || m.step != Step.NAME && m.step != Step.WAIT && promotes(m)) {
+            // It is over, or as good as over: nobody else is named.
             return;
         }
         if (m.fenced && !m.anew && m.step != Step.NAME && m.step != Step.WAIT) {
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -90,7 +90,8 @@
     @Test
     void whatWasGivenUpIsBack() {
         int leadOn = 0;
-        for (long back = 23_000; back < 27_000; back += 50) {
+        // About the call in steps that fall between any two of the move's own.
+        for (long back = 23_000; back < 27_000; back += back >= 24_000 && back < 24_600 ? 10 : 50) {
             Day day = onlyCopyIsGone("crash db0 primary for " + (back - 16_500) / 1e3);
             day.play();
             String told = "back at " + back + "\n" + String.join("\n", day.story) + "\n" + String.join("\n", day.told());
@@ -98,7 +99,7 @@
             assertEquals(day.promotions() > 0, day.givenUp() > 0, told);
             leadOn += day.promotions() == 0 ? 1 : 0;
         }
-        assertTrue(leadOn > 0 && leadOn < 80, leadOn + " times it led on");
+        assertTrue(leadOn > 0 && leadOn < 128, leadOn + " times it led on");
     }
 
     private static Day onlyCopyIsGone(String how) {
