--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -112,6 +112,8 @@
         boolean named;
         long fence;
         boolean fenced;
+        /** The platform did not take that call: it is asked again from then on. */
+        long fenceAgain;
         boolean anew;
         /** The one named said that it leads before it was named: that it still says so in a beat tells nothing. */
         boolean claimed;
@@ -644,9 +646,13 @@
             return;
         }
         if (m.inherited && !m.fenced) {
+            if (now() < m.fenceAgain) {
+                return;
+            }
             m.busy = true;
             name(m.lead.service(), id, number()).whenComplete((status, fault) -> {
                 m.busy = false;
+                m.fenceAgain = now() + AGAIN_MS;
                 m.fenced = fault == null && status == 200;
                 m.fencedAt = m.fenced ? now() : m.fencedAt;
                 if (m.fenced && moves.get(m.lead.service()) == m && settled()) {
--- a/src/main/java/dillfront/lab/whole/Day.java
+++ b/src/main/java/dillfront/lab/whole/Day.java
@@ -47,6 +47,9 @@
     private final Map<String, Database> databases = new TreeMap<>();
     private final Map<String, long[]> fences = new HashMap<>();
     private boolean platformDown;
+    /** Until then it answers 429 at once. */
+    private long platformBusyUntil;
+    private int platformCalls;
     /** Calls that come before are carried out only then. */
     private long platformSlowUntil;
     private final List<Client> sessions = new ArrayList<>();
@@ -179,6 +182,10 @@
         if (platformDown) {
             return new CompletableFuture<>();
         }
+        platformCalls++;
+        if (sim.millis() < platformBusyUntil) {
+            return CompletableFuture.completedFuture(new Host.Answer(429, new byte[0]));
+        }
         if (sim.millis() < platformSlowUntil) {
             CompletableFuture<Host.Answer> late = new CompletableFuture<>();
             sim.at(platformSlowUntil * 1_000, () -> promotion(method, path, body, headers).thenAccept(late::complete));
@@ -581,6 +588,10 @@
                     platformSlowUntil = sim.millis() + ms;
                     break;
                 }
+                if (w[1].equals("busy")) {
+                    platformBusyUntil = sim.millis() + ms;
+                    break;
+                }
                 platformDown = true;
                 sim.after(ms, () -> platformDown = false);
                 break;
@@ -670,6 +681,11 @@
         return audit.promotions;
     }
 
+    /** Calls that the platform answered, be it that it had too many. */
+    int platformCalls() {
+        return platformCalls;
+    }
+
     /** Of each promotion: from the loss of the primary until the next was named, in milliseconds. */
     public List<Long> promoteMs() {
         return audit.promoteMs;
--- a/src/test/java/dillfront/lab/whole/ScenarioTest.java
+++ b/src/test/java/dillfront/lab/whole/ScenarioTest.java
@@ -22,7 +22,7 @@
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   seeds HOW_MANY       the day is played with each from SEED on; one without this line
  *   at SECONDS what happens, as Day.happen() and ControlTroubles have it
- *   expect served|promotions|promote_ms|config_ms|planned_ms|noted|given_up|said|losses|acknowledged|acknowledge_ms|replaced|replace_ms|behind|catch_up_ms ...
+ *   expect served|promotions|promote_ms|platform_calls|config_ms|planned_ms|noted|given_up|said|losses|acknowledged|acknowledge_ms|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
 class ScenarioTest {
@@ -182,6 +182,7 @@
                 case "served" -> assertTrue(day.served() >= Double.parseDouble(w[2]), "served " + day.served() + "\n" + told);
                 case "promotions" -> assertEquals(Integer.parseInt(w[2]), day.promotions(), told);
                 case "promote_ms" -> assertTrue(day.promoteMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.promoteMs() + "\n" + told);
+                case "platform_calls" -> assertTrue(day.platformCalls() <= Integer.parseInt(w[2]), day.platformCalls() + "\n" + told);
                 case "config_ms" -> assertTrue(!day.configMs().isEmpty() && day.configMs().stream().allMatch(ms -> ms <= Long.parseLong(w[2])), day.configMs() + "\n" + told);
                 case "planned_ms" -> within(plannedMs(day), w[2], told);
                 case "losses" -> assertTrue(day.control().losses >= Long.parseLong(w[2]), day.control().losses + "\n" + told);
