Duty: a move that stops is one method; the compiler has no warning

Cause: a case of a switch that went on into the next one, which lint refuses. Change: what both cases do is a method; behaviour as before.

--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -431,20 +431,15 @@
         }
         switch (m.step) {
             case CLEAR:
-                if (m.planned) {
-                    boolean quiet = cleared(m) && seen(service, m.lead.primary()).open() == 0;
-                    if (!quiet && now() <= m.since + OPEN_MS) {
-                        break;
-                    }
+                boolean quiet = !m.planned || cleared(m) && seen(service, m.lead.primary()).open() == 0;
+                if (quiet || now() > m.since + OPEN_MS) {
+                    // Nothing is to be waited for before the next step.
+                    m.step = Step.STOP;
+                    stop(m, from);
                 }
-                m.step = Step.STOP;
-                // Nothing is to be waited for before the next step.
+                break;
             case STOP:
-                if (m.planned && !m.forced) {
-                    stepDown(m, from);
-                } else {
-                    pause(m, from);
-                }
+                stop(m, from);
                 break;
             case CHOOSE:
                 if (cleared(m)) {
@@ -459,6 +454,14 @@
         }
     }
 
+    private void stop(Move m, Member from) {
+        if (m.planned && !m.forced) {
+            stepDown(m, from);
+        } else {
+            pause(m, from);
+        }
+    }
+
     /** A primary that drains stops of its own will; what it had last is what the next must have. */
     private void stepDown(Move m, Member from) {
         if (m.busy || now() < m.again) {
