--- a/src/main/java/dillfront/core/Duty.java
+++ b/src/main/java/dillfront/core/Duty.java
@@ -112,6 +112,8 @@
         boolean named;
         long fence;
         boolean fenced;
+        /** The platform did not take that call: it is asked again from then on. */
+        long fenceAgain;
         boolean anew;
         /** The one named said that it leads before it was named: that it still says so in a beat tells nothing. */
         boolean claimed;
@@ -429,20 +431,15 @@
         }
         switch (m.step) {
             case CLEAR:
-                if (m.planned) {
-                    boolean quiet = cleared(m) && seen(service, m.lead.primary()).open() == 0;
-                    if (!quiet && now() <= m.since + OPEN_MS) {
-                        break;
-                    }
+                boolean quiet = !m.planned || cleared(m) && seen(service, m.lead.primary()).open() == 0;
+                if (quiet || now() > m.since + OPEN_MS) {
+                    // Nothing is to be waited for before the next step.
+                    m.step = Step.STOP;
+                    stop(m, from);
                 }
-                m.step = Step.STOP;
-                // Nothing is to be waited for before the next step.
+                break;
             case STOP:
-                if (m.planned && !m.forced) {
-                    stepDown(m, from);
-                } else {
-                    pause(m, from);
-                }
+                stop(m, from);
                 break;
             case CHOOSE:
                 if (cleared(m)) {
@@ -457,6 +454,14 @@
         }
     }
 
+    private void stop(Move m, Member from) {
+        if (m.planned && !m.forced) {
+            stepDown(m, from);
+        } else {
+            pause(m, from);
+        }
+    }
+
     /** A primary that drains stops of its own will; what it had last is what the next must have. */
     private void stepDown(Move m, Member from) {
         if (m.busy || now() < m.again) {
@@ -644,9 +649,13 @@
             return;
         }
         if (m.inherited && !m.fenced) {
+            if (now() < m.fenceAgain) {
+                return;
+            }
             m.busy = true;
             name(m.lead.service(), id, number()).whenComplete((status, fault) -> {
                 m.busy = false;
+                m.fenceAgain = now() + AGAIN_MS;
                 m.fenced = fault == null && status == 200;
                 m.fencedAt = m.fenced ? now() : m.fencedAt;
                 if (m.fenced && moves.get(m.lead.service()) == m && settled()) {
