Review case 2: a late RESUME undoes a PAUSE, and a commit is lost (LOST)

Cause: a RESUME that follows one move may arrive during the next one, after the replica has said that it is paused; nobody asks again before the promotion.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -45,9 +45,14 @@
                 + (staleness == 0 ? "" : ",\"max_staleness_ms\":" + staleness) + "}";
     }
 
-    static String configuration(int revision) {
+    /** The time-out of the route to the primary. */
+    int ordersTimeoutMillis() {
+        return 1_000;
+    }
+
+    String configuration(int revision) {
         return "{\"revision_number\":" + revision + ",\"routes\":["
-                + route("r-orders", "orders", "primary", 1_000, 400, 1, 0) + ","
+                + route("r-orders", "orders", "primary", ordersTimeoutMillis(), 400, 1, 0) + ","
                 + route("r-lookups", "lookups", "bounded_staleness", 3_000, 1_000, 2, 1_500) + ","
                 + route("r-stock", "stock", "read_your_writes", 1_000, 400, 2, 2_500)
                 + "],\"services\":[{\"name\":\"" + SERVICE + "\",\"health_path\":\"/health\",\"connection_limit\":100,"
--- a/review/standins/DatabaseServer.java
+++ b/review/standins/DatabaseServer.java
@@ -47,6 +47,10 @@
 
     // Troubles.
     volatile boolean deaf;
+
+    /** Whether its beats do not arrive. */
+    volatile boolean cutFromControl;
+
     volatile double receiveMillis = 2;
     volatile double applyLagMillis = 8;
 
@@ -144,7 +148,7 @@
                             + "\",\"revision_number\":\"v1\",\"free_slots\":8,\"state\":\"" + state
                             + "\",\"cold_remaining_ms\":0,\"database_role\":\"" + role() + "\",\"call_sequence\":"
                             + sequence.incrementAndGet() + "}";
-            for (int tries = 0; tries < controls.size() && beats; tries++) {
+            for (int tries = 0; tries < controls.size() && beats && !cutFromControl; tries++) {
                 if (post("/Instances.Heartbeat/" + id, body, controls.get(control))) {
                     break;
                 }
--- a/review/standins/Relay.java
+++ b/review/standins/Relay.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A proxy before a database server, which can delay what the server answers to one data plane. */
+/** A proxy before a database server, which can delay what passes between the server and its callers. */
 final class Relay implements AutoCloseable {
 
     private final String target;
@@ -22,6 +22,12 @@
     /** The caller whose answers are held; null for none. Guarded by this. */
     private String held;
 
+    /** Callers that are cut off: nothing passes in either direction. Guarded by this. */
+    private Set<String> cut = Set.of();
+
+    /** The command of a caller that is held with all behind it; null for none. Guarded by this. */
+    private String heldCommand;
+
     Relay(String address, String target) throws IOException {
         this.target = target;
         int colon = address.lastIndexOf(':');
@@ -51,8 +57,26 @@
         Recorder.record("relay to %s: answers go on", target);
     }
 
-    private synchronized void awaitRelease(String caller) throws InterruptedException {
-        while (caller.equals(held)) {
+    /** Cuts these callers off, and no others. */
+    synchronized void cut(String... callers) {
+        cut = Set.of(callers);
+        notifyAll();
+        Recorder.record("relay to %s: cut off from %s", target, cut);
+    }
+
+    /** Holds this command of callers, on its connection; null: none. */
+    synchronized void holdCommand(String command) {
+        heldCommand = command;
+        notifyAll();
+        Recorder.record("relay to %s: held on its way: %s", target, command == null ? "nothing" : command);
+    }
+
+    private synchronized void awaitPass(String caller, boolean toServer, byte[] bytes, int count)
+            throws InterruptedException {
+        String text = new String(bytes, 0, count, StandardCharsets.ISO_8859_1);
+        while (cut.contains(caller)
+                || !toServer && caller.equals(held)
+                || toServer && heldCommand != null && text.contains(" " + heldCommand)) {
             wait();
         }
     }
@@ -88,24 +112,24 @@
             }
             first.write('\n');
             String[] words = first.toString(StandardCharsets.ISO_8859_1).trim().split(" ");
+            String name = words.length > 2 ? words[2] : "";
+            awaitPass(name, true, first.toByteArray(), first.size());
             server.getOutputStream().write(first.toByteArray());
-            daemon(() -> copy(caller, server, null));
-            copy(server, caller, words.length > 2 ? words[2] : "");
-        } catch (IOException e) {
+            daemon(() -> copy(caller, server, name, true));
+            copy(server, caller, name, false);
+        } catch (IOException | InterruptedException e) {
             end(caller);
         }
     }
 
-    private void copy(Socket from, Socket to, String caller) {
+    private void copy(Socket from, Socket to, String caller, boolean toServer) {
         byte[] buffer = new byte[8_192];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             int count;
             while ((count = in.read(buffer)) >= 0) {
-                if (caller != null) {
-                    awaitRelease(caller);
-                }
+                awaitPass(caller, toServer, buffer, count);
                 out.write(buffer, 0, count);
                 out.flush();
             }
