--- a/review/standins/DatabaseService.java
+++ b/review/standins/DatabaseService.java
@@ -44,6 +44,9 @@
     long newestTerm = 3;
     int promotions;
 
+    /** The number of calls of the platform that will make another server lead. */
+    volatile int promotionCalls;
+
     private final ScheduledExecutorService clock =
             Executors.newScheduledThreadPool(
                     2,
@@ -136,6 +139,7 @@
             return false;
         }
         if (server != leader) {
+            promotionCalls++;
             clock.schedule(() -> finishPromotion(server), promoteMillis, TimeUnit.MILLISECONDS);
         }
         return true;
--- a/review/standins/LateResume.java
+++ b/review/standins/LateResume.java
@@ -13,9 +13,6 @@
     private static final String CONTROL = "control";
 
 
-    /** After both replicas are paused; a promotion takes 300 ms from the call to the platform on. */
-    private static final long COMMIT_AFTER_MILLIS = 150;
-
     private final Map<String, Relay> relays = new ConcurrentHashMap<>();
     private volatile boolean reading = true;
 
@@ -146,7 +143,7 @@
         relays.get(first.id).holdCommand(null);
         Recorder.record("RESUME goes on %.0f ms after the first cut was over", Recorder.now() - over);
         // The client commits while the promotion is under way.
-        Thread.sleep(COMMIT_AFTER_MILLIS);
+        Deployment.await("the promotion is called for", 8_000, () -> database.promotionCalls > 0);
         Client.Answer commit = client.query("COMMIT");
         Deployment.await("a new primary", 8_000, () -> database.promotions > 0);
         Thread.sleep(300);
--- a/review/standins/LostCommits.java
+++ b/review/standins/LostCommits.java
@@ -11,7 +11,7 @@
 final class LostCommits extends Case {
 
     private static final int SESSIONS = 8;
-    private static final long[] WORK_MILLIS = {15, 70, 80, 90, 100, 110, 120, 130};
+    private static final long[] WORK_MILLIS = {60, 150, 160, 170, 180, 190, 200, 210};
 
     /** How long the crashed primary is away; it returns with its log. */
     private static final long AWAY_MILLIS = 7_000;
@@ -68,6 +68,7 @@
         Thread.sleep(5_000);
 
         // Several clients write at once. The replicas that stay receive the first write and then nothing.
+        int before = primary.log.size();
         List<Client.Answer> answers = new ArrayList<>();
         List<Runnable> writes = new ArrayList<>();
         for (int i = 0; i < SESSIONS; i++) {
@@ -84,7 +85,9 @@
         if (trouble) {
             writes.add(
                     () -> {
-                        sleep(45);
+                        while (replica.log.size() == before || replacement.log.size() == before) {
+                            sleep(1);
+                        }
                         replica.deaf = true;
                         replacement.deaf = true;
                         Recorder.record("i-replica-2 and i-replica-3 receive nothing from now on");
--- a/review/standins/StaleRead.java
+++ b/review/standins/StaleRead.java
@@ -100,8 +100,10 @@
                                 Thread.currentThread().interrupt();
                             }
                         });
+        int before = database.reads.size();
         reads.start();
-        Thread.sleep(60);
+        Deployment.await("both reads have run", 1_000, () -> database.reads.size() >= before + lookups.size());
+        Thread.sleep(40);
         double drained = Recorder.now();
         primary.drain();
         Deployment.await("a new primary", 3_000, () -> database.promotions > 0);
