A log is promoted only if no missing replica can hold more of the acknowledged commits

Commits in progress together share a lower bound (the position known when they were sent, plus one), so a log may end between the bounds that data planes report. SuccessorSelector promoted such a log after 4 s although a replica that may have the rest was missing, and at once if that one had left more than three heartbeats before.

CommitCoverage decides: a log may be promoted if it reaches the upper bound, or if it reaches the lower bound and every replica that can have received commits is stopped with no longer log. Where one is missing, the move waits for the primary or that replica without a bound, status shows what is missing, and an operator may accept the loss. A data plane raises its lower bound to the upper one when a replica leaves (AcknowledgedCommitTracker), so a departure counts however long ago it was; it reports the bounds for three heartbeats after a departure as well, in case it is lost itself. The registry records when it learned of a departure: a server replaced at its address has been silent for long by then. commits-missing names the missing replicas. The wait of 4 s stays where all replicas are stopped and only commits past the log of a primary that stepped down, none of them acknowledged, can turn up.

Why it holds. A commit is acknowledged once a replica has received it. If all those replicas are stopped, the longest log has it; if one is not, the log reaches every position that an acknowledgement can stand for.

--- a/src/main/java/dillfront/controlplane/failover/SuccessorSelector.java
+++ b/src/main/java/dillfront/controlplane/failover/SuccessorSelector.java
@@ -1,6 +1,5 @@
 package dillfront.controlplane.failover;
 
-import dillfront.common.config.Configuration;
 import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
 import dillfront.controlplane.lease.LeaseManager;
@@ -21,20 +20,22 @@
      */
     private static final long RECEIVE_DURATION_MS = 1_000;
 
-    /** Maximum total wait if it is unknown whether the logs lack a commit. */
-    private static final long MAX_UNCERTAIN_WAIT_MS = 4_000;
+    /** Maximum total wait for a log with commits that were not acknowledged. */
+    private static final long MAX_UNACKNOWLEDGED_WAIT_MS = 4_000;
 
     private static final long LOG_INTERVAL_MS = 10_000;
     private static final long NEVER = -1;
 
     private final FailoverContext context;
     private final MoveState move;
-    private long uncertainSinceMillis = NEVER;
+    private final CommitCoverage coverage;
+    private long waitSinceMillis = NEVER;
     private long loggedMillis = LeaseManager.NEVER_MILLIS;
 
     SuccessorSelector(FailoverContext context, MoveState move) {
         this.context = context;
         this.move = move;
+        coverage = new CommitCoverage(context, move);
     }
 
     /** A server with the end of its log. */
@@ -53,11 +54,6 @@
             best = null;
         }
         AcknowledgedCommits acknowledged = move.acknowledged(context.state().acknowledgedCommits());
-        if (best != null && !holdsAll(best.logEnd(), acknowledged)) {
-            move.rejectedServers.clear();
-            onMissingCommits(best.logEnd(), acknowledged);
-            return;
-        }
         if (best == null) {
             move.rejectedServers.clear();
             move.restartStopping();
@@ -65,6 +61,12 @@
             move.nextAttemptMillis = context.now() + FailoverContext.RETRY_MS;
             return;
         }
+        CommitCoverage.Verdict verdict = coverage.check(best.logEnd(), acknowledged);
+        if (!mayPromote(verdict)) {
+            move.rejectedServers.clear();
+            onMissingCommits(best.logEnd(), acknowledged, verdict);
+            return;
+        }
         move.missingCommits = null;
         move.successor = best.id();
         move.fencingToken = context.nextFencingToken();
@@ -100,45 +102,17 @@
         return false;
     }
 
-    /**
-     * Returns whether a server with this log may be promoted: the log lacks no acknowledged commit
-     * that is known to any data plane, connected or disconnected since.
-     */
-    private boolean holdsAll(LogPosition logEnd, AcknowledgedCommits acknowledged) {
-        Configuration.Service service =
-                context.state().register().committedConfiguration().services().get(move.service());
-        if (service != null && service.synchronousReplicas() == 0) {
-            return true;
-        }
-        if (!logEnd.covers(acknowledged.lowerBound())) {
-            return false;
-        }
-        if (logEnd.covers(acknowledged.upperBound())
-                || move.finalPosition == null && !lacksReplica()) {
-            return true;
-        }
-        uncertainSinceMillis = uncertainSinceMillis < 0 ? context.now() : uncertainSinceMillis;
-        return context.now() > uncertainSinceMillis + MAX_UNCERTAIN_WAIT_MS;
-    }
-
-    /**
-     * Returns whether a replica that may have acknowledged commits just before the loss of the
-     * primary is not among the stopped servers.
-     */
-    private boolean lacksReplica() {
-        for (DatabaseServer server : context.state().registry().all()) {
-            boolean counted =
-                    !server.hasLeft()
-                            || move.startedMillis - server.lastContactMillis()
-                                    < 3 * context.heartbeatIntervalMillis();
-            if (counted
-                    && server.service().equals(move.service())
-                    && !server.id().equals(move.record.primary())
-                    && !move.stoppedStatuses.containsKey(server.id())) {
+    /** Returns whether the log holds all acknowledged commits, and no wait remains. */
+    private boolean mayPromote(CommitCoverage.Verdict verdict) {
+        switch (verdict) {
+            case PROMOTABLE:
                 return true;
-            }
+            case PROMOTABLE_AFTER_WAIT:
+                waitSinceMillis = waitSinceMillis < 0 ? context.now() : waitSinceMillis;
+                return context.now() > waitSinceMillis + MAX_UNACKNOWLEDGED_WAIT_MS;
+            default:
+                return false;
         }
-        return false;
     }
 
     /**
@@ -146,27 +120,11 @@
      * all acknowledged commits, because the old primary may still reach the replicas although no
      * control process reaches it. Then the replicas are stopped and compared again.
      */
-    private void onMissingCommits(LogPosition longest, AcknowledgedCommits acknowledged) {
-        if (context.now() - loggedMillis > LOG_INTERVAL_MS) {
-            loggedMillis = context.now();
-            context.environment()
-                    .warn(
-                            "commits-missing service="
-                                    + move.service()
-                                    + " longest_log="
-                                    + longest
-                                    + " acknowledged="
-                                    + acknowledged.lowerBound()
-                                    + ".."
-                                    + acknowledged.upperBound()
-                                    + " awaits="
-                                    + move.record.primary()
-                                    + " or another server with these commits");
-        }
-        // Beyond the lower bound, only commits that were in progress at the same time can be
-        // missing. The move waits for those no longer than MAX_UNCERTAIN_WAIT_MS.
+    private void onMissingCommits(
+            LogPosition longest, AcknowledgedCommits acknowledged, CommitCoverage.Verdict verdict) {
+        logMissingCommits(longest, acknowledged);
         move.missingCommits =
-                longest.covers(acknowledged.lowerBound())
+                verdict == CommitCoverage.Verdict.PROMOTABLE_AFTER_WAIT
                         ? null
                         : new MissingCommits(
                                 move.service(),
@@ -185,4 +143,26 @@
         move.pausesReplicas = true;
         move.nextAttemptMillis = context.now() + RECEIVE_DURATION_MS;
     }
+
+    private void logMissingCommits(LogPosition longest, AcknowledgedCommits acknowledged) {
+        if (context.now() - loggedMillis <= LOG_INTERVAL_MS) {
+            return;
+        }
+        loggedMillis = context.now();
+        context.environment()
+                .warn(
+                        "commits-missing service="
+                                + move.service()
+                                + " longest_log="
+                                + longest
+                                + " acknowledged="
+                                + acknowledged.lowerBound()
+                                + ".."
+                                + acknowledged.upperBound()
+                                + " missing_replicas="
+                                + coverage.missingReplicas(longest)
+                                + " awaits="
+                                + move.record.primary()
+                                + " or another server with these commits");
+    }
 }
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -12,6 +12,7 @@
     private static final int STORED_FIELDS = 6;
     private static final long UNKNOWN = -1;
     private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final long NOT_RECORDED = Long.MAX_VALUE / 2;
 
     private final String id;
     private final String service;
@@ -26,6 +27,10 @@
     private long lastContactMillis;
     private long lastDirectHeartbeatMillis = NEVER;
     private long leavingSinceMillis = UNKNOWN;
+
+    /** When this process learned that the server left. */
+    private long leftSinceMillis = NOT_RECORDED;
+
     private long lastChangeVersion;
 
     DatabaseServer(String id, String service) {
@@ -73,6 +78,15 @@
         return lastContactMillis;
     }
 
+    /**
+     * Returns the time by which a server that left has departed: that of its last call, or when
+     * this process learned that it left, whichever is later. A time far in the future until {@link
+     * ServerRegistry#expireLeaving} has recorded it.
+     */
+    public long departureMillis() {
+        return Math.max(lastContactMillis, leftSinceMillis);
+    }
+
     /**
      * Returns when this process itself last received a heartbeat of the server; a time far in the
      * past if it never did.
@@ -156,6 +170,10 @@
         leavingSinceMillis = millis;
     }
 
+    void recordDeparture(long millis) {
+        leftSinceMillis = Math.min(leftSinceMillis, millis);
+    }
+
     /** Completes a placeholder for a server of which only the leave call was received. */
     void completePlaceholder() {
         address = "";
--- a/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
+++ b/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
@@ -32,6 +32,9 @@
     /** Ids of servers that announced their shutdown by a leave call and may still serve. */
     private final TreeSet<String> leaving = new TreeSet<>();
 
+    /** Servers that left, and whose departure has no recorded time yet. */
+    private final List<DatabaseServer> newlyLeft = new ArrayList<>();
+
     private final boolean acceptsOlderRows;
     private long version;
 
@@ -77,6 +80,13 @@
         return presentServers;
     }
 
+    /**
+     * Returns the servers of this service, including those that left, in the order of their ids.
+     */
+    public List<DatabaseServer> knownServersOf(String service) {
+        return List.copyOf(allOf(service).values());
+    }
+
     private Map<String, DatabaseServer> allOf(String service) {
         TreeMap<String, DatabaseServer> all = serversByService.get(service);
         return all == null ? Collections.emptyMap() : all;
@@ -163,9 +173,12 @@
 
     /**
      * Marks leaving servers as left once the delay has passed since both their announcement and
-     * their last contact.
+     * their last contact. Called periodically; also records the time of departures since the last
+     * call.
      */
     public boolean expireLeaving(long nowMillis, long afterMillis) {
+        newlyLeft.forEach(server -> server.recordDeparture(nowMillis));
+        newlyLeft.clear();
         boolean changed = false;
         for (String id : List.copyOf(leaving)) {
             DatabaseServer server = servers.get(id);
@@ -198,6 +211,9 @@
         } else {
             leaving.remove(server.id());
         }
+        if (server.hasLeft()) {
+            newlyLeft.add(server);
+        }
     }
 
     private void add(DatabaseServer server) {
--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -1,7 +1,6 @@
 package dillfront.dataplane;
 
 import dillfront.common.config.Configuration;
-import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.environment.Environment;
 import dillfront.common.message.BinaryDelta;
 import dillfront.common.message.Compression;
@@ -38,7 +37,7 @@
     private static final long REQUEST_COALESCING_MS = 50;
 
     /**
-     * The interval at which acknowledged commits are reported for services with a draining server.
+     * The interval at which acknowledged commits are reported for services with a departing server.
      * The report matters if this data plane is lost as well.
      */
     private static final long ACKNOWLEDGED_INTERVAL_MS = 2_000;
@@ -85,7 +84,7 @@
     private long requestId;
     private long lastRequestMillis;
 
-    /** When the acknowledged commits of services with a draining server were last reported. */
+    /** When the acknowledged commits of services with a departing server were last reported. */
     private long acknowledgedReportMillis = -ACKNOWLEDGED_INTERVAL_MS;
 
     // The state of this data plane, as reported in requests.
@@ -284,15 +283,14 @@
             if (reachability < 0
                     || service.moving
                     || suspectedServices.contains(service.name)
-                    || includesAcknowledged && service.hasDrainingServer()) {
-                AcknowledgedCommits acknowledged = service.acknowledged;
+                    || includesAcknowledged && service.hasDepartingServer()) {
                 views.add(
                         new PrimaryView(
                                 service.name,
                                 service.openTransactions,
                                 service.primary,
                                 reachability,
-                                acknowledged));
+                                service.acknowledged()));
             }
         }
         if (!views.isEmpty() && includesAcknowledged) {
@@ -417,8 +415,7 @@
             return;
         }
         if (state == ServerState.LEFT) {
-            server.remove();
-            service.servers.remove(server.id);
+            service.removeServer(server);
         } else if (!server.draining && state != ServerState.READY) {
             server.startDraining();
         }
--- a/src/main/java/dillfront/dataplane/DatabaseService.java
+++ b/src/main/java/dillfront/dataplane/DatabaseService.java
@@ -56,8 +56,7 @@
     /** The number of transactions that are open at the primary. */
     int openTransactions;
 
-    /** Bounds of the commits that this data plane has acknowledged. */
-    AcknowledgedCommits acknowledged = AcknowledgedCommits.NONE;
+    private final AcknowledgedCommitTracker acknowledgedCommits = new AcknowledgedCommitTracker();
 
     /** The number of the newest record; -1 if there is none. */
     private long recordNumber = UNSET;
@@ -98,12 +97,26 @@
     void retainServers(Set<String> ids) {
         for (ServerPool server : List.copyOf(servers.values())) {
             if (!ids.contains(server.id)) {
-                server.remove();
-                servers.remove(server.id);
+                removeServer(server);
             }
         }
     }
 
+    /** Removes a server that has left. */
+    void removeServer(ServerPool server) {
+        server.remove();
+        servers.remove(server.id);
+        if (!server.id.equals(primary)) {
+            ServerPool primaryServer = servers.get(primary);
+            acknowledgedCommits.onReplicaDeparted(
+                    primary,
+                    primaryServer == null ? null : primaryServer.knownPosition,
+                    node.environment.nowMillis()
+                            + AcknowledgedCommits.DEPARTURE_HEARTBEAT_INTERVALS
+                                    * node.settings.heartbeatIntervalMillis());
+        }
+    }
+
     // ---- primary
 
     /** Returns the server for writes; null if none is known or a move is in progress. */
@@ -184,17 +197,18 @@
         return changed;
     }
 
+    /** Returns the bounds of the commits that this data plane has acknowledged. */
+    AcknowledgedCommits acknowledged() {
+        return acknowledgedCommits.commits();
+    }
+
     /**
-     * Returns whether a server is draining. A replica that leaves takes its log with it, so
-     * acknowledged commits are reported meanwhile.
+     * Returns whether a server is draining or has just left. A replica that leaves takes its log
+     * with it, so acknowledged commits are reported meanwhile.
      */
-    boolean hasDrainingServer() {
-        for (ServerPool server : servers.values()) {
-            if (server.draining) {
-                return true;
-            }
-        }
-        return false;
+    boolean hasDepartingServer() {
+        return acknowledgedCommits.hasDeparting(node.environment.nowMillis())
+                || servers.values().stream().anyMatch(server -> server.draining);
     }
 
     // ---- reads
@@ -287,8 +301,10 @@
                 followsLoss
                         ? LogPosition.max(requestPosition, acceptedLoss.lostUpTo())
                         : requestPosition;
-        acknowledged =
-                acknowledged.merge(AcknowledgedCommits.ofResponse(lowerPosition, responsePosition));
+        acknowledgedCommits.onAcknowledged(
+                server.id,
+                AcknowledgedCommits.ofResponse(lowerPosition, responsePosition),
+                node.environment.nowMillis());
     }
 
     // ---- waiters
--- a/src/main/java/dillfront/simulation/system/ClientSession.java
+++ b/src/main/java/dillfront/simulation/system/ClientSession.java
@@ -45,6 +45,9 @@
     private long operationStartMillis;
     private boolean operationActive;
 
+    /** The data plane of a session that runs a single write; null for any other session. */
+    private Simulator.Machine singleWriteDataPlane;
+
     ClientSession(
             SystemSimulation simulation,
             int number,
@@ -65,6 +68,12 @@
                 simulation.simulator.random.nextDouble() * 1_000, this::startOperation);
     }
 
+    /** Runs a single write through this data plane, and no other operation. */
+    void writeOnce(Simulator.Machine dataPlane) {
+        singleWriteDataPlane = dataPlane;
+        startOperation();
+    }
+
     private void connect() {
         sessionSettings.clear();
         preparedStatements.clear();
@@ -74,7 +83,8 @@
         // connection.
         lastWriteIndex = 0;
         long epoch = ++connectionEpoch;
-        Simulator.Machine dataPlane = simulation.dataPlane(number);
+        Simulator.Machine dataPlane =
+                singleWriteDataPlane == null ? simulation.dataPlane(number) : singleWriteDataPlane;
         if (dataPlane == null) {
             simulation.simulator.scheduleAfter(100, this::retryConnect);
             return;
@@ -106,7 +116,8 @@
         operationStartMillis = simulation.simulator.millis();
         operationActive = true;
         attempts = 0;
-        statements = statements();
+        statements =
+                singleWriteDataPlane == null ? statements() : List.of("WRITE k" + number + " d");
         simulation.startedOperations++;
         retry();
     }
@@ -342,6 +353,10 @@
         operationActive = false;
         pendingId = null;
         scheduleEpoch++;
+        if (singleWriteDataPlane != null) {
+            connection.close();
+            return;
+        }
         simulation.simulator.scheduleAfter(
                 200 + simulation.simulator.random.nextInt(600), this::startOperation);
     }
--- a/src/main/java/dillfront/simulation/system/DatabaseCluster.java
+++ b/src/main/java/dillfront/simulation/system/DatabaseCluster.java
@@ -149,6 +149,9 @@
         /** The server receives no log entries and does not notice. */
         boolean replicationBlocked;
 
+        /** The server receives log entries up to this log size only. */
+        int maxReceivedLogSize = Integer.MAX_VALUE;
+
         /**
          * Time when the initial copy of a new server is complete; the server receives nothing
          * before.
@@ -207,7 +210,7 @@
                 return;
             }
             boolean received = false;
-            while (log.size() < primary.log.size()) {
+            while (log.size() < Math.min(primary.log.size(), maxReceivedLogSize)) {
                 log.add(primary.log.get(log.size()));
                 received = true;
             }
--- a/src/main/java/dillfront/simulation/system/SystemSimulation.java
+++ b/src/main/java/dillfront/simulation/system/SystemSimulation.java
@@ -27,6 +27,9 @@
     static final String[] ZONES = {"a", "b", "c"};
     private static final long HEARTBEAT_INTERVAL_MILLIS = 1_200;
 
+    /** Sessions with a single write are numbered from here on. */
+    private static final int FIRST_SINGLE_WRITE_SESSION = 1_000;
+
     private static final class DataPlaneMachine {
         Simulator.Machine host;
         DataPlaneNode node;
@@ -64,6 +67,7 @@
     int startedOperations;
     int served;
     private int replacementCount;
+    private int singleWriteSessions;
 
     /** Faults and platform calls in order of time, for the analysis of a seed. */
     public final List<String> eventLog = new ArrayList<>();
@@ -544,6 +548,39 @@
                 });
     }
 
+    /**
+     * Lets all replicas but the draining ones and one other receive this number of commits, and
+     * then nothing.
+     */
+    private void limitReplication(
+            DatabaseCluster database, String exceptedId, int commits, long durationMillis) {
+        for (DatabaseCluster.Server server : database.servers) {
+            if (server.isPrimary || server.draining || server.id.equals(exceptedId)) {
+                continue;
+            }
+            logEvent(server.id + " receives " + commits + " more");
+            server.maxReceivedLogSize = server.log.size() + commits;
+            simulator.scheduleAfter(
+                    durationMillis, () -> server.maxReceivedLogSize = Integer.MAX_VALUE);
+        }
+    }
+
+    /** Runs one write on each of several new sessions of a data plane, all at the same time. */
+    private void writeConcurrently(
+            DatabaseCluster database, int writes, Simulator.Machine dataPlane) {
+        logEvent(writes + " concurrent writes through " + dataPlane.name);
+        for (int i = 0; i < writes; i++) {
+            new ClientSession(
+                            this,
+                            FIRST_SINGLE_WRITE_SESSION + singleWriteSessions++,
+                            "primary",
+                            database.name,
+                            database.name + "-primary",
+                            2_500)
+                    .writeOnce(dataPlane);
+        }
+    }
+
     /**
      * Isolates the primary from the other servers, the control machines, or some of the data
      * planes.
@@ -803,6 +840,15 @@
                     }
                     break;
                 }
+            case "receive":
+                limitReplication(database(args[1]), args[3], Integer.parseInt(args[2]), millis);
+                break;
+            case "writes":
+                writeConcurrently(
+                        database(args[1]),
+                        Integer.parseInt(args[2]),
+                        dataPlanes.get(args[3].substring(6)).host);
+                break;
             case "primary_cut":
                 isolatePrimary(database(args[1]), args[2], millis);
                 break;
--- a/src/test/java/dillfront/dataplane/AcceptedLossReadsTest.java
+++ b/src/test/java/dillfront/dataplane/AcceptedLossReadsTest.java
@@ -88,25 +88,25 @@
     @Test
     void commitsOfNextPrimaryFollowTheLoss() {
         service.onAcknowledged(newPrimary, position("1.10"), position("2.11"));
-        assertEquals(position("1.73"), service.acknowledged.lowerBound());
+        assertEquals(position("1.73"), service.acknowledged().lowerBound());
         assertEquals(
-                service.acknowledged,
-                loss.exclude(service.acknowledged),
+                service.acknowledged(),
+                loss.exclude(service.acknowledged()),
                 "not part of the accepted loss");
         service.onAcknowledged(newPrimary, position("2.11"), position("2.12"));
-        assertEquals(position("2.12"), service.acknowledged.lowerBound());
+        assertEquals(position("2.12"), service.acknowledged().lowerBound());
     }
 
     @Test
     void commitsOfOtherServersDoNotFollowTheLoss() {
-        AcknowledgedCommits before = service.acknowledged;
+        AcknowledgedCommits before = service.acknowledged();
         service.onAcknowledged(formerPrimary, position("1.20"), position("1.21"));
-        assertEquals(before, service.acknowledged);
+        assertEquals(before, service.acknowledged());
         applyRecord(2, loss.withPrimaryLogEnd(position("1.72")));
         service.onAcknowledged(newPrimary, position("1.72"), position("1.73"));
         assertEquals(
                 position("1.73"),
-                service.acknowledged.lowerBound(),
+                service.acknowledged().lowerBound(),
                 "the log of the former primary continues");
     }
 }
--- a/src/test/java/dillfront/dataplane/ClientSessionTest.java
+++ b/src/test/java/dillfront/dataplane/ClientSessionTest.java
@@ -664,10 +664,10 @@
         client.queryAndWait("WRITE k d");
         assertEquals(
                 new AcknowledgedCommits(new LogPosition(1, 6), new LogPosition(1, 9)),
-                node.service("db").acknowledged);
+                node.service("db").acknowledged());
         serverP.closesConnection = text -> text.startsWith("WRITE other");
         client.queryAndWait("WRITE other d");
-        assertEquals(new LogPosition(1, 9), node.service("db").acknowledged.upperBound());
+        assertEquals(new LogPosition(1, 9), node.service("db").acknowledged().upperBound());
     }
 
     // ---- shutdown
--- /dev/null
+++ b/src/test/java/dillfront/simulation/system/DepartedReplicaTest.java
@@ -0,0 +1,118 @@
+package dillfront.simulation.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A replica alone receives all but one of several commits that one data plane acknowledges at the
+ * same time, and departs. Then the primary is lost for a while. Guards against the promotion of a
+ * log that lacks acknowledged commits (LOST).
+ */
+class DepartedReplicaTest {
+
+    private static final int CONCURRENT_WRITES = 6;
+    private static final long REPLICA_STOPPED_MILLIS = 15_300;
+    private static final long DURATION_MILLIS = 36_000;
+
+    /** Guards against a promotion once the wait for the departed replica's commits is over. */
+    @Test
+    void keepsConcurrentCommitsOfDepartedReplica() {
+        for (long seed = 1; seed <= 6; seed++) {
+            for (long gapMillis = 20; gapMillis < 9_000; gapMillis += 380) {
+                SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
+                simulation.scheduleFault(6, "release db0 replica");
+                scheduleWrites(simulation, "none");
+                simulation.scheduleFault(
+                        (REPLICA_STOPPED_MILLIS + gapMillis) / 1e3, "crash db0 primary for 9");
+                assertKeepsCommits(simulation, "seed " + seed + " gap " + gapMillis);
+            }
+        }
+    }
+
+    /**
+     * Guards against the same for a replica that no control process reaches, although it receives.
+     */
+    @Test
+    void keepsConcurrentCommitsOfUnreachableReplica() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
+            for (String zone : SystemSimulation.ZONES) {
+                simulation.scheduleFault(6, "cut core-" + zone + " db0-b1 for 26");
+            }
+            scheduleWrites(simulation, "db0-b1");
+            simulation.scheduleFault(18, "crash db0 primary for 9");
+            assertKeepsCommits(simulation, "seed " + seed);
+        }
+    }
+
+    /**
+     * Guards against the same for a replica that is lost, and whose departure shows only in the
+     * first heartbeat of an empty server at its address, at any moment around the primary's loss.
+     */
+    @Test
+    void keepsConcurrentCommitsOfReplacedReplica() {
+        for (long crashMillis = 15_000; crashMillis < 20_000; crashMillis += 40) {
+            SystemSimulation simulation = new SystemSimulation(9, 1, 1, 0, DURATION_MILLIS);
+            scheduleWrites(simulation, "db0-b1");
+            simulation.scheduleFault(15, "gone db0 db0-b1 same");
+            simulation.scheduleFault(crashMillis / 1e3, "crash db0 primary for 9");
+            assertKeepsCommits(simulation, "crash at " + crashMillis);
+        }
+    }
+
+    /**
+     * Guards against the same if the data plane that acknowledged the commits is lost in between.
+     */
+    @Test
+    void keepsConcurrentCommitsOfLostDataPlane() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
+            simulation.scheduleFault(6, "release db0 replica");
+            scheduleWrites(simulation, "none");
+            simulation.scheduleFault(18.5, "power front-a0 for 17");
+            simulation.scheduleFault(22, "crash db0 primary for 9");
+            assertKeepsCommits(simulation, "seed " + seed);
+        }
+    }
+
+    /** Guards against the same if the replica departs between any two steps of the failover. */
+    @Test
+    void keepsConcurrentCommitsIfReplicaDepartsDuringFailover() {
+        for (long leadMillis = 0; leadMillis < 1_250; leadMillis += 25) {
+            SystemSimulation simulation = new SystemSimulation(5, 1, 1, 0, DURATION_MILLIS);
+            simulation.scheduleFault(6, "release db0 replica");
+            scheduleWrites(simulation, "none");
+            simulation.scheduleFault(
+                    (REPLICA_STOPPED_MILLIS - leadMillis) / 1e3, "crash db0 primary for 9");
+            simulation.run();
+            assertEquals(List.of(), simulation.violations(), details(simulation));
+        }
+    }
+
+    private static void scheduleWrites(SystemSimulation simulation, String receivingReplica) {
+        String writes = "writes db0 " + CONCURRENT_WRITES + " front-a0";
+        simulation.scheduleFault(8, writes);
+        simulation.scheduleFault(14, "receive db0 1 " + receivingReplica + " for 19");
+        simulation.scheduleFault(14.001, writes);
+    }
+
+    private static void assertKeepsCommits(SystemSimulation simulation, String run) {
+        simulation.run();
+        String details = run + "\n" + details(simulation);
+        assertEquals(List.of(), simulation.violations(), details);
+        assertEquals(1, simulation.served(), details);
+        assertEquals(0, simulation.promotions(), details);
+        assertTrue(
+                simulation.traceLog().stream().anyMatch(l -> l.contains("commits-missing")),
+                details);
+    }
+
+    private static String details(SystemSimulation simulation) {
+        return String.join("\n", simulation.eventLog)
+                + "\n"
+                + String.join("\n", simulation.traceLog());
+    }
+}
