--- a/src/main/java/dillfront/simulation/system/SystemSimulation.java
+++ b/src/main/java/dillfront/simulation/system/SystemSimulation.java
@@ -25,10 +25,7 @@
     private static final int FIRST_DATABASE_PORT = 8_080;
     private static final int PLATFORM_PORT = 8_783;
     static final String[] ZONES = {"a", "b", "c"};
-    private static final long HEARTBEAT_INTERVAL_MILLIS = 1_200;
-
-    /** Sessions with a single write are numbered from here on. */
-    private static final int FIRST_SINGLE_WRITE_SESSION = 1_000;
+    static final long HEARTBEAT_INTERVAL_MILLIS = 1_200;
 
     private static final class DataPlaneMachine {
         Simulator.Machine host;
@@ -49,6 +46,7 @@
     final ConfigurationClient configurationClient;
     final ConfigurationChecker configurationChecker;
     private final DataLossOperator dataLossOperator;
+    private final DatabaseFaultInjector databaseFaults;
     private final TreeMap<String, DataPlaneMachine> dataPlanes = new TreeMap<>();
     private final Map<String, DatabaseCluster> databases = new TreeMap<>();
     private final Map<String, long[]> highestFencingTokens = new HashMap<>();
@@ -66,8 +64,6 @@
     private final long durationMillis;
     int startedOperations;
     int served;
-    private int replacementCount;
-    private int singleWriteSessions;
 
     /** Faults and platform calls in order of time, for the analysis of a seed. */
     public final List<String> eventLog = new ArrayList<>();
@@ -110,6 +106,8 @@
                         controlMachines,
                         (machine, isFirstStart) -> settings(machine, true, isFirstStart));
         platform.serveHttp(PLATFORM_PORT, this::handlePromotion);
+        DatabaseServers servers = new DatabaseServers(this);
+        databaseFaults = new DatabaseFaultInjector(this, servers);
         for (int z = 0; z < ZONES.length; z++) {
             for (int i = 0; i < dataPlanesPerZone; i++) {
                 DataPlaneMachine dataPlane = new DataPlaneMachine();
@@ -126,7 +124,8 @@
             databases.put(database.name, database);
             consistencyChecker.databases.put(database.name, database);
             for (int z = 0; z < ZONES.length; z++) {
-                createServer(database, ZONES[(z + s) % ZONES.length], z, FIRST_DATABASE_PORT + s);
+                servers.createServer(
+                        database, ZONES[(z + s) % ZONES.length], z, FIRST_DATABASE_PORT + s);
             }
             database.servers.get(0).isPrimary = true;
             String[] consistencyLevels = {"primary", "bounded", "own"};
@@ -166,97 +165,6 @@
 
     // Database servers
 
-    private DatabaseCluster.Server createServer(
-            DatabaseCluster database, String zone, int index, int port) {
-        Simulator.Machine machine =
-                simulator
-                .new Machine(
-                        database.name + "-" + zone + index,
-                        zone,
-                        "10.8." + database.name.substring(2) + "." + (10 + index));
-        DatabaseCluster.Server server =
-                database.new Server(machine, database.name + "-" + zone + index, port);
-        server.onRoleChange = () -> sendHeartbeat(database, server, false, 0);
-        startHeartbeats(database, server);
-        return server;
-    }
-
-    private void startHeartbeats(DatabaseCluster database, DatabaseCluster.Server server) {
-        int incarnation = server.host.incarnation;
-        server.host.schedule(
-                simulator.random.nextInt((int) HEARTBEAT_INTERVAL_MILLIS),
-                new Runnable() {
-                    @Override
-                    public void run() {
-                        if (server.host.incarnation == incarnation
-                                && database.servers.contains(server)) {
-                            if (!server.heartbeatsStopped) {
-                                sendHeartbeat(database, server, false, 0);
-                            }
-                            server.host.schedule(HEARTBEAT_INTERVAL_MILLIS, this);
-                        }
-                    }
-                });
-    }
-
-    private long callSequence;
-
-    /**
-     * Sends a heartbeat to random control machines until one acknowledges it, up to seven times.
-     */
-    private void sendHeartbeat(
-            DatabaseCluster database,
-            DatabaseCluster.Server server,
-            boolean isLeaving,
-            int attempts) {
-        if (!server.host.up || attempts > 6) {
-            return;
-        }
-        boolean isDraining = server.draining || isLeaving;
-        String body = heartbeatBody(database, server);
-        send(
-                server,
-                (isLeaving ? "/Instances.Leave/" : "/Instances.Heartbeat/") + server.id,
-                body,
-                acknowledged -> {
-                    if (!acknowledged) {
-                        server.host.schedule(
-                                50L * (attempts + 1),
-                                () -> sendHeartbeat(database, server, isLeaving, attempts + 1));
-                    } else if (isDraining) {
-                        consistencyChecker.drainAcknowledgedMicros.putIfAbsent(
-                                server.id, simulator.micros());
-                    }
-                });
-    }
-
-    /** Builds a heartbeat with the server's current state. */
-    private String heartbeatBody(DatabaseCluster database, DatabaseCluster.Server server) {
-        return Json.object()
-                .add("service", database.name)
-                .add("address", server.address)
-                .add("zone_name", server.host.zone)
-                .add("state", server.draining ? "draining" : "ready")
-                .add("database_role", server.isPrimary ? "primary" : "replica")
-                .add("call_sequence", ++callSequence)
-                .toString();
-    }
-
-    private void send(
-            DatabaseCluster.Server server,
-            String path,
-            String body,
-            java.util.function.Consumer<Boolean> acknowledged) {
-        List<ControlMachine> machines = controlCluster.knownMachines();
-        ControlMachine target = machines.get(simulator.random.nextInt(machines.size()));
-        controlCluster
-                .call(server.host, "POST", target, path, Simulator.bytes(body), 1_000)
-                .whenComplete(
-                        (result, failure) ->
-                                acknowledged.accept(
-                                        failure == null && result.response().status() == 200));
-    }
-
     private CompletableFuture<Environment.HttpResponse> handlePromotion(
             String method, String path, byte[] body, Map<String, String> headers) {
         if (platformUnresponsive) {
@@ -412,7 +320,7 @@
         eventLog.add(simulator.millis() + " " + event);
     }
 
-    private DatabaseCluster database(String name) {
+    DatabaseCluster database(String name) {
         DatabaseCluster database = databases.get(name);
         if (database == null) {
             throw new IllegalArgumentException("unknown database " + name);
@@ -420,280 +328,6 @@
         return database;
     }
 
-    /** Selects a server: the primary, one by id, the last replica, or else the first replica. */
-    private DatabaseCluster.Server select(DatabaseCluster database, String selector) {
-        DatabaseCluster.Server primary = database.primary();
-        if (selector.equals("primary")) {
-            return primary;
-        }
-        if (database.findServer(selector) != null) {
-            return database.findServer(selector);
-        }
-        List<DatabaseCluster.Server> replicas =
-                database.servers.stream()
-                        .filter(server -> server != primary && server.host.up)
-                        .toList();
-        return replicas.isEmpty()
-                ? null
-                : replicas.get(selector.equals("last") ? replicas.size() - 1 : 0);
-    }
-
-    /** Crashes a server for a while: by power loss, or with its connections reset. */
-    private void crash(
-            DatabaseCluster database,
-            DatabaseCluster.Server server,
-            boolean powerLoss,
-            long durationMillis) {
-        if (server == null) {
-            return;
-        }
-        logEvent(
-                (powerLoss ? "dark " : "crash ")
-                        + server.id
-                        + (server.isPrimary ? " (primary)" : ""));
-        if (server.isPrimary) {
-            consistencyChecker.primaryLost(database.name);
-        }
-        server.stop(powerLoss);
-        simulator.scheduleAfter(
-                durationMillis,
-                () -> {
-                    logEvent("restart " + server.id);
-                    // The restarted server keeps its log and address and gets a new id.
-                    server.host.up();
-                    database.servers.remove(server);
-                    DatabaseCluster.Server restarted =
-                            database
-                            .new Server(
-                                    server.host,
-                                    server.id.replaceAll("r\\d*$", "") + "r" + ++replacementCount,
-                                    Integer.parseInt(
-                                            server.address.substring(
-                                                    server.address.indexOf(':') + 1)));
-                    restarted.log.addAll(server.log);
-                    restarted.appliedCount = server.appliedCount;
-                    restarted.term = server.term;
-                    restarted.isPrimary = server.isPrimary;
-                    restarted.onRoleChange = () -> sendHeartbeat(database, restarted, false, 0);
-                    DatabaseCluster.Server primary =
-                            database.servers.stream()
-                                    .filter(other -> other != restarted && other.isPrimary)
-                                    .findFirst()
-                                    .orElse(null);
-                    if (primary != null) {
-                        restarted.isPrimary = false;
-                        restarted.truncateLog(commonPrefixLength(restarted, primary));
-                    }
-                    startHeartbeats(database, restarted);
-                });
-    }
-
-    /**
-     * Removes a server and its log permanently; an empty replacement starts after 2 s, at another
-     * address or at the same.
-     */
-    private void removePermanently(
-            DatabaseCluster database, DatabaseCluster.Server server, boolean sameAddress) {
-        if (server == null) {
-            return;
-        }
-        logEvent("permanent loss of " + server.id + (server.isPrimary ? " (primary)" : ""));
-        if (server.isPrimary) {
-            consistencyChecker.primaryLost(database.name);
-        }
-        server.stop(true);
-        server.isPrimary = false;
-        database.servers.remove(server);
-        addReplacement(database, server, sameAddress, 2_000);
-    }
-
-    /** Starts an empty server, which copies the log of the primary. */
-    private void addReplacement(
-            DatabaseCluster database,
-            DatabaseCluster.Server removed,
-            boolean sameAddress,
-            long delayMillis) {
-        simulator.scheduleAfter(
-                delayMillis,
-                () -> {
-                    int port =
-                            Integer.parseInt(
-                                    removed.address.substring(removed.address.indexOf(':') + 1));
-                    DatabaseCluster.Server replacement;
-                    if (sameAddress) {
-                        removed.host.up();
-                        replacement =
-                                database
-                                .new Server(
-                                        removed.host,
-                                        removed.id.replaceAll("r\\d*$", "")
-                                                + "r"
-                                                + ++replacementCount,
-                                        port);
-                        DatabaseCluster.Server restarted = replacement;
-                        replacement.onRoleChange =
-                                () -> sendHeartbeat(database, restarted, false, 0);
-                        startHeartbeats(database, replacement);
-                    } else {
-                        replacement =
-                                createServer(
-                                        database,
-                                        removed.host.zone,
-                                        100 + ++replacementCount,
-                                        port);
-                    }
-                    replacement.copiedAtMillis =
-                            simulator.millis() + 300 + simulator.random.nextInt(1_200);
-                    logEvent("start replacement " + replacement.id);
-                });
-    }
-
-    /**
-     * Lets all replicas but the draining ones and one other receive this number of commits, and
-     * then nothing.
-     */
-    private void limitReplication(
-            DatabaseCluster database, String exceptedId, int commits, long durationMillis) {
-        for (DatabaseCluster.Server server : database.servers) {
-            if (server.isPrimary || server.draining || server.id.equals(exceptedId)) {
-                continue;
-            }
-            logEvent(server.id + " receives " + commits + " more");
-            server.maxReceivedLogSize = server.log.size() + commits;
-            simulator.scheduleAfter(
-                    durationMillis, () -> server.maxReceivedLogSize = Integer.MAX_VALUE);
-        }
-    }
-
-    /** Runs one write on each of several new sessions of a data plane, all at the same time. */
-    private void writeConcurrently(
-            DatabaseCluster database, int writes, Simulator.Machine dataPlane) {
-        logEvent(writes + " concurrent writes through " + dataPlane.name);
-        for (int i = 0; i < writes; i++) {
-            new ClientSession(
-                            this,
-                            FIRST_SINGLE_WRITE_SESSION + singleWriteSessions++,
-                            "primary",
-                            database.name,
-                            database.name + "-primary",
-                            2_500)
-                    .writeOnce(dataPlane);
-        }
-    }
-
-    /**
-     * Isolates the primary from the other servers, the control machines, or some of the data
-     * planes.
-     */
-    private void isolatePrimary(DatabaseCluster database, String peers, long durationMillis) {
-        DatabaseCluster.Server primary = database.primary();
-        if (primary == null) {
-            return;
-        }
-        logEvent("primary " + primary.id + " is isolated from " + peers);
-        List<Simulator.Machine> isolatedFrom = new ArrayList<>();
-        switch (peers) {
-            case "replicas" ->
-                    database.servers.stream()
-                            .filter(server -> server != primary)
-                            .forEach(server -> isolatedFrom.add(server.host));
-            case "core" ->
-                    controlCluster
-                            .machines()
-                            .forEach(controlMachine -> isolatedFrom.add(controlMachine.host));
-            default ->
-                    dataPlanes.values().stream()
-                            .filter(dataPlane -> simulator.random.nextDouble() < 0.4)
-                            .forEach(
-                                    dataPlane -> {
-                                        isolatedFrom.add(dataPlane.host);
-                                        dataPlane.stableFromMillis =
-                                                simulator.millis() + durationMillis;
-                                    });
-        }
-        isolatedFrom.forEach(machine -> simulator.cut(primary.host, machine, true));
-        simulator.scheduleAfter(
-                durationMillis,
-                () -> isolatedFrom.forEach(machine -> simulator.cut(primary.host, machine, false)));
-    }
-
-    private static int commonPrefixLength(DatabaseCluster.Server a, DatabaseCluster.Server b) {
-        int length = 0;
-        while (length < a.log.size()
-                && length < b.log.size()
-                && a.log.get(length) == b.log.get(length)) {
-            length++;
-        }
-        return length;
-    }
-
-    /**
-     * Drains a server, which counts as a synchronous replica until it stops, and removes it with
-     * its log. An empty replacement starts beforehand at another address, or afterwards at the
-     * same.
-     */
-    private void drainAndStop(
-            DatabaseCluster database,
-            DatabaseCluster.Server server,
-            boolean sameAddress,
-            long extraMillis,
-            boolean byLeaveMessage) {
-        if (server == null) {
-            return;
-        }
-        logEvent("drain " + server.id + (byLeaveMessage ? " by leave message" : ""));
-        if (!sameAddress) {
-            addReplacement(database, server, false, 0);
-        }
-        simulator.scheduleAfter(
-                1_500,
-                () -> {
-                    if (byLeaveMessage) {
-                        // An older heartbeat arrives late; no heartbeats follow the leave message.
-                        String delayedHeartbeat = heartbeatBody(database, server);
-                        server.heartbeatsStopped = true;
-                        sendHeartbeat(database, server, true, 0);
-                        server.host.schedule(
-                                3_000,
-                                () ->
-                                        send(
-                                                server,
-                                                "/Instances.Heartbeat/" + server.id,
-                                                delayedHeartbeat,
-                                                acknowledged -> {}));
-                    } else {
-                        server.draining = true;
-                        sendHeartbeat(database, server, false, 0);
-                    }
-                    simulator.scheduleAfter(
-                            7_500 + extraMillis,
-                            () -> {
-                                if (server.host.up && !byLeaveMessage) {
-                                    sendHeartbeat(database, server, true, 0);
-                                }
-                                simulator.scheduleAfter(
-                                        300,
-                                        () -> {
-                                            logEvent(
-                                                    "stopped "
-                                                            + server.id
-                                                            + (server.isPrimary
-                                                                    ? " (primary)"
-                                                                    : ""));
-                                            if (server.isPrimary) {
-                                                consistencyChecker.primaryLost(database.name);
-                                            }
-                                            server.stop(false);
-                                            database.servers.remove(server);
-                                            server.isPrimary = false;
-                                            if (sameAddress) {
-                                                addReplacement(database, server, true, 2_000);
-                                            }
-                                        });
-                            });
-                });
-    }
-
     /** Updates the seeds in the settings of all running data planes. */
     void updateSeeds() {
         dataPlanes.values().stream()
@@ -749,7 +383,7 @@
                 });
     }
 
-    private Simulator.Machine findMachine(String name) {
+    Simulator.Machine findMachine(String name) {
         if (name.startsWith("core")
                 || name.equals("leader")
                 || name.equals("seed")
@@ -763,6 +397,21 @@
                 .orElseThrow(() -> new IllegalArgumentException("unknown machine " + name));
     }
 
+    /**
+     * Picks a share of the data planes at random, and excludes them from checks of undisturbed ones
+     * for a while.
+     */
+    List<Simulator.Machine> disturbDataPlanes(double share, long durationMillis) {
+        List<Simulator.Machine> disturbed = new ArrayList<>();
+        for (DataPlaneMachine dataPlane : dataPlanes.values()) {
+            if (simulator.random.nextDouble() < share) {
+                disturbed.add(dataPlane.host);
+                dataPlane.stableFromMillis = simulator.millis() + durationMillis;
+            }
+        }
+        return disturbed;
+    }
+
     private void restartAll(boolean powerLoss) {
         logEvent(powerLoss ? "all lose power" : "all are killed");
         controlCluster.failAll(powerLoss, null, 900);
@@ -786,72 +435,11 @@
                 args.length > 2 && args[args.length - 2].equals("for")
                         ? Math.round(Double.parseDouble(args[args.length - 1]) * 1_000)
                         : 3_000;
-        if (new ControlFaultInjector(this).inject(args, line, millis)) {
+        if (new ControlFaultInjector(this).inject(args, line, millis)
+                || databaseFaults.inject(args, line, millis)) {
             return;
         }
         switch (args[0]) {
-            case "crash":
-            case "dark":
-                {
-                    DatabaseCluster database = database(args[1]);
-                    crash(database, select(database, args[2]), args[0].equals("dark"), millis);
-                    break;
-                }
-            case "release":
-                {
-                    DatabaseCluster database = database(args[1]);
-                    drainAndStop(
-                            database,
-                            select(database, args[2]),
-                            line.contains(" same"),
-                            line.contains(" longer") ? millis : 0,
-                            line.contains(" by leave"));
-                    break;
-                }
-            case "lag":
-                database(args[1]).replicationLagMillis = 8 * Double.parseDouble(args[2]);
-                simulator.scheduleAfter(millis, () -> database(args[1]).replicationLagMillis = 8);
-                break;
-            case "promotes":
-                database(args[1]).promotionDelayMillis = Double.parseDouble(args[2]);
-                break;
-            case "lose":
-                {
-                    DatabaseCluster.Server server = select(database(args[1]), args[2]);
-                    if (server != null) {
-                        server.responseLossRate = 0.2;
-                        simulator.scheduleAfter(millis, () -> server.responseLossRate = 0);
-                    }
-                    break;
-                }
-            case "gone":
-                {
-                    DatabaseCluster database = database(args[1]);
-                    removePermanently(database, select(database, args[2]), line.contains(" same"));
-                    break;
-                }
-            case "deaf":
-                {
-                    DatabaseCluster.Server server = select(database(args[1]), args[2]);
-                    if (server != null) {
-                        logEvent("block replication to " + server.id);
-                        server.replicationBlocked = true;
-                        simulator.scheduleAfter(millis, () -> server.replicationBlocked = false);
-                    }
-                    break;
-                }
-            case "receive":
-                limitReplication(database(args[1]), args[3], Integer.parseInt(args[2]), millis);
-                break;
-            case "writes":
-                writeConcurrently(
-                        database(args[1]),
-                        Integer.parseInt(args[2]),
-                        dataPlanes.get(args[3].substring(6)).host);
-                break;
-            case "primary_cut":
-                isolatePrimary(database(args[1]), args[2], millis);
-                break;
             case "kill":
             case "power":
                 dataPlane(args[1].substring(6), args[0].equals("power"), millis);
--- a/src/test/java/dillfront/simulation/system/ScenarioTest.java
+++ b/src/test/java/dillfront/simulation/system/ScenarioTest.java
@@ -22,7 +22,7 @@
  * <pre>
  *   day SEED FRONTS_A_ZONE DATABASES SESSIONS_EACH SECONDS [CONTROL_MACHINES]
  *   seeds HOW_MANY       runs the scenario with this many seeds from SEED on; default 1
- *   at SECONDS fault, as in SystemSimulation.injectFault() and ControlFaultInjector
+ *   at SECONDS fault, as in ControlFaultInjector, DatabaseFaultInjector and SystemSimulation.injectFault()
  *   expect served|promotions|promote_ms|platform_calls|config_ms|planned_ms|noted|given_up|said|losses|acknowledged|acknowledge_ms|replaced|replace_ms|behind|catch_up_ms ...
  * </pre>
  */
