DepartedReplicaTest: the departure falls between all steps of the failover

Cause: in the fifth test the writes came 1.3 s before the replica's end, and a loss of the primary is noticed after some 3 s there, so the replica was gone before the failover began.

Change: the writes come 5.3 s before it, and the primary is lost at 104 moments in between.

--- a/src/test/java/dillfront/simulation/system/DepartedReplicaTest.java
+++ b/src/test/java/dillfront/simulation/system/DepartedReplicaTest.java
@@ -24,7 +24,7 @@
             for (long gapMillis = 20; gapMillis < 9_000; gapMillis += 380) {
                 SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
                 simulation.scheduleFault(6, "release db0 replica");
-                scheduleWrites(simulation, "none");
+                scheduleWrites(simulation, "none", 14);
                 simulation.scheduleFault(
                         (REPLICA_STOPPED_MILLIS + gapMillis) / 1e3, "crash db0 primary for 9");
                 assertKeepsCommits(simulation, "seed " + seed + " gap " + gapMillis);
@@ -42,7 +42,7 @@
             for (String zone : SystemSimulation.ZONES) {
                 simulation.scheduleFault(6, "cut core-" + zone + " db0-b1 for 26");
             }
-            scheduleWrites(simulation, "db0-b1");
+            scheduleWrites(simulation, "db0-b1", 14);
             simulation.scheduleFault(18, "crash db0 primary for 9");
             assertKeepsCommits(simulation, "seed " + seed);
         }
@@ -56,7 +56,7 @@
     void keepsConcurrentCommitsOfReplacedReplica() {
         for (long crashMillis = 15_000; crashMillis < 20_000; crashMillis += 40) {
             SystemSimulation simulation = new SystemSimulation(9, 1, 1, 0, DURATION_MILLIS);
-            scheduleWrites(simulation, "db0-b1");
+            scheduleWrites(simulation, "db0-b1", 14);
             simulation.scheduleFault(15, "gone db0 db0-b1 same");
             simulation.scheduleFault(crashMillis / 1e3, "crash db0 primary for 9");
             assertKeepsCommits(simulation, "crash at " + crashMillis);
@@ -71,7 +71,7 @@
         for (long seed = 1; seed <= 12; seed++) {
             SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
             simulation.scheduleFault(6, "release db0 replica");
-            scheduleWrites(simulation, "none");
+            scheduleWrites(simulation, "none", 14);
             simulation.scheduleFault(18.5, "power front-a0 for 17");
             simulation.scheduleFault(22, "crash db0 primary for 9");
             assertKeepsCommits(simulation, "seed " + seed);
@@ -84,10 +84,10 @@
      */
     @Test
     void keepsConcurrentCommitsIfReplicaDepartsDuringFailover() {
-        for (long leadMillis = 0; leadMillis < 7_000; leadMillis += 50) {
+        for (long leadMillis = 0; leadMillis < 5_200; leadMillis += 50) {
             SystemSimulation simulation = new SystemSimulation(1, 1, 1, 0, DURATION_MILLIS);
             simulation.scheduleFault(6, "release db0 replica");
-            scheduleWrites(simulation, "none");
+            scheduleWrites(simulation, "none", 10);
             double crashSeconds = (REPLICA_STOPPED_MILLIS - leadMillis) / 1e3;
             simulation.scheduleFault(crashSeconds, "crash db0 primary for 12");
             for (String zone : SystemSimulation.ZONES) {
@@ -99,11 +99,13 @@
         }
     }
 
-    private static void scheduleWrites(SystemSimulation simulation, String receivingReplica) {
+    /** Opens connections with writes before, so that the writes at this time run concurrently. */
+    private static void scheduleWrites(
+            SystemSimulation simulation, String receivingReplica, int seconds) {
         String writes = "writes db0 " + CONCURRENT_WRITES + " front-a0";
         simulation.scheduleFault(8, writes);
-        simulation.scheduleFault(14, "receive db0 1 " + receivingReplica + " for 19");
-        simulation.scheduleFault(14.001, writes);
+        simulation.scheduleFault(seconds, "receive db0 1 " + receivingReplica + " for 24");
+        simulation.scheduleFault(seconds + 0.001, writes);
     }
 
     private static void assertKeepsCommits(SystemSimulation simulation, String run) {
