--- /dev/null
+++ b/review/standins-2/review2/LargeMessages.java
@@ -0,0 +1,120 @@
+package review2;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Sessions write messages of nearly 1 MiB, the largest that the wire allows. Data planes must not
+ * end by themselves.
+ */
+final class LargeMessages {
+
+    private static final int SESSIONS = Integer.getInteger("sessions", 48);
+    private static final int LARGE = 1_000_000;
+    private static final int USUAL = 1_200;
+    private static final int ROUNDS = 5;
+    private static final long MAX_MILLIS = 70_000;
+
+    private final Record record;
+    private final Fleet fleet;
+    private final int bytes;
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger unanswered = new AtomicInteger();
+
+    private LargeMessages(Record record, Fleet fleet, int bytes) {
+        this.record = record;
+        this.fleet = fleet;
+        this.bytes = bytes;
+    }
+
+    public static void main(String[] args) {
+        Script.run(
+                args,
+                "linen-core",
+                (record, fleet, trouble) ->
+                        new LargeMessages(record, fleet, trouble ? LARGE : USUAL).run());
+    }
+
+    private int run() throws IOException, InterruptedException {
+        fleet.addNodes(3, 2);
+        fleet.cluster.addServer("i-1", fleet.ip(101), "hall-a", true);
+        fleet.cluster.addServer("i-2", fleet.ip(102), "hall-a", false);
+        fleet.cluster.addServer("i-3", fleet.ip(103), "hall-a", false);
+        fleet.cluster.servers.forEach(server -> server.workMillis = Integer.getInteger("work", 55));
+        fleet.startAll();
+        if (!fleet.configure(fleet.configuration(7), 20_000) || !fleet.awaitReady(20_000)) {
+            record.show("the system does not start");
+            return 2;
+        }
+        Cluster.sleep(2_000);
+        Map<String, Integer> ends = new HashMap<>();
+        long endNanos = System.nanoTime() + MAX_MILLIS * 1_000_000;
+        for (int round = 1; round <= ROUNDS && System.nanoTime() < endNanos; round++) {
+            if (!fleet.awaitReady(20_000)) {
+                record.show("a data plane is not ready again");
+                return 2;
+            }
+            List<Thread> writers = new ArrayList<>();
+            for (Fleet.Node front : fleet.fronts) {
+                Thread writer = Cluster.daemon(() -> write(front));
+                writers.add(writer);
+                writer.start();
+            }
+            for (Thread writer : writers) {
+                writer.join();
+            }
+            Cluster.sleep(500);
+            for (Fleet.Node front : fleet.fronts) {
+                if (!front.process.isAlive()) {
+                    ends.merge(front.name, 1, Integer::sum);
+                    record.show(
+                            "round " + round + ": " + front.name + " ended by itself, status "
+                                    + front.process.exitValue() + ": "
+                                    + front.logs().strip().replaceAll("(?s).*\n", ""));
+                    front.start();
+                }
+            }
+        }
+        long machines = ends.values().stream().filter(count -> count >= 3).count();
+        record.show(
+                "statements answered " + answered + ", cut off " + unanswered + "; ends " + ends);
+        return machines >= 2 ? 1 : 0;
+    }
+
+    /** All sessions send one write each, at the same time. */
+    private void write(Fleet.Node front) {
+        CountDownLatch open = new CountDownLatch(SESSIONS);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < SESSIONS; i++) {
+            String name = front.name + "-" + i;
+            Thread thread =
+                    Cluster.daemon(
+                            () -> {
+                                try (Client client =
+                                        new Client(record, name, front.front(), "prim")) {
+                                    open.countDown();
+                                    open.await();
+                                    client.ask("WRITE t" + name + " " + "x".repeat(bytes));
+                                    answered.incrementAndGet();
+                                } catch (IOException | InterruptedException e) {
+                                    open.countDown();
+                                    unanswered.incrementAndGet();
+                                }
+                            });
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            try {
+                thread.join(20_000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
