review/5: a paused replica that restarts before the promotion receives again

The answer that a replica is paused is kept, and nobody asks again before the platform promotes another one.

--- a/review/standins-2/review2/Cluster.java
+++ b/review/standins-2/review2/Cluster.java
@@ -223,7 +223,7 @@
         final String id;
         final String zone;
         final String address;
-        private final ServerSocket listener;
+        private ServerSocket listener;
         boolean primary;
         boolean promoting;
         long term;
@@ -281,6 +281,27 @@
             }
         }
 
+        /** Crashes, and returns with its log; the restart ends a PAUSE. */
+        void restart(int downMillis) throws IOException {
+            crash();
+            sleep(downMillis);
+            String[] parts = address.split(":");
+            synchronized (Cluster.this) {
+                listener = new ServerSocket();
+                listener.setReuseAddress(true);
+                listener.bind(
+                        new InetSocketAddress(
+                                InetAddress.getByName(parts[0]), Integer.parseInt(parts[1])),
+                        256);
+                pausedTerm = 0;
+                alive = true;
+            }
+            daemon(this::accept).start();
+            daemon(this::beat).start();
+            daemon(this::receive).start();
+            record.line("server " + id + " returns as " + role() + " at " + position());
+        }
+
         // ---- heartbeats
 
         void beat() {
--- a/review/standins-2/review2/Fleet.java
+++ b/review/standins-2/review2/Fleet.java
@@ -189,29 +189,37 @@
         long end = System.nanoTime() + withinMillis * 1_000_000;
         for (int i = 0; System.nanoTime() < end; i++) {
             String address = cluster.controlAddresses.get(i % controls.size());
-            try {
-                HttpURLConnection http =
-                        (HttpURLConnection)
-                                new URL("http://" + address + "/Configuration.Replace")
-                                        .openConnection();
-                http.setConnectTimeout(1_000);
-                http.setReadTimeout(1_000);
-                http.setRequestMethod("POST");
-                http.setDoOutput(true);
-                http.setRequestProperty("Content-Type", "application/json");
-                http.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
-                if (http.getResponseCode() == 200) {
-                    record.line("operator: configuration acknowledged by " + address);
-                    return true;
-                }
-            } catch (IOException e) {
-                // The next one is asked.
+            if (order(address, body) == 200) {
+                record.line("operator: configuration acknowledged by " + address);
+                return true;
             }
             Cluster.sleep(200);
         }
         return false;
     }
 
+    /** Sends a configuration to one control plane; returns the status, 0 for no answer. */
+    int order(String address, String body) {
+        try {
+            HttpURLConnection http =
+                    (HttpURLConnection)
+                            new URL("http://" + address + "/Configuration.Replace")
+                                    .openConnection();
+            http.setConnectTimeout(1_000);
+            http.setReadTimeout(5_000);
+            http.setRequestMethod("POST");
+            http.setDoOutput(true);
+            http.setRequestProperty("Content-Type", "application/json");
+            http.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+            int status = http.getResponseCode();
+            record.line("operator: " + body.length() + " bytes to " + address + ", " + status);
+            return status;
+        } catch (IOException e) {
+            record.line("operator: " + body.length() + " bytes to " + address + ", no answer: " + e);
+            return 0;
+        }
+    }
+
     /** A configuration with one database of each kind: prim, bound and own. */
     String configuration(int revision) {
         StringBuilder routes = new StringBuilder();
--- a/review/standins-2/review2/JoinsDuringFailover.java
+++ b/review/standins-2/review2/JoinsDuringFailover.java
@@ -9,31 +9,40 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A primary is cut off from the core and from three of five data planes, and a replica is replaced
- * meanwhile: the new one starts once the platform was asked to promote a successor. No acknowledged
+ * A primary is cut off from the core and from three of five data planes. Once the platform was
+ * asked to promote a successor, a new replica starts in place of another, or one crashes and
+ * returns. No acknowledged
  * commit may be missing in the log of the server that is promoted.
  */
 final class JoinsDuringFailover {
 
     private static final long CUT_MILLIS = 7_000;
 
-    /** From the platform's receipt of the call to the start of the new replica. */
-    private static final int JOIN_DELAY_MILLIS = 100;
+    /** From the platform's receipt of the call to what befalls a replica. */
+    private static final int DELAY_MILLIS = 100;
+
+    /** How long the replica that is restarted is down. */
+    private static final int DOWN_MILLIS = 100;
 
     private final Record record;
     private final Fleet fleet;
     private final boolean trouble;
 
+    /** Whether a paused replica is restarted; otherwise a new one starts. */
+    private final boolean restarts;
+
     /** Acknowledged writes, with the time at which the client had the answer. */
     private final Map<String, Long> acknowledged = new ConcurrentHashMap<>();
 
     private final AtomicInteger numbers = new AtomicInteger();
     private volatile boolean stopped;
 
-    private JoinsDuringFailover(Record record, Fleet fleet, boolean trouble) {
+    private JoinsDuringFailover(
+            Record record, Fleet fleet, boolean trouble, boolean restarts) {
         this.record = record;
         this.fleet = fleet;
         this.trouble = trouble;
+        this.restarts = restarts;
     }
 
     public static void main(String[] args) {
@@ -41,7 +50,12 @@
                 args,
                 "acervo-atas",
                 (record, fleet, trouble) ->
-                        new JoinsDuringFailover(record, fleet, trouble).run());
+                        new JoinsDuringFailover(
+                                        record,
+                                        fleet,
+                                        trouble,
+                                        args.length > 1 && args[1].equals("restart"))
+                                .run());
     }
 
     private int run() throws IOException, InterruptedException {
@@ -49,7 +63,7 @@
         Cluster cluster = fleet.cluster;
         Cluster.Server primary = cluster.addServer("i-1", fleet.ip(101), "hall-a", true);
         cluster.addServer("i-2", fleet.ip(102), "hall-a", false);
-        cluster.addServer("i-3", fleet.ip(103), "hall-a", false);
+        Cluster.Server replica = cluster.addServer("i-3", fleet.ip(103), "hall-a", false);
         fleet.startAll();
         if (!fleet.configure(fleet.configuration(7), 20_000) || !fleet.awaitReady(20_000)) {
             record.show("the system does not start");
@@ -65,11 +79,15 @@
         CountDownLatch joined = new CountDownLatch(1);
         Runnable join =
                 () -> {
-                    Cluster.sleep(JOIN_DELAY_MILLIS);
+                    Cluster.sleep(DELAY_MILLIS);
                     try {
-                        cluster.addServer("i-4", fleet.ip(104), "hall-a", false);
+                        if (restarts) {
+                            replica.restart(DOWN_MILLIS);
+                        } else {
+                            cluster.addServer("i-4", fleet.ip(104), "hall-a", false);
+                        }
                     } catch (IOException e) {
-                        record.show("the new replica does not start: " + e);
+                        record.show("the replica does not start: " + e);
                     }
                     joined.countDown();
                 };
