--- a/review/standins-2/review2/Cluster.java
+++ b/review/standins-2/review2/Cluster.java
@@ -177,6 +177,11 @@
         return null;
     }
 
+    synchronized boolean isKept(Server server, String data) {
+        return server != null
+                && server.log.stream().anyMatch(entry -> entry.data().equals(data));
+    }
+
     synchronized Server server(String id) {
         for (Server server : servers) {
             if (server.id.equals(id)) {
@@ -336,6 +341,17 @@
             return 0;
         }
 
+        /** Says that this server leaves, after its drain, and ends. */
+        void leave() {
+            List<String> controls = controlAddresses;
+            for (int tries = 0; tries < 5; tries++) {
+                if (call(controls.get(tries % controls.size()), "Leave", "{}")) {
+                    break;
+                }
+            }
+            crash();
+        }
+
         private String beatBody() {
             synchronized (Cluster.this) {
                 return "{\"service\":\""
