Acknowledge a commit only while no failover compares the logs of its service

Cause: "all replicas that can have received commits are stopped" was checked at one moment and used much later. A replica that joined, restarted or was resumed after that moment received from the old primary again, and data planes passed its answers on as acknowledged.

Change, in two halves that need no list of ways in. Data planes: a success of a COMMIT or a single write counts only while the server is certain to be the primary (CommitConfirmation). Otherwise it is withheld: passed on once the same server is confirmed in the same term, UNCERTAIN once another one is the primary, TIMEOUT at the route's time. Writes wait for a confirmed primary before they are sent; a COMMIT that was not sent ends as ABORTED. During a planned move open transactions may still commit (PrimaryRecord.drainsTransactions), since the successor must have all that the primary had when it stepped down. Control plane: replicas are paused and compared only after no data plane trusts the old primary any more, so each acknowledged commit is in a log that is compared. A planned move that falls back to pausing replicas first records that the drain is over.

--- a/src/main/java/dillfront/common/protocol/PrimaryRecord.java
+++ b/src/main/java/dillfront/common/protocol/PrimaryRecord.java
@@ -17,6 +17,8 @@
  * @param replicationPaused whether the replicas' replication may be paused; the lease holder
  *     resumes it
  * @param moveNumber the number of the record that started the move; 0 if none is in progress
+ * @param drainsTransactions whether open transactions may still commit on the old primary while the
+ *     move is in progress; otherwise no commit of the old primary is acknowledged any more
  * @param acceptedLoss the latest commits whose loss an operator accepted; null for none
  */
 public record PrimaryRecord(
@@ -26,6 +28,7 @@
         boolean moving,
         boolean replicationPaused,
         long moveNumber,
+        boolean drainsTransactions,
         AcceptedDataLoss acceptedLoss) {
 
     private static final String SERVICE = "s";
@@ -34,6 +37,7 @@
     private static final String MOVING = "m";
     private static final String REPLICATION_PAUSED = "h";
     private static final String MOVE_NUMBER = "mv";
+    private static final String DRAINS_TRANSACTIONS = "dt";
     private static final String ACCEPTED_LOSS = "dl";
     private static final int FIELDS_WITHOUT_PAUSE = 3;
 
@@ -44,25 +48,58 @@
             String primary,
             boolean moving,
             boolean replicationPaused) {
-        this(service, number, primary, moving, replicationPaused, moving ? number : 0, null);
+        this(service, number, primary, moving, replicationPaused, moving ? number : 0, false, null);
     }
 
-    /** Returns the same record under a number of the current lease holder. */
+    /**
+     * Returns the same record under a number of the current lease holder. A move that an earlier
+     * holder started continues without draining open transactions.
+     */
     public PrimaryRecord renumbered(long nextNumber) {
         return new PrimaryRecord(
-                service, nextNumber, primary, moving, replicationPaused, moveNumber, acceptedLoss);
+                service,
+                nextNumber,
+                primary,
+                moving,
+                replicationPaused,
+                moveNumber,
+                false,
+                acceptedLoss);
     }
 
-    /** Returns the record that starts a move away from this primary. */
-    public PrimaryRecord startMove(long nextNumber) {
+    /**
+     * Returns the record that starts a move away from this primary.
+     *
+     * @param drains whether open transactions may still commit on this primary
+     */
+    public PrimaryRecord startMove(long nextNumber, boolean drains) {
         return new PrimaryRecord(
-                service, nextNumber, primary, true, replicationPaused, nextNumber, acceptedLoss);
+                service,
+                nextNumber,
+                primary,
+                true,
+                replicationPaused,
+                nextNumber,
+                drains,
+                acceptedLoss);
+    }
+
+    /** Returns the record of the same move after which the old primary's commits do not count. */
+    public PrimaryRecord endTransactionDrain(long nextNumber) {
+        return renumbered(nextNumber);
     }
 
     /** Returns the record of the same move with a data loss that an operator accepted. */
     public PrimaryRecord withAcceptedLoss(long nextNumber, AcceptedDataLoss loss) {
         return new PrimaryRecord(
-                service, nextNumber, primary, moving, replicationPaused, moveNumber, loss);
+                service,
+                nextNumber,
+                primary,
+                moving,
+                replicationPaused,
+                moveNumber,
+                drainsTransactions,
+                loss);
     }
 
     /**
@@ -71,7 +108,7 @@
      */
     public PrimaryRecord finishMove(
             long nextNumber, String newPrimary, boolean paused, AcceptedDataLoss loss) {
-        return new PrimaryRecord(service, nextNumber, newPrimary, false, paused, 0, loss);
+        return new PrimaryRecord(service, nextNumber, newPrimary, false, paused, 0, false, loss);
     }
 
     /** Returns the fields of the record in a message. */
@@ -87,6 +124,9 @@
         if (moving) {
             fields.put(MOVE_NUMBER, moveNumber);
         }
+        if (drainsTransactions) {
+            fields.put(DRAINS_TRANSACTIONS, true);
+        }
         if (acceptedLoss != null) {
             fields.put(ACCEPTED_LOSS, acceptedLoss.toString());
         }
@@ -104,10 +144,14 @@
                 moving,
                 fields.flag(REPLICATION_PAUSED),
                 moving ? fields.number(MOVE_NUMBER, number) : 0,
+                fields.flag(DRAINS_TRANSACTIONS),
                 AcceptedDataLoss.parse(fields.string(ACCEPTED_LOSS)));
     }
 
-    /** Returns the stored form, without the service, which is the key of the entry. */
+    /**
+     * Returns the stored form, without the service, which is the key of the entry. Whether the move
+     * drains transactions is not stored: a process that reads the record did not start the move.
+     */
     public String encode() {
         return number
                 + "\n"
@@ -143,6 +187,7 @@
                 moving,
                 fields.length == FIELDS_WITHOUT_PAUSE || Boolean.parseBoolean(fields[3]),
                 fields.length > 4 ? Long.parseLong(fields[4]) : moving ? number : 0,
+                false,
                 fields.length > 5 ? AcceptedDataLoss.parse(fields[5]) : null);
     }
 }
--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -150,7 +150,7 @@
     @Override
     public void startMove(PrimaryRecord record, boolean planned) {
         monitorsOf(record.service()).monitor.onMoveStarted();
-        PrimaryRecord moving = record.startMove(context.nextFencingToken());
+        PrimaryRecord moving = record.startMove(context.nextFencingToken(), planned);
         context.storeRecord(moving);
         moves.put(record.service(), new PrimaryMove(context, this, moving, planned, false));
         String event =
--- a/src/main/java/dillfront/controlplane/failover/MoveState.java
+++ b/src/main/java/dillfront/controlplane/failover/MoveState.java
@@ -39,6 +39,10 @@
     final boolean inherited;
 
     final long startedMillis;
+
+    /** When the record was stored that ends the trust in the old primary. */
+    long trustEndRecordedMillis;
+
     Step step = Step.DRAIN_TRANSACTIONS;
 
     /** Whether a call or command is in progress that the next step must wait for. */
@@ -112,6 +116,7 @@
         this.inherited = inherited;
         replicationPaused = record.replicationPaused() || inherited;
         startedMillis = nowMillis;
+        trustEndRecordedMillis = nowMillis;
     }
 
     String service() {
@@ -123,6 +128,11 @@
         return step == Step.PROMOTE || step == Step.AWAIT_PRIMARY;
     }
 
+    /** Returns whether the replicas are paused, instead of the primary stepping down. */
+    boolean stopsByPause() {
+        return !planned || pausesReplicas;
+    }
+
     /** Discards the statuses, so that all servers are stopped and queried again. */
     void restartStopping() {
         stoppedStatuses.clear();
--- a/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
@@ -133,11 +133,11 @@
             case DRAIN_TRANSACTIONS:
                 if (areTransactionsDrained()) {
                     state.step = Step.STOP_REPLICATION;
-                    replicationStopper.poll(primary);
+                    stopReplication(primary);
                 }
                 break;
             case STOP_REPLICATION:
-                replicationStopper.poll(primary);
+                stopReplication(primary);
                 break;
             case CHOOSE_SUCCESSOR:
                 if (hasNoTrustInOldPrimary()) {
@@ -158,6 +158,31 @@
         }
     }
 
+    /**
+     * Stops replication. Replicas are paused only once the data planes acknowledge no more commits
+     * of the old primary. Each acknowledged commit then is in the log of a replica, and what a
+     * replica receives later, because it joins, restarts or is resumed, was not acknowledged.
+     */
+    private void stopReplication(DatabaseServer primary) {
+        if (!state.stopsByPause()) {
+            replicationStopper.poll(primary);
+        } else if (state.record.drainsTransactions()) {
+            endTransactionDrain();
+        } else if (hasNoTrustInOldPrimary()) {
+            replicationStopper.poll(primary);
+        } else {
+            replicationStopper.queryPrimary(primary);
+        }
+    }
+
+    /** Records that commits of open transactions are not acknowledged any more. */
+    private void endTransactionDrain() {
+        state.record = state.record.endTransactionDrain(context.nextFencingToken());
+        state.trustEndRecordedMillis = context.now();
+        context.storeRecord(state.record);
+        context.state().peerUpdates().request();
+    }
+
     /** Returns whether a majority of control processes has the record. */
     private boolean isRecordedByMajority() {
         long number = state.record.number();
@@ -178,7 +203,8 @@
 
     /**
      * Returns whether no data plane can still trust the old primary: each has confirmed the record,
-     * or its trust has expired.
+     * or its trust has expired. A data plane acknowledges a commit only while it trusts the
+     * primary.
      */
     private boolean hasNoTrustInOldPrimary() {
         // Trust based on an earlier lease holder's messages ends at most this long after that
@@ -190,7 +216,7 @@
         long latestExpiredMillis =
                 context.now() - PrimaryCertainty.MAX_DURATION_MS - CERTAINTY_MARGIN_MS;
         if (context.now() < formerTrustEndMillis
-                || state.startedMillis > latestExpiredMillis
+                || state.trustEndRecordedMillis > latestExpiredMillis
                         && !context.dataPlanes().allHaveRecord(state.record.number())) {
             return false;
         }
@@ -211,9 +237,9 @@
     private boolean hasNoTrustAtPeer(PeerState peer, long latestExpiredMillis) {
         boolean confirmed = peer.acknowledgedMove(service()) >= state.record.number();
         return (confirmed
-                        || Math.min(peer.lastContactMillis(), state.startedMillis)
+                        || Math.min(peer.lastContactMillis(), state.trustEndRecordedMillis)
                                 <= latestExpiredMillis)
-                && Math.min(peer.previousIncarnationContactMillis(), state.startedMillis)
+                && Math.min(peer.previousIncarnationContactMillis(), state.trustEndRecordedMillis)
                         <= latestExpiredMillis;
     }
 
--- a/src/main/java/dillfront/controlplane/failover/ReplicationStopper.java
+++ b/src/main/java/dillfront/controlplane/failover/ReplicationStopper.java
@@ -66,7 +66,7 @@
      * @param primary the old primary; null if it is no longer known
      */
     void poll(DatabaseServer primary) {
-        if (!move.planned || move.pausesReplicas) {
+        if (move.stopsByPause()) {
             pauseReplicas(primary);
         } else if (move.callPending || context.now() < move.nextAttemptMillis) {
             return;
@@ -138,15 +138,20 @@
 
     // ---- a failover
 
-    private void pauseReplicas(DatabaseServer primary) {
-        boolean primaryPresent = FailoverContext.isPresent(primary);
-        if (primaryPresent) {
+    /** Queries the old primary, which remains the primary if it answers as such. */
+    void queryPrimary(DatabaseServer primary) {
+        if (FailoverContext.isPresent(primary)) {
             queries.query(
                     primary,
                     FailoverContext.RETRY_MS,
                     null,
                     status -> onPrimaryStatus(primary, status));
         }
+    }
+
+    private void pauseReplicas(DatabaseServer primary) {
+        boolean primaryPresent = FailoverContext.isPresent(primary);
+        queryPrimary(primary);
         if (context.now() < move.nextAttemptMillis) {
             return;
         }
--- a/src/main/java/dillfront/controlplane/subscription/DataPlaneSubscriptions.java
+++ b/src/main/java/dillfront/controlplane/subscription/DataPlaneSubscriptions.java
@@ -48,6 +48,13 @@
         void onPrimaryObserved();
     }
 
+    /**
+     * The part of a held request's waiting time that is added to the certainty, which the data
+     * plane counts from sending the request: less than 1 / 1.1 / 1.1, for clock rates that differ
+     * by 10% each way.
+     */
+    private static final long HELD_TIME_PERCENT = 80;
+
     private static final long MAX_WAIT_MS = 600;
 
     /**
@@ -226,8 +233,8 @@
                                 state.suspects().version(), state.suspects().services());
         long certaintyMillis = source.primaryCertaintyMillis();
         if (certaintyMillis > 0) {
-            // The data plane counts the time from its request, which was sent before now.
             subscription.extendCertainty(state.nowMillis() + certaintyMillis);
+            certaintyMillis += heldMillis(subscription) * HELD_TIME_PERCENT / 100;
         }
         List<ControlAddress> addresses = source.controlAddresses();
         return new SubscriptionResponse(
@@ -242,6 +249,11 @@
                 subscription.updateSentAddresses(addresses) ? addresses : null);
     }
 
+    /** Returns for how long the request that is answered now has waited. */
+    private long heldMillis(Subscription subscription) {
+        return state.nowMillis() - subscription.lastRequestMillis();
+    }
+
     /** Returns null if the data plane has the current server table. */
     private RegistryUpdate registryUpdate(SubscriptionRequest request) {
         boolean complete = !request.incarnation().equals(source.incarnation());
--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -341,10 +341,7 @@
      */
     private void continuePolling(SubscriptionResponse response) {
         if (response.primaryCertaintyMillis() > 0) {
-            primariesConfirmedUntilMillis =
-                    Math.max(
-                            primariesConfirmedUntilMillis,
-                            lastRequestMillis + response.primaryCertaintyMillis());
+            confirmPrimariesUntil(lastRequestMillis + response.primaryCertaintyMillis());
         }
         if (response.isolated()) {
             // An isolated source may have older state than the others.
@@ -373,6 +370,14 @@
         }
     }
 
+    private void confirmPrimariesUntil(long millis) {
+        boolean wasUnconfirmed = primariesConfirmedUntilMillis <= node.environment.nowMillis();
+        primariesConfirmedUntilMillis = Math.max(primariesConfirmedUntilMillis, millis);
+        if (wasUnconfirmed) {
+            node.services().forEach(DatabaseService::notifyWaiters);
+        }
+    }
+
     private void applyRegistry(RegistryUpdate update) {
         incarnation = update.incarnation();
         registryVersion = update.version();
--- a/src/main/java/dillfront/dataplane/DataPlaneNode.java
+++ b/src/main/java/dillfront/dataplane/DataPlaneNode.java
@@ -45,6 +45,9 @@
         long laggingReplies;
         long primaryChecks;
 
+        /** Commits whose success arrived while the primary was not certain. */
+        long unconfirmedCommits;
+
         /** The number of statements that completed. */
         public long completed() {
             return completed;
@@ -130,7 +133,9 @@
         }
         configuration = newConfiguration;
         for (Configuration.Service service : newConfiguration.services().values()) {
-            service(service.name()).connectionLimit = service.connectionLimit();
+            DatabaseService configured = service(service.name());
+            configured.connectionLimit = service.connectionLimit();
+            configured.replicatesSynchronously = service.synchronousReplicas() != 0;
         }
     }
 
@@ -247,6 +252,7 @@
         line.append(" served=").append(counters.completed);
         line.append(" refused=").append(counters.rejected);
         line.append(" unsure=").append(counters.uncertain);
+        line.append(" unconfirmed=").append(counters.unconfirmedCommits);
         line.append(" dialed=").append(counters.connectionsOpened);
         for (DatabaseService service : services.values()) {
             line.append(" | ").append(service.name);
--- a/src/main/java/dillfront/dataplane/DatabaseService.java
+++ b/src/main/java/dillfront/dataplane/DatabaseService.java
@@ -51,6 +51,13 @@
     String primary = "";
 
     boolean moving;
+
+    /** Whether open transactions may still commit on the old primary during the move. */
+    private boolean drainsTransactions;
+
+    /** Whether a commit is acknowledged only after a replica has received it. */
+    boolean replicatesSynchronously = true;
+
     int connectionLimit = Integer.MAX_VALUE;
 
     /** The number of transactions that are open at the primary. */
@@ -88,6 +95,7 @@
             recordNumber = record.number();
             primary = record.primary();
             moving = record.moving();
+            drainsTransactions = record.drainsTransactions();
             acceptedLoss = record.acceptedLoss();
             notifyWaiters();
         }
@@ -153,9 +161,34 @@
 
     /** Returns whether this server is certain to be the primary at present. */
     boolean isConfirmedPrimary(ServerPool server) {
-        return !moving
-                && server.id.equals(primary)
-                && node.environment.nowMillis() < node.controlPlane.primariesConfirmedUntilMillis();
+        return !moving && server.id.equals(primary) && arePrimariesConfirmed();
+    }
+
+    private boolean arePrimariesConfirmed() {
+        return node.environment.nowMillis() < node.controlPlane.primariesConfirmedUntilMillis();
+    }
+
+    /**
+     * Returns whether a commit that this server completes now may be acknowledged: no log is
+     * compared for a failover yet, or the service promises nothing after the loss of its primary.
+     */
+    boolean mayAcknowledgeCommitsOf(ServerPool server) {
+        return !replicatesSynchronously
+                || server.id.equals(primary)
+                        && (!moving || drainsTransactions)
+                        && arePrimariesConfirmed();
+    }
+
+    /**
+     * Returns whether commits can be expected to be acknowledged soon. If not, as no control
+     * process confirms the primary, writes are refused at once.
+     */
+    boolean expectsConfirmationSoon() {
+        return !replicatesSynchronously
+                || node.environment.nowMillis()
+                        < node.controlPlane.primariesConfirmedUntilMillis()
+                                + MAX_MOVE_HEARTBEAT_INTERVALS
+                                        * node.settings.heartbeatIntervalMillis();
     }
 
     /**
--- a/src/main/java/dillfront/dataplane/Execution.java
+++ b/src/main/java/dillfront/dataplane/Execution.java
@@ -70,6 +70,9 @@
     /** Returns whether the work only reads and its route permits reads from replicas. */
     abstract boolean mayUseReplica();
 
+    /** Returns whether the work may end with a commit that has to be acknowledged. */
+    abstract boolean mayCommit();
+
     /**
      * Called with the borrowed connection.
      *
@@ -90,13 +93,19 @@
         ServerPool replica =
                 mayUseReplica() ? service.selectForRead(position, excludedServers) : null;
         ServerPool server = replica == null ? service.reachablePrimary() : replica;
-        if (server == null) {
+        if (server == null || mayCommit() && !service.mayAcknowledgeCommitsOf(server)) {
             onNoServerAvailable();
         } else {
             server.borrow(new ConnectionRequest(server, position));
         }
     }
 
+    /** Returns whether a server for this work can be expected soon. */
+    final boolean expectsServerSoon() {
+        return service().expectsPrimarySoon()
+                && (!mayCommit() || service().expectsConfirmationSoon());
+    }
+
     private final class ConnectionRequest implements ServerPool.Borrower {
 
         /** Lets the route's priority outweigh the waiting time, as 1e9 ms are more than 11 days. */
@@ -162,7 +171,7 @@
         serverConnection.query(
                 "STATUS",
                 result -> {
-                    if (isActive() && isPrimaryStatus(result)) {
+                    if (isActive() && result.isPrimaryStatus()) {
                         ifPrimary.run();
                         return;
                     }
@@ -173,12 +182,6 @@
                 });
     }
 
-    private static boolean isPrimaryStatus(QueryResult result) {
-        return result.isCompleted()
-                && !result.rows().isEmpty()
-                && result.rows().get(0).startsWith("primary ");
-    }
-
     /** Releases a connection after a response; an open transaction on it is rolled back first. */
     static void returnConnection(ServerConnection serverConnection, QueryResult result) {
         if (serverConnection.isClosed()) {
--- a/src/main/java/dillfront/dataplane/QueryResult.java
+++ b/src/main/java/dillfront/dataplane/QueryResult.java
@@ -23,6 +23,8 @@
 
     static final char IDLE = 'I';
     static final char IN_TRANSACTION = 'T';
+    private static final String PRIMARY_STATUS_PREFIX = "primary ";
+    private static final long NO_TERM = -1;
 
     /** How the statement ended. */
     enum Outcome {
@@ -67,6 +69,24 @@
         return transactionStatus == IDLE;
     }
 
+    /** Returns whether this is the response of a primary to STATUS. */
+    boolean isPrimaryStatus() {
+        return isCompleted() && !rows.isEmpty() && rows.get(0).startsWith(PRIMARY_STATUS_PREFIX);
+    }
+
+    /** Returns the term in the response of a primary to STATUS; -1 if there is none. */
+    long primaryTerm() {
+        if (!isPrimaryStatus()) {
+            return NO_TERM;
+        }
+        String[] fields = rows.get(0).split(" ");
+        try {
+            return Long.parseLong(fields[1]);
+        } catch (NumberFormatException malformed) {
+            return NO_TERM;
+        }
+    }
+
     /** Returns whether the server responded with this error code. */
     boolean hasFailedWith(ServerError error) {
         return outcome == Outcome.FAILED && ServerError.of(errorCode) == error;
--- a/src/main/java/dillfront/dataplane/StatementExecution.java
+++ b/src/main/java/dillfront/dataplane/StatementExecution.java
@@ -116,6 +116,11 @@
         return !writes && route.consistency() != ReadConsistency.PRIMARY;
     }
 
+    @Override
+    boolean mayCommit() {
+        return writes;
+    }
+
     @Override
     void onNoServerAvailable() {
         awaitServiceChange();
@@ -143,7 +148,7 @@
      * primary is expected soon.
      */
     private void awaitServiceChange() {
-        if (!hasWaitTimeLeft() || !service().expectsPrimarySoon()) {
+        if (!hasWaitTimeLeft() || !expectsServerSoon()) {
             session.refuse(this);
             return;
         }
@@ -198,8 +203,23 @@
                 deadlineMillis(),
                 result -> {
                     connection = null;
+                    if (result.isCompleted() && writes) {
+                        updateSlowdown(server, sentMillis);
+                        CommitConfirmation.await(
+                                this,
+                                serverConnection,
+                                result,
+                                outcome ->
+                                        onWritten(
+                                                serverConnection,
+                                                sentMillis,
+                                                requestPosition,
+                                                result,
+                                                outcome));
+                        return;
+                    }
                     if (result.isCompleted()) {
-                        onCompleted(server, serverConnection, sentMillis, requestPosition, result);
+                        onRead(server, serverConnection, sentMillis, result);
                         return;
                     }
                     returnConnection(serverConnection, result);
@@ -209,30 +229,42 @@
                 });
     }
 
-    private void onCompleted(
+    private void onRead(
             ServerPool server,
             ServerConnection serverConnection,
             long sentMillis,
-            LogPosition requestPosition,
             QueryResult result) {
         server.decayLagBackoff();
-        DatabaseService service = service();
-        boolean confirmedPrimary = service.isConfirmedPrimary(server);
-        if (writes) {
-            service.onAcknowledged(server, requestPosition, result.position());
-        }
-        if (writes || confirmedPrimary) {
-            service.primaryPositions.onPrimaryPosition(result.position(), sentMillis);
+        if (service().isConfirmedPrimary(server)) {
+            service().primaryPositions.onPrimaryPosition(result.position(), sentMillis);
         }
         returnConnection(serverConnection, result);
         updateSlowdown(server, sentMillis);
+        if (isActive()) {
+            session.complete(this, result);
+        }
+    }
+
+    private void onWritten(
+            ServerConnection serverConnection,
+            long sentMillis,
+            LogPosition requestPosition,
+            QueryResult result,
+            CommitConfirmation.Outcome outcome) {
+        if (outcome == CommitConfirmation.Outcome.CONFIRMED) {
+            service().onAcknowledged(serverConnection.pool, requestPosition, result.position());
+            service().primaryPositions.onPrimaryPosition(result.position(), sentMillis);
+        }
+        returnConnection(serverConnection, result);
         if (!isActive()) {
             return;
         }
-        if (writes) {
+        if (outcome == CommitConfirmation.Outcome.UNCERTAIN) {
+            session.fail(this, "UNCERTAIN", "the primary was replaced");
+        } else {
             session.onWriteAcknowledged(result.position());
+            session.complete(this, result);
         }
-        session.complete(this, result);
     }
 
     private void updateSlowdown(ServerPool server, long sentMillis) {
--- a/src/main/java/dillfront/dataplane/Transaction.java
+++ b/src/main/java/dillfront/dataplane/Transaction.java
@@ -66,6 +66,11 @@
         return readOnly && route.consistency() != ReadConsistency.PRIMARY;
     }
 
+    @Override
+    boolean mayCommit() {
+        return !readOnly;
+    }
+
     @Override
     void onNoServerAvailable() {
         awaitServiceChange();
@@ -88,8 +93,7 @@
      * transaction's own wait if no statement waits.
      */
     private void awaitServiceChange() {
-        if (now() >= openDeadlineMillis()
-                || waitingStatement != null && !service().expectsPrimarySoon()) {
+        if (now() >= openDeadlineMillis() || waitingStatement != null && !expectsServerSoon()) {
             opening = false;
             if (waitingStatement != null) {
                 session.refuse(waitingStatement);
@@ -213,6 +217,12 @@
             restart(statement, 0);
             return;
         }
+        if (statement.isCommit()
+                && hasWritten
+                && !service().mayAcknowledgeCommitsOf(serverConnection.pool)) {
+            awaitConfirmation(statement, serverConnection);
+            return;
+        }
         boolean isFirst = !mayHaveRun;
         boolean wrote = hasWritten || statement.writes();
         statement.connection = serverConnection;
@@ -229,11 +239,20 @@
                 statement.deadlineMillis(),
                 result -> {
                     statement.connection = null;
-                    boolean committed = result.isCompleted() && statement.isCommit();
-                    if (committed && wrote) {
-                        service()
-                                .onAcknowledged(
-                                        serverConnection.pool, requestPosition, result.position());
+                    if (result.isCompleted() && statement.isCommit() && wrote) {
+                        CommitConfirmation.await(
+                                statement,
+                                serverConnection,
+                                result,
+                                outcome ->
+                                        onCommitted(
+                                                statement,
+                                                serverConnection,
+                                                sentMillis,
+                                                requestPosition,
+                                                result,
+                                                outcome));
+                        return;
                     }
                     if (!statement.isActive() || !session.isCurrentTransaction(this)) {
                         return;
@@ -246,6 +265,50 @@
                 });
     }
 
+    /**
+     * Holds a COMMIT back while its success could not be acknowledged. It was not sent, so nothing
+     * of the transaction is kept if the wait is over.
+     */
+    private void awaitConfirmation(StatementExecution statement, ServerConnection committing) {
+        boolean mayBeConfirmed =
+                committing.pool.id.equals(service().primary) && service().expectsConfirmationSoon();
+        if (!mayBeConfirmed || !statement.hasWaitTimeLeft() || committing.isClosed()) {
+            session.clearTransaction();
+            release(true);
+            session.fail(statement, "ABORTED", "no confirmed primary; nothing of it is kept");
+            return;
+        }
+        service()
+                .addWaiter(
+                        () -> {
+                            if (statement.isActive() && connection == committing) {
+                                execute(statement);
+                            }
+                        });
+    }
+
+    private void onCommitted(
+            StatementExecution statement,
+            ServerConnection serverConnection,
+            long sentMillis,
+            LogPosition requestPosition,
+            QueryResult result,
+            CommitConfirmation.Outcome outcome) {
+        if (outcome == CommitConfirmation.Outcome.CONFIRMED) {
+            service().onAcknowledged(serverConnection.pool, requestPosition, result.position());
+        }
+        if (!statement.isActive() || !session.isCurrentTransaction(this)) {
+            return;
+        }
+        if (outcome == CommitConfirmation.Outcome.CONFIRMED) {
+            onCompleted(statement, sentMillis, result);
+        } else {
+            session.clearTransaction();
+            release(!result.isIdle());
+            session.fail(statement, "UNCERTAIN", "the primary was replaced");
+        }
+    }
+
     private void onCompleted(StatementExecution statement, long sentMillis, QueryResult result) {
         if (!readOnly && (!statement.isCommit() || hasWritten)) {
             // A former primary also commits a transaction that wrote nothing, so the position of
--- a/src/test/java/dillfront/common/protocol/PrimaryRecordTest.java
+++ b/src/test/java/dillfront/common/protocol/PrimaryRecordTest.java
@@ -1,6 +1,7 @@
 package dillfront.common.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import dillfront.common.database.AcceptedDataLoss;
@@ -34,7 +35,7 @@
     void keepsAllFieldsInMessagesAndStorage() throws MessageCodec.MalformedMessageException {
         PrimaryRecord initial = new PrimaryRecord("db", 3, "i-1", false, true);
         assertEquals(initial, roundTrip(initial));
-        PrimaryRecord moving = initial.startMove(5);
+        PrimaryRecord moving = initial.startMove(5, false);
         assertEquals(moving, roundTrip(moving));
         assertEquals(5, moving.moveNumber());
         PrimaryRecord withLoss = moving.renumbered(8).withAcceptedLoss(9, loss);
@@ -43,7 +44,21 @@
         PrimaryRecord finished = withLoss.finishMove(10, "i-2", false, loss);
         assertEquals(finished, roundTrip(finished));
         assertEquals(0, finished.moveNumber());
-        assertEquals(loss, finished.startMove(12).acceptedLoss());
+        assertEquals(loss, finished.startMove(12, true).acceptedLoss());
+    }
+
+    /** Guards against acknowledgements during a move whose holder restarted or changed. */
+    @Test
+    void drainsTransactionsOnlyForProcessThatStartedMove()
+            throws MessageCodec.MalformedMessageException {
+        PrimaryRecord moving = new PrimaryRecord("db", 3, "i-1", false, true).startMove(5, true);
+        PrimaryRecord received =
+                PrimaryRecord.fromFields(
+                        MessageCodec.decode(MessageCodec.encode(moving.toFields())));
+        assertEquals(moving, received);
+        assertFalse(moving.renumbered(6).drainsTransactions());
+        assertFalse(PrimaryRecord.decode("db", moving.encode()).drainsTransactions());
+        assertFalse(moving.finishMove(7, "i-2", false, null).drainsTransactions());
     }
 
     @Test
--- a/src/test/java/dillfront/controlplane/DataPlaneSubscriptionsTest.java
+++ b/src/test/java/dillfront/controlplane/DataPlaneSubscriptionsTest.java
@@ -27,6 +27,7 @@
 
     private final ManualEnvironment environment = new ManualEnvironment();
     private final List<MessageCodec.Fields> answers = new ArrayList<>();
+    private Runnable onAnswer = () -> {};
 
     private Environment.ConnectionListener connectDataPlane(ControlNode node) {
         Environment.ConnectionListener listener = node.accept();
@@ -36,6 +37,7 @@
                     public void send(byte[] message) {
                         try {
                             answers.add(MessageCodec.decode(message));
+                            onAnswer.run();
                         } catch (MessageCodec.MalformedMessageException exception) {
                             throw new AssertionError(exception);
                         }
@@ -195,6 +197,31 @@
         assertEquals(2_850, poll(dataPlane, 1).number("su", 0));
     }
 
+    /**
+     * A data plane counts the certainty from when it sent the request. Guards against a certainty
+     * that ends earlier by the whole time for which the request was held.
+     */
+    @Test
+    void addsMostOfTheHeldTimeToCertainty() throws Exception {
+        ControlNode node = SingleNode.start(environment);
+        Environment.ConnectionListener dataPlane = connectDataPlane(node);
+        configure(node, 1);
+        MessageCodec.Fields first = poll(dataPlane, 1);
+        long requestedMillis = environment.nowMillis();
+        long[] answeredMillis = new long[1];
+        long[] remainingMillis = new long[1];
+        onAnswer =
+                () -> {
+                    answeredMillis[0] = environment.nowMillis();
+                    remainingMillis[0] = node.primaryCertaintyMillis();
+                };
+        MessageCodec.Fields held =
+                poll(dataPlane, 2, "c", 1L, "b", first.string("b"), "r", first.number("r", 0));
+        long heldMillis = answeredMillis[0] - requestedMillis;
+        assertTrue(heldMillis >= 600, "held for " + heldMillis);
+        assertEquals(remainingMillis[0] + heldMillis * 4 / 5, held.number("su", 0));
+    }
+
     /**
      * The remaining lease of another holder is measured from when this process sent the message
      * that the holder answered.
--- a/src/test/java/dillfront/dataplane/AcceptedLossReadsTest.java
+++ b/src/test/java/dillfront/dataplane/AcceptedLossReadsTest.java
@@ -66,7 +66,7 @@
     }
 
     private void applyRecord(long number, AcceptedDataLoss accepted) {
-        service.onRecord(new PrimaryRecord("db", number, "i-2", false, false, 0, accepted));
+        service.onRecord(new PrimaryRecord("db", number, "i-2", false, false, 0, false, accepted));
     }
 
     /**
