Tell the age of a drain with the row of the server, and count from it

Cause: a data plane counted the time for which it uses a draining primary from when it heard of the drain. One that starts late hears of it late.

Change: each control process keeps when a drain began, by its own steady clock, and sends the elapsed time with the row (ServerRow.drainAgeMillis), to its peers and to data planes; the greatest age counts. What is not known is taken at its worst: after a restart from disk, for a server that is first heard of as draining, and from an earlier version of the control plane, unless the server was known as ready just before.

--- a/src/main/java/dillfront/common/protocol/ServerRow.java
+++ b/src/main/java/dillfront/common/protocol/ServerRow.java
@@ -10,6 +10,8 @@
  * @param service empty if only the server's leave call was received
  * @param role the role that the server reported; {@link #PRIMARY_ROLE} if it accepts writes
  * @param callSequence the sequence number of the newest call of the server; -1 for none
+ * @param drainAgeMillis how long ago the server announced its shutdown, in milliseconds; {@link
+ *     #UNKNOWN_AGE} if it did not, or if the sender does not know
  */
 public record ServerRow(
         String id,
@@ -18,11 +20,15 @@
         String zoneName,
         ServerState state,
         String role,
-        long callSequence) {
+        long callSequence,
+        long drainAgeMillis) {
 
     /** The role of a server that accepts writes. */
     public static final String PRIMARY_ROLE = "primary";
 
+    /** The age of a drain whose start is unknown. */
+    public static final long UNKNOWN_AGE = -1;
+
     private static final String ID = "i";
     private static final String SERVICE = "v";
     private static final String ADDRESS = "a";
@@ -30,6 +36,19 @@
     private static final String STATE = "st";
     private static final String ROLE = "ro";
     private static final String CALL_SEQUENCE = "q";
+    private static final String DRAIN_AGE = "da";
+
+    /** Creates the row of a server's own call, which does not tell the age of a drain. */
+    public ServerRow(
+            String id,
+            String service,
+            String address,
+            String zoneName,
+            ServerState state,
+            String role,
+            long callSequence) {
+        this(id, service, address, zoneName, state, role, callSequence, UNKNOWN_AGE);
+    }
 
     /** Returns whether the server reported that it accepts writes. */
     public boolean isPrimary() {
@@ -46,6 +65,9 @@
         fields.put(STATE, state.wireName());
         fields.put(ROLE, role);
         fields.put(CALL_SEQUENCE, callSequence);
+        if (drainAgeMillis >= 0) {
+            fields.put(DRAIN_AGE, drainAgeMillis);
+        }
         return fields;
     }
 
@@ -58,6 +80,7 @@
                 fields.string(ZONE),
                 ServerState.parse(fields.string(STATE)),
                 fields.string(ROLE),
-                fields.number(CALL_SEQUENCE, -1));
+                fields.number(CALL_SEQUENCE, -1),
+                fields.number(DRAIN_AGE, UNKNOWN_AGE));
     }
 }
--- a/src/main/java/dillfront/controlplane/ControlNode.java
+++ b/src/main/java/dillfront/controlplane/ControlNode.java
@@ -215,7 +215,7 @@
         Context context = new Context();
         ReplicatedRegister register = new ReplicatedRegister(context);
         LeaseManager lease = new LeaseManager(context);
-        ServerRegistry registry = new ServerRegistry();
+        ServerRegistry registry = new ServerRegistry(environment::nowMillis);
         registryReplication = new RegistryReplication(context, registry);
         peers = new PeerTable(environment, settings, context::isMember, this::onPeerConnected);
         state =
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -14,6 +14,9 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
     private static final long NOT_RECORDED = Long.MAX_VALUE / 2;
 
+    /** Bound of the reported age of a drain; no drain lasts as long. */
+    private static final long MAX_DRAIN_AGE_MS = 3_600_000;
+
     private final String id;
     private final String service;
 
@@ -28,6 +31,12 @@
     private long lastDirectHeartbeatMillis = NEVER;
     private long leavingSinceMillis = UNKNOWN;
 
+    /**
+     * When the server announced its shutdown, by this process's clock, as far as any process knows;
+     * far in the past if no process knows.
+     */
+    private long drainingSinceMillis = NOT_RECORDED;
+
     /** When this process learned that the server left. */
     private long leftSinceMillis = NOT_RECORDED;
 
@@ -120,14 +129,32 @@
         return state == ServerState.LEAVING;
     }
 
+    /**
+     * Returns for how long the server has been draining or leaving, in milliseconds; a long time if
+     * that is unknown, and a negative number if it is ready.
+     */
+    public long drainAgeMillis(long nowMillis) {
+        return state == ServerState.READY
+                ? UNKNOWN
+                : Math.min(MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis));
+    }
+
     /** Returns whether the server reported that it accepts writes. */
     public boolean isPrimary() {
         return role.equals(ServerRow.PRIMARY_ROLE);
     }
 
     /** Returns the row that represents the server in messages. */
-    public ServerRow toRow() {
-        return new ServerRow(id, service, address, zoneName, state, role, callSequence);
+    public ServerRow toRow(long nowMillis) {
+        return new ServerRow(
+                id,
+                service,
+                address,
+                zoneName,
+                state,
+                role,
+                callSequence,
+                drainAgeMillis(nowMillis));
     }
 
     // ---- changes
@@ -170,6 +197,11 @@
         leavingSinceMillis = millis;
     }
 
+    /** Records that the server announced its shutdown at this time or earlier. */
+    void recordDrain(long millis) {
+        drainingSinceMillis = Math.min(drainingSinceMillis, millis);
+    }
+
     void recordDeparture(long millis) {
         leftSinceMillis = Math.min(leftSinceMillis, millis);
     }
@@ -184,6 +216,7 @@
     void copyShutdownState(DatabaseServer placeholder) {
         state = placeholder.state;
         leavingSinceMillis = placeholder.leavingSinceMillis;
+        drainingSinceMillis = placeholder.drainingSinceMillis;
     }
 
     /**
@@ -193,8 +226,11 @@
      *     it
      * @return whether anything changed that others must learn
      */
-    boolean merge(ServerRow row, boolean acceptsOlderState) {
+    boolean merge(ServerRow row, boolean acceptsOlderState, long nowMillis) {
         boolean changed = false;
+        if (row.state().isAfter(ServerState.READY)) {
+            recordDrain(drainStartMillis(row, nowMillis));
+        }
         if (row.callSequence() >= callSequence || address == null) {
             callSequence = Math.max(callSequence, row.callSequence());
             changed = !row.address().equals(address) || !row.role().equals(role);
@@ -209,6 +245,18 @@
         return changed;
     }
 
+    /**
+     * Returns when the drain of a row began. If the row does not tell, a drain of a server that was
+     * known as ready begins now, and any other one may have begun at any time.
+     */
+    private long drainStartMillis(ServerRow row, long nowMillis) {
+        if (row.drainAgeMillis() >= 0) {
+            return nowMillis - row.drainAgeMillis();
+        }
+        boolean wasReady = address != null && state == ServerState.READY;
+        return wasReady ? nowMillis : NEVER;
+    }
+
     // ---- stored form
 
     String encode() {
@@ -238,6 +286,9 @@
         server.state = ServerState.parse(fields[3]);
         server.role = fields[4];
         server.callSequence = Long.parseLong(fields[5]);
+        if (server.state != ServerState.READY) {
+            server.recordDrain(NEVER);
+        }
         return server;
     }
 }
--- a/src/main/java/dillfront/controlplane/registry/RegistryReplication.java
+++ b/src/main/java/dillfront/controlplane/registry/RegistryReplication.java
@@ -28,7 +28,7 @@
 
     /** Creates a replication with its own registry, for the model check. */
     public RegistryReplication(ReplicatedRegister.Context context) {
-        this(context, new ServerRegistry(context.isDisabled(SafetyRule.ROWS_FORWARD)));
+        this(context, new ServerRegistry(() -> 0, context.isDisabled(SafetyRule.ROWS_FORWARD)));
     }
 
     /** Restores the stored table at the start of the process. */
--- a/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
+++ b/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.LongSupplier;
 
 /**
  * Holds all known database servers. Each change has a number, which is the version of the registry
@@ -35,11 +36,17 @@
     /** Servers that left, and whose departure has no recorded time yet. */
     private final List<DatabaseServer> newlyLeft = new ArrayList<>();
 
+    private final LongSupplier clockMillis;
     private final boolean acceptsOlderRows;
     private long version;
 
-    public ServerRegistry() {
-        this(false);
+    /**
+     * Creates an empty registry.
+     *
+     * @param clockMillis the clock of this process, which the ages of drains refer to
+     */
+    public ServerRegistry(LongSupplier clockMillis) {
+        this(clockMillis, false);
     }
 
     /**
@@ -48,7 +55,8 @@
      * @param acceptsOlderRows whether an earlier state replaces a later one; only model checks set
      *     it
      */
-    ServerRegistry(boolean acceptsOlderRows) {
+    ServerRegistry(LongSupplier clockMillis, boolean acceptsOlderRows) {
+        this.clockMillis = clockMillis;
         this.acceptsOlderRows = acceptsOlderRows;
     }
 
@@ -101,7 +109,7 @@
     public List<ServerRow> rowsSince(long since) {
         List<ServerRow> rows = new ArrayList<>();
         for (DatabaseServer server : serversByChange.tailMap(since, false).values()) {
-            rows.add(server.toRow());
+            rows.add(server.toRow(clockMillis.getAsLong()));
         }
         return rows;
     }
@@ -125,7 +133,7 @@
             add(server);
         }
         server.recordContact(contactMillis);
-        if (server.merge(row, acceptsOlderRows) || isNew) {
+        if (server.merge(row, acceptsOlderRows, clockMillis.getAsLong()) || isNew) {
             recordChange(server);
             return true;
         }
@@ -166,6 +174,7 @@
             markLeft(id);
         } else if (ServerState.LEAVING.isAfter(server.state())) {
             server.state(ServerState.LEAVING);
+            server.recordDrain(clockMillis.getAsLong());
             recordChange(server);
         }
         return server;
@@ -198,6 +207,7 @@
             return false;
         }
         server.state(ServerState.LEFT);
+        server.recordDrain(clockMillis.getAsLong());
         recordChange(server);
         return true;
     }
--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -54,6 +54,9 @@
     /** The same for a source that reported its isolation from the majority. */
     private static final long ISOLATED_COOLDOWN_MS = 2_000;
 
+    /** The age of a drain that began at an unknown time: longer than any drain lasts. */
+    private static final long UNKNOWN_DRAIN_AGE_MS = 3_600_000;
+
     private static final String ISOLATED_REASON = "alone";
     private static final long UNSET = -1;
 
@@ -395,35 +398,47 @@
         if (row.service().isEmpty()) {
             // The control process knows only that the server is leaving, not its service.
             for (DatabaseService service : node.services()) {
-                applyLeaveState(service, service.servers.get(row.id()), row.state());
+                applyLeaveState(service, service.servers.get(row.id()), row, true);
             }
             return;
         }
         DatabaseService service = node.service(row.service());
         ServerPool server = service.servers.get(row.id());
         if (row.state() == ServerState.LEFT) {
-            applyLeaveState(service, server, row.state());
+            applyLeaveState(service, server, row, true);
             return;
         }
-        if (server == null) {
+        boolean known = server != null;
+        if (!known) {
             server = new ServerPool(node, service, row.id(), row.address(), row.zoneName());
             service.servers.put(row.id(), server);
         }
         server.reportsPrimary = row.isPrimary();
-        applyLeaveState(service, server, row.state());
+        applyLeaveState(service, server, row, known);
         service.notifyWaiters();
     }
 
     private static void applyLeaveState(
-            DatabaseService service, ServerPool server, ServerState state) {
+            DatabaseService service, ServerPool server, ServerRow row, boolean known) {
         if (server == null) {
             return;
         }
-        if (state == ServerState.LEFT) {
+        if (row.state() == ServerState.LEFT) {
             service.removeServer(server);
-        } else if (!server.draining && state != ServerState.READY) {
-            server.startDraining();
+        } else if (!server.draining && row.state() != ServerState.READY) {
+            server.startDraining(drainAgeMillis(row, known));
+        }
+    }
+
+    /**
+     * Returns how long ago a drain began. If the control process does not tell, as an earlier
+     * version, a drain of a known server begins now, and any other one may be over.
+     */
+    private static long drainAgeMillis(ServerRow row, boolean known) {
+        if (row.drainAgeMillis() >= 0) {
+            return row.drainAgeMillis();
         }
+        return known ? 0 : UNKNOWN_DRAIN_AGE_MS;
     }
 
     private void applyRecord(PrimaryRecord record) {
--- a/src/main/java/dillfront/dataplane/ServerPool.java
+++ b/src/main/java/dillfront/dataplane/ServerPool.java
@@ -306,10 +306,12 @@
     /**
      * Called when the server announces that it is leaving. It gets no new work, unless it is the
      * primary: then it is used until another server is primary or its drain time is nearly over.
+     *
+     * @param ageMillis how long ago the server announced it
      */
-    void startDraining() {
+    void startDraining(long ageMillis) {
         draining = true;
-        drainingSinceMillis = node.environment.nowMillis();
+        drainingSinceMillis = node.environment.nowMillis() - ageMillis;
         if (service.primary() != this) {
             new ArrayList<>(idleConnections).forEach(ServerConnection::close);
             rejectBorrowers("draining");
--- a/src/test/java/dillfront/controlplane/ServerLeaveTest.java
+++ b/src/test/java/dillfront/controlplane/ServerLeaveTest.java
@@ -161,7 +161,7 @@
     @Test
     void replicatesLeaveToProcessesThatKnowTheServer() throws Exception {
         leave("i-7");
-        ServerRegistry other = new ServerRegistry();
+        ServerRegistry other = new ServerRegistry(environment::nowMillis);
         other.merge(row("i-7", "s", "ready", 4), 0);
         for (ServerRow row : node.state().registry().rowsSince(0)) {
             byte[] message = MessageCodec.encode(row.toFields());
@@ -182,7 +182,7 @@
         stalledWrites.complete(null);
         environment.advance(200);
         assertEquals(200, call.join().status());
-        ServerRegistry restored = new ServerRegistry();
+        ServerRegistry restored = new ServerRegistry(environment::nowMillis);
         restored.restore(storedTexts, 0);
         restored.merge(row("i-7", "s", "ready", 4), 0);
         assertTrue(restored.get("i-7").isDraining(), "leave lost by a restart");
--- a/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
+++ b/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
@@ -34,7 +34,7 @@
         lease = SingleNode.leaseOf(SingleNode.start(environment));
         environment.advance(SingleNode.LEASE_ACQUIRED_MS);
         assertTrue(lease.isHeld(), "a single process holds the lease");
-        ServerRegistry registry = new ServerRegistry();
+        ServerRegistry registry = new ServerRegistry(environment::nowMillis);
         registry.merge(
                 new ServerRow("i-1", "db", "10.0.0.9:5432", "z", ServerState.READY, "replica", 1),
                 0);
--- a/src/test/java/dillfront/dataplane/ClientSessionTest.java
+++ b/src/test/java/dillfront/dataplane/ClientSessionTest.java
@@ -8,7 +8,6 @@
 import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -205,7 +204,6 @@
     // ---- draining servers
 
     private void startDraining(DatabaseServerStub server) {
-        registryRows.removeIf(row -> ((Map<?, ?>) row).get("i").equals(server.id));
         register(server, "draining");
         advance(400);
     }
--- a/src/test/java/dillfront/dataplane/DataPlaneHarness.java
+++ b/src/test/java/dillfront/dataplane/DataPlaneHarness.java
@@ -7,6 +7,8 @@
 import dillfront.common.environment.Environment;
 import dillfront.common.environment.ManualEnvironment;
 import dillfront.common.message.MessageCodec;
+import dillfront.common.protocol.ServerRow;
+import dillfront.common.protocol.ServerState;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -189,7 +191,8 @@
                             sentRegistryVersion = registryVersion;
                             response.put("b", delayed ? "left" : "boot");
                             response.put("r", registryVersion);
-                            response.put("m", new ArrayList<>(registryRows));
+                            response.put(
+                                    "m", registryRows.stream().map(ServerRow::toFields).toList());
                         }
                         response.put(
                                 "p",
@@ -243,7 +246,7 @@
                 }
             };
     final Map<String, DatabaseServerStub> servers = new TreeMap<>();
-    final List<Object> registryRows = new ArrayList<>();
+    final List<ServerRow> registryRows = new ArrayList<>();
     long registryVersion = 1;
     long sentRegistryVersion;
     long recordNumber = 1;
@@ -262,13 +265,14 @@
     final DatabaseServerStub serverP = new DatabaseServerStub("p", "10.0.1.1:1");
     final DatabaseServerStub serverR = new DatabaseServerStub("r", "10.0.1.2:1");
     DataPlaneNode node;
+    NodeSettings settings;
 
     @BeforeEach
     void setUp() throws Exception {
         serverP.isPrimary = true;
         register(serverP, "ready");
         register(serverR, "ready");
-        NodeSettings settings =
+        NodeSettings nodeSettings =
                 new NodeSettings(
                         "front",
                         "a",
@@ -287,7 +291,15 @@
                         3_500,
                         6_000,
                         null);
-        node = new DataPlaneNode(environment, settings);
+        startNode(nodeSettings);
+        advance(50);
+    }
+
+    /** Starts the data plane; one that was started before is no longer used. */
+    void startNode(NodeSettings nodeSettings) throws Exception {
+        settings = nodeSettings;
+        sentRegistryVersion = 0;
+        node = new DataPlaneNode(environment, nodeSettings);
         node.onConfiguration(
                 Configuration.parse(
                         ("{\"revision_number\":1,\"routes\":["
@@ -298,7 +310,6 @@
                                         + "\"connection_limit\":60,\"synchronous_replicas\":1}],\"limits\":{\"transaction_idle_ms\":30000}}")
                                 .getBytes(StandardCharsets.UTF_8)));
         node.start();
-        advance(50);
     }
 
     static String route(String hostName, String kind, long maxStalenessMillis) {
@@ -316,22 +327,21 @@
     }
 
     void register(DatabaseServerStub server, String state) {
+        register(server, state, ServerRow.UNKNOWN_AGE);
+    }
+
+    void register(DatabaseServerStub server, String state, long drainAgeMillis) {
+        registryRows.removeIf(row -> row.id().equals(server.id));
         registryRows.add(
-                Map.of(
-                        "i",
+                new ServerRow(
                         server.id,
-                        "v",
                         "db",
-                        "a",
                         server.address,
-                        "z",
                         "a",
-                        "st",
-                        state,
-                        "ro",
+                        ServerState.parse(state),
                         server.isPrimary ? "primary" : "replica",
-                        "q",
-                        1L));
+                        1,
+                        drainAgeMillis));
         registryVersion++;
     }
 
