A replica that leaves takes no acknowledged commit along

The replica that alone had received them left, the data plane that acknowledged them was killed before its report, and the primary crashed for 7 s.

Cause: what only a departed replica had is known by the reports of data planes alone, and a lost data plane reports nothing. The choice of a successor took the bounds of the others as complete.

CommitCoverage promotes no log while an announced departure is unproven, whatever the bounds say: the primary is waited for, commits-missing and status name the replica, and an operator may accept the loss. A log with all that a primary had when it stepped down needs no proof.

The age of a drain no longer grows to the worst case with the second heartbeat of a draining server; a server that is replaced without an announcement has no age.

The digests of the recorded messages were written anew for the change of decisions.

--- a/src/main/java/dillfront/controlplane/failover/CommitCoverage.java
+++ b/src/main/java/dillfront/controlplane/failover/CommitCoverage.java
@@ -44,7 +44,13 @@
      * @param acknowledged the commits known to any data plane, connected or disconnected since
      */
     Verdict check(LogPosition logEnd, AcknowledgedCommits acknowledged) {
-        if (!replicatesSynchronously() || logEnd.covers(acknowledged.upperBound())) {
+        if (!replicatesSynchronously()) {
+            return Verdict.PROMOTABLE;
+        }
+        if (hasUnprovenDeparture(logEnd)) {
+            return Verdict.INCOMPLETE;
+        }
+        if (logEnd.covers(acknowledged.upperBound())) {
             return Verdict.PROMOTABLE;
         }
         if (!logEnd.covers(acknowledged.lowerBound()) || !missingReplicas(logEnd).isEmpty()) {
@@ -53,6 +59,37 @@
         return move.finalPosition == null ? Verdict.PROMOTABLE : Verdict.PROMOTABLE_AFTER_WAIT;
     }
 
+    /**
+     * Returns whether a replica has left that may have taken the only copy of an acknowledged
+     * commit along. The data plane that acknowledged the commit may be gone too, so the bounds that
+     * data planes report are no proof. The log of a primary that stepped down is one.
+     */
+    private boolean hasUnprovenDeparture(LogPosition logEnd) {
+        if (isLossAccepted() || move.finalPosition != null && logEnd.covers(move.finalPosition)) {
+            return false;
+        }
+        for (DatabaseServer server : context.state().registry().knownServersOf(move.service())) {
+            if (isUnprovenDeparture(server, logEnd)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isUnprovenDeparture(DatabaseServer server, LogPosition logEnd) {
+        ServerStatus stopped = move.stoppedStatuses.get(server.id());
+        return server.hasLeft()
+                && !server.id().equals(move.record.primary())
+                && !context.departures().isProven(server)
+                && (stopped == null || !logEnd.covers(stopped.position()));
+    }
+
+    /** Returns whether an operator accepted in this move that commits are lost. */
+    private boolean isLossAccepted() {
+        return move.record.acceptedLoss() != null
+                && move.record.acceptedLoss().moveNumber() == move.record.moveNumber();
+    }
+
     /** Returns whether the service acknowledges a commit only after a replica has received it. */
     private boolean replicatesSynchronously() {
         Configuration.Service service =
@@ -73,7 +110,10 @@
 
     private boolean isMissing(DatabaseServer server, LogPosition logEnd) {
         ServerStatus stopped = move.stoppedStatuses.get(server.id());
-        return stopped == null ? !hasEnded(server) : !logEnd.covers(stopped.position());
+        if (stopped == null) {
+            return !hasEnded(server) || isUnprovenDeparture(server, logEnd) && !isLossAccepted();
+        }
+        return !logEnd.covers(stopped.position());
     }
 
     /**
--- /dev/null
+++ b/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
@@ -0,0 +1,66 @@
+package dillfront.controlplane.failover;
+
+import dillfront.controlplane.registry.DatabaseServer;
+import java.util.TreeSet;
+
+/**
+ * Remembers which replicas have left, or are leaving, without an acknowledged commit that no other
+ * replica has. A log must not be promoted while a departure is unproven: the only data plane that
+ * knew of a commit may be gone as well.
+ */
+final class DepartureProofs {
+
+    /**
+     * The age of a drain at the start of a lease from which on the departure counts as proven: the
+     * former lease holder has had the time to prove it.
+     */
+    private static final long MAX_AGE_AT_LEASE_START_MS = 20_000;
+
+    private final FailoverContext context;
+    private final TreeSet<String> proven = new TreeSet<>();
+
+    DepartureProofs(FailoverContext context) {
+        this.context = context;
+    }
+
+    /** Forgets all proofs, because a lease starts. */
+    void clear() {
+        proven.clear();
+    }
+
+    void add(String serverId) {
+        proven.add(serverId);
+    }
+
+    /** Revokes the proof of a server that receives again before it has left. */
+    void remove(String serverId) {
+        proven.remove(serverId);
+    }
+
+    /**
+     * Handles a new primary: what servers that left before took along is in its log, or was given
+     * up by an operator.
+     */
+    void onPrimaryChanged(String service) {
+        for (DatabaseServer server : context.state().registry().knownServersOf(service)) {
+            if (server.hasLeft()) {
+                proven.add(server.id());
+            }
+        }
+    }
+
+    /**
+     * Returns whether the departure of this server cannot take a commit along. A server that is
+     * replaced without an announcement is not asked for: it was lost, or returned with its log.
+     */
+    boolean isProven(DatabaseServer server) {
+        return proven.contains(server.id()) || !isRecentAnnouncement(server);
+    }
+
+    private boolean isRecentAnnouncement(DatabaseServer server) {
+        long drainAgeMillis = server.drainAgeMillis(context.now());
+        return drainAgeMillis >= 0
+                && context.now() - drainAgeMillis
+                        > context.leaseStartMillis() - MAX_AGE_AT_LEASE_START_MS;
+    }
+}
--- a/src/main/java/dillfront/controlplane/failover/FailoverContext.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverContext.java
@@ -31,6 +31,7 @@
     private final DataPlaneObservations dataPlanes;
     private final FencingTokens tokens;
     private final PlatformClient platform;
+    private final DepartureProofs departures = new DepartureProofs(this);
 
     /** The number of the lease under which this process acts; 0 for none. */
     private long leaseNumber;
@@ -58,6 +59,10 @@
         return platform;
     }
 
+    DepartureProofs departures() {
+        return departures;
+    }
+
     Environment environment() {
         return state.environment();
     }
@@ -84,6 +89,7 @@
     void startLease(long number) {
         leaseNumber = number;
         recordsTakenOver = false;
+        departures.clear();
         if (number != 0) {
             leaseStartMillis = now();
             tokens.startLease(number);
--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -31,9 +31,11 @@
         final InitialPrimaryRecorder initialPrimary;
         final PrimaryMonitor monitor = new PrimaryMonitor(context, FailoverCoordinator.this);
         final ReplicaResumer resumer = new ReplicaResumer(context);
+        final DepartureGuard departureGuard;
 
         ServiceMonitors(String service) {
             initialPrimary = new InitialPrimaryRecorder(context, service);
+            departureGuard = new DepartureGuard(context, service);
         }
     }
 
@@ -108,6 +110,7 @@
         if (record.replicationPaused()) {
             monitors.resumer.poll(record);
         }
+        monitors.departureGuard.poll(record);
         return monitors.monitor.poll(record);
     }
 
@@ -175,6 +178,9 @@
     @Override
     public void onCompleted(PrimaryMove move, PrimaryRecord record) {
         moves.remove(move.service());
+        if (!record.primary().equals(move.record().primary())) {
+            context.departures().onPrimaryChanged(move.service());
+        }
         context.storeRecord(record);
         state.peerUpdates().request();
         if (record.replicationPaused()) {
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -130,11 +130,11 @@
     }
 
     /**
-     * Returns for how long the server has been draining or leaving, in milliseconds; a long time if
-     * that is unknown, and a negative number if it is ready.
+     * Returns how long ago the server announced its shutdown, in milliseconds; a long time if that
+     * is unknown, and a negative number if it did not announce it.
      */
     public long drainAgeMillis(long nowMillis) {
-        return state == ServerState.READY
+        return drainingSinceMillis == NOT_RECORDED
                 ? UNKNOWN
                 : Math.min(MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis));
     }
@@ -228,7 +228,8 @@
      */
     boolean merge(ServerRow row, boolean acceptsOlderState, long nowMillis) {
         boolean changed = false;
-        if (row.state().isAfter(ServerState.READY)) {
+        boolean announced = row.state().isAfter(ServerState.READY) && !leftUnannounced(row);
+        if (announced) {
             recordDrain(drainStartMillis(row, nowMillis));
         }
         if (row.callSequence() >= callSequence || address == null) {
@@ -245,14 +246,23 @@
         return changed;
     }
 
+    /** Returns whether the server left without an announcement, as far as the row tells. */
+    private static boolean leftUnannounced(ServerRow row) {
+        return row.state() == ServerState.LEFT && row.drainAgeMillis() < 0;
+    }
+
     /**
-     * Returns when the drain of a row began. If the row does not tell, a drain of a server that was
-     * known as ready begins now, and any other one may have begun at any time.
+     * Returns when the drain of a row began. If the row does not tell, a recorded time stays, a
+     * drain of a server that was known as ready begins now, and any other may have begun at any
+     * time.
      */
     private long drainStartMillis(ServerRow row, long nowMillis) {
         if (row.drainAgeMillis() >= 0) {
             return nowMillis - row.drainAgeMillis();
         }
+        if (drainingSinceMillis != NOT_RECORDED) {
+            return drainingSinceMillis;
+        }
         boolean wasReady = address != null && state == ServerState.READY;
         return wasReady ? nowMillis : NEVER;
     }
@@ -286,7 +296,7 @@
         server.state = ServerState.parse(fields[3]);
         server.role = fields[4];
         server.callSequence = Long.parseLong(fields[5]);
-        if (server.state != ServerState.READY) {
+        if (server.isDraining()) {
             server.recordDrain(NEVER);
         }
         return server;
--- a/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
+++ b/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
@@ -207,7 +207,6 @@
             return false;
         }
         server.state(ServerState.LEFT);
-        server.recordDrain(clockMillis.getAsLong());
         recordChange(server);
         return true;
     }
--- a/src/test/java/dillfront/controlplane/DrainAgeReplicationTest.java
+++ b/src/test/java/dillfront/controlplane/DrainAgeReplicationTest.java
@@ -48,6 +48,14 @@
         assertEquals(4_600, rowOf(second).drainAgeMillis());
     }
 
+    @Test
+    void keepsTheAgeWithLaterHeartbeats() throws Exception {
+        drain();
+        nowMillis += 1_200;
+        first.merge(row(ServerState.DRAINING, 3), nowMillis);
+        assertEquals(1_200, rowOf(first).drainAgeMillis());
+    }
+
     @Test
     void keepsTheGreatestAge() throws Exception {
         second.merge(row(ServerState.READY, 1), 0);
--- a/src/test/java/dillfront/simulation/system/RecordedMessages.java
+++ b/src/test/java/dillfront/simulation/system/RecordedMessages.java
@@ -20,10 +20,10 @@
 /**
  * Runs simulations and records the messages of the processes. The files under
  * src/test/resources/messages were written by {@link #main} on revision 6ff1719; the digests were
- * written again when data planes began to report acknowledged commits after a departure, and when
- * commits came to be acknowledged only while the primary is certain, and when rows came to tell the
- * age of a drain. They are written again only for an intended change of the protocol or of
- * decisions.
+ * written again when data planes began to report acknowledged commits after a departure, when
+ * commits came to be acknowledged only while the primary is certain, when rows came to tell the age
+ * of a drain, and when draining replicas came to be paused. They are written again only for an
+ * intended change of the protocol or of decisions.
  */
 final class RecordedMessages {
 
