Bound the heap that clients of a data plane occupy by a budget of bytes

Cause: the number of a session's values was bounded, their bytes were not; statements that wait or run, lines that wait behind them and rows of a response had no bound in bytes either.

Change: MemoryBudget, 30 % of the heap. Values and prepared names (SessionMemory), statements above 16 KiB, lines that wait and large lines of a response are reserved before they are kept and released when they go. What does not fit is refused at once: BUSY with a time to come back, TOOLARGE where the session itself has a quarter of the budget. Reservations above 16 KiB get three quarters, so small ones and small statements are served on. A session with more than 64 KiB waiting is not read any further. A server connection with large values is closed when it is returned, as it would keep them after their session. status shows memory_kib and memory_refusals.

Not in the budget: lines that have arrived in part, and answers that clients do not read, which lie outside the heap.

--- a/src/main/java/dillfront/common/environment/Environment.java
+++ b/src/main/java/dillfront/common/environment/Environment.java
@@ -28,6 +28,12 @@
         /** Closes the connection after all pending bytes are written. */
         void close();
 
+        /**
+         * Pauses or resumes reading, so that the peer has to wait. Messages that were received
+         * before are still delivered. Does nothing where nothing is read ahead.
+         */
+        default void setReading(boolean reading) {}
+
         /** Returns the number of bytes that were sent but not yet written to the socket. */
         long pendingBytes();
     }
--- a/src/main/java/dillfront/common/environment/NettyEnvironment.java
+++ b/src/main/java/dillfront/common/environment/NettyEnvironment.java
@@ -185,6 +185,13 @@
             }
         }
 
+        @Override
+        public void setReading(boolean reading) {
+            if (channel != null) {
+                channel.config().setAutoRead(reading);
+            }
+        }
+
         @Override
         public long pendingBytes() {
             return channel == null || channel.unsafe().outboundBuffer() == null
--- a/src/main/java/dillfront/dataplane/ClientSession.java
+++ b/src/main/java/dillfront/dataplane/ClientSession.java
@@ -28,12 +28,23 @@
      */
     private static final long MIN_RETRY_AFTER_MS = 50;
 
+    /** Delay suggested to a client whose value or statement finds no memory. */
+    private static final long NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
+    /** A session whose waiting statements are larger than this is not read any further. */
+    private static final long MAX_READ_AHEAD_BYTES = 64 * 1024;
+
     private static final char IN_FAILED_TRANSACTION = 'E';
 
     private final DataPlaneNode node;
     private final Map<String, String> variables = new HashMap<>();
     private final Map<String, String> preparedDefinitions = new HashMap<>();
+    private final SessionMemory memory;
     private final ArrayDeque<String> pipelinedLines = new ArrayDeque<>();
+
+    /** The bytes of the waiting lines. */
+    private long pipelinedBytes;
+
     private Environment.Connection clientConnection;
 
     /** The database that the client named in CONNECT; null before CONNECT. */
@@ -67,6 +78,7 @@
 
     ClientSession(DataPlaneNode node) {
         this.node = node;
+        memory = new SessionMemory(node.memory());
     }
 
     // ---- state for the executions
@@ -115,10 +127,33 @@
             closeWithError("MALFORMED", "too much at once");
             return;
         }
+        if (runningStatement != null && !queue(line.length)) {
+            closeWithError("TOOLARGE", "too much at once");
+            return;
+        }
         pipelinedLines.add(new String(line, StandardCharsets.ISO_8859_1));
         runNext();
     }
 
+    /** Reserves the memory of a line that has to wait; returns whether there is enough. */
+    private boolean queue(long bytes) {
+        if (!memory.tryReserve(bytes)) {
+            return false;
+        }
+        pipelinedBytes += bytes;
+        clientConnection.setReading(pipelinedBytes <= MAX_READ_AHEAD_BYTES);
+        return true;
+    }
+
+    private String nextLine() {
+        if (pipelinedBytes > 0 && pipelinedLines.size() == 1) {
+            memory.release(pipelinedBytes);
+            pipelinedBytes = 0;
+            clientConnection.setReading(true);
+        }
+        return pipelinedLines.poll();
+    }
+
     private void closeWithError(String code, String text) {
         send("ERROR " + code + " " + text);
         close();
@@ -126,7 +161,7 @@
 
     private void runNext() {
         while (!closed && runningStatement == null && !pipelinedLines.isEmpty()) {
-            handle(pipelinedLines.poll());
+            handle(nextLine());
         }
         if (closed || runningStatement != null) {
             return;
@@ -207,25 +242,31 @@
     // ---- statements without a server
 
     private void set(Statement statement) {
-        if (!variables.containsKey(statement.name()) && variables.size() >= MAX_SESSION_NAMES) {
-            replyError("TOOLARGE", "too many values");
-        } else {
-            variables.put(statement.name(), statement.arguments());
-            replyCompleted();
+        store(variables, statement, "values");
+    }
+
+    /** Stores a value or prepared statement, unless there are too many or too large ones. */
+    private void store(Map<String, String> entries, Statement statement, String kind) {
+        if (!entries.containsKey(statement.name()) && entries.size() >= MAX_SESSION_NAMES) {
+            replyError("TOOLARGE", "too many " + kind);
+            return;
+        }
+        switch (memory.put(entries, statement.name(), statement.arguments())) {
+            case STORED -> replyCompleted();
+            case SESSION_FULL -> replyError("TOOLARGE", "too large " + kind + " of the session");
+            case PROCESS_FULL ->
+                    replyError(
+                            "BUSY", "not kept; come back in " + NO_MEMORY_RETRY_AFTER_MS + " ms");
+            default -> throw new IllegalStateException("result of " + statement.verb());
         }
     }
 
     private void prepare(Statement statement) {
-        if (preparedDefinitions.size() >= MAX_SESSION_NAMES) {
-            replyError("TOOLARGE", "too many prepared names");
-        } else {
-            preparedDefinitions.put(statement.name(), statement.arguments());
-            replyCompleted();
-        }
+        store(preparedDefinitions, statement, "prepared names");
     }
 
     private void deallocate(Statement statement) {
-        if (preparedDefinitions.remove(statement.name()) == null) {
+        if (memory.remove(preparedDefinitions, statement.name()) == null) {
             replyError("UNKNOWN", statement.name());
         } else {
             replyCompleted();
@@ -325,6 +366,10 @@
     private void run(StatementExecution statement) {
         runningStatement = statement;
         hasRunOperation = true;
+        if (!statement.reserveMemory(memory)) {
+            refuse(statement, NO_MEMORY_RETRY_AFTER_MS);
+            return;
+        }
         statement.startTimeout(() -> onTimeout(statement));
         if (transaction != null) {
             transaction.run(statement);
@@ -382,6 +427,7 @@
 
     private void finish(StatementExecution statement) {
         statement.finish();
+        statement.releaseMemory(memory);
         runningStatement = null;
     }
 
@@ -418,11 +464,13 @@
 
     /** Refuses a statement that was not run, with a suggested retry delay. */
     void refuse(StatementExecution statement) {
+        refuse(statement, Math.max(MIN_RETRY_AFTER_MS, statement.route.targetLatencyMillis() / 2));
+    }
+
+    private void refuse(StatementExecution statement, long retryAfterMillis) {
         if (transaction != null) {
             transaction.failAndRollBack();
         }
-        long retryAfterMillis =
-                Math.max(MIN_RETRY_AFTER_MS, statement.route.targetLatencyMillis() / 2);
         fail(statement, "BUSY", "not run; come back in " + retryAfterMillis + " ms");
     }
 
@@ -469,6 +517,7 @@
         if (transaction != null) {
             endTransaction();
         }
+        memory.releaseAll();
         node.onSessionClosed(this);
     }
 
--- a/src/main/java/dillfront/dataplane/DataPlaneNode.java
+++ b/src/main/java/dillfront/dataplane/DataPlaneNode.java
@@ -18,6 +18,7 @@
 
     private static final int MIN_CONNECTIONS = 2;
     private static final long POLL_INTERVAL_MS = 100;
+    private static final int BYTES_TO_KIB_SHIFT = 10;
 
     /** The maximum staleness of reads for which primary positions are kept. */
     private static final long MAX_READ_STALENESS_MS = 3_000;
@@ -56,6 +57,7 @@
 
     final Environment environment;
     NodeSettings settings;
+    private final MemoryBudget memory;
     final ControlPlaneClient controlPlane;
     final Counters counters = new Counters();
     private final TreeMap<String, DatabaseService> services = new TreeMap<>();
@@ -70,8 +72,13 @@
     private Runnable onShutdownComplete = () -> {};
 
     public DataPlaneNode(Environment environment, NodeSettings settings) {
+        this(environment, settings, MemoryBudget.ofHeap());
+    }
+
+    DataPlaneNode(Environment environment, NodeSettings settings, MemoryBudget memory) {
         this.environment = environment;
         this.settings = settings;
+        this.memory = memory;
         controlPlane = new ControlPlaneClient(this);
     }
 
@@ -91,6 +98,11 @@
         return settings;
     }
 
+    /** The budget of the heap that clients occupy. */
+    MemoryBudget memory() {
+        return memory;
+    }
+
     public Counters counters() {
         return counters;
     }
@@ -254,6 +266,8 @@
         line.append(" unsure=").append(counters.uncertain);
         line.append(" unconfirmed=").append(counters.unconfirmedCommits);
         line.append(" dialed=").append(counters.connectionsOpened);
+        line.append(" memory_kib=").append(memory.reservedBytes() >> BYTES_TO_KIB_SHIFT);
+        line.append(" memory_refusals=").append(memory.refusals());
         for (DatabaseService service : services.values()) {
             line.append(" | ").append(service.name);
             line.append(" primary=").append(service.primary);
--- a/src/main/java/dillfront/dataplane/ServerConnection.java
+++ b/src/main/java/dillfront/dataplane/ServerConnection.java
@@ -52,6 +52,9 @@
     private Environment.Connection socket;
     private boolean closed;
 
+    /** The reserved bytes of the response that is being received. */
+    private long responseBytes;
+
     /** The status in the last response. */
     private char lastTransactionStatus = QueryResult.IDLE;
 
@@ -115,6 +118,18 @@
         return sessionVariables.size() - equalCount;
     }
 
+    /**
+     * Returns whether the variables occupy more memory than an idle connection may keep. Their
+     * session accounts for them only while it uses the connection.
+     */
+    boolean holdsLargeVariables() {
+        long bytes = 0;
+        for (Map.Entry<String, String> variable : variables.entrySet()) {
+            bytes += variable.getKey().length() + variable.getValue().length();
+        }
+        return bytes > MemoryBudget.SMALL_BYTES;
+    }
+
     // ---- requests
 
     /**
@@ -232,9 +247,30 @@
 
     // ---- responses
 
+    /** Accounts for a large line until its response is complete; returns whether it fits. */
+    private boolean reserve(long bytes) {
+        if (bytes <= MemoryBudget.SMALL_BYTES) {
+            return true;
+        }
+        if (!pool.node.memory().tryReserve(bytes)) {
+            return false;
+        }
+        responseBytes += bytes;
+        return true;
+    }
+
+    private void releaseResponse() {
+        pool.node.memory().release(responseBytes);
+        responseBytes = 0;
+    }
+
     @Override
     public void onMessage(byte[] line) {
         pool.onResponse();
+        if (!reserve(line.length)) {
+            abort("response exceeds the memory");
+            return;
+        }
         boolean wasConnected = responses.isConnected();
         ServerResponse response;
         try {
@@ -252,6 +288,7 @@
         if (response == null) {
             return;
         }
+        releaseResponse();
         lastTransactionStatus = response.transactionStatus();
         pool.knownPosition = LogPosition.max(pool.knownPosition, response.logPosition());
         if (wasConnected) {
@@ -296,6 +333,7 @@
             return;
         }
         closed = true;
+        releaseResponse();
         boolean wasConnected = responses.isConnected();
         if (!wasConnected) {
             pool.connectsInProgress--;
--- a/src/main/java/dillfront/dataplane/ServerPool.java
+++ b/src/main/java/dillfront/dataplane/ServerPool.java
@@ -231,8 +231,10 @@
             connection.close();
             return;
         }
-        if (connections.size() > node.maxConnectionsPerServer(service)
-                && waitingBorrowers.isEmpty()) {
+        boolean exceedsLimit =
+                connections.size() > node.maxConnectionsPerServer(service)
+                        && waitingBorrowers.isEmpty();
+        if (exceedsLimit || connection.holdsLargeVariables()) {
             connection.close();
             return;
         }
--- a/src/main/java/dillfront/dataplane/StatementExecution.java
+++ b/src/main/java/dillfront/dataplane/StatementExecution.java
@@ -16,6 +16,9 @@
     private static final int RETRY_JITTER_MS = 20;
     private static final int MAX_PRIMARY_CHECKS = 3;
 
+    /** The statement as the client sent it, and its parsed arguments. */
+    private static final int COPIES_OF_TEXT = 2;
+
     /** The ratio of a route's target latency to the usual latency of a server. */
     private static final double TARGET_TO_USUAL_LATENCY_RATIO = 12.0;
 
@@ -34,6 +37,7 @@
     private final String preparedDefinition;
 
     private final boolean writes;
+    private long reservedBytes;
     private Environment.Timer timeout;
 
     /** The registered waiter for a change of the service; null if there is none. */
@@ -92,6 +96,26 @@
         return receivedMillis + route.timeoutMillis();
     }
 
+    /**
+     * Reserves the memory of a large statement, and returns whether there is enough. A small one
+     * needs no reservation: it would be refused for the memory of others.
+     */
+    boolean reserveMemory(SessionMemory memory) {
+        long bytes = (long) COPIES_OF_TEXT * clientStatement.length();
+        if (bytes > MemoryBudget.SMALL_BYTES) {
+            if (!memory.tryReserve(bytes)) {
+                return false;
+            }
+            reservedBytes = bytes;
+        }
+        return true;
+    }
+
+    void releaseMemory(SessionMemory memory) {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     /** Starts the time-out of the statement. */
     void startTimeout(Runnable onTimeout) {
         long replyDeadlineMillis = deadlineMillis() - RESPONSE_MARGIN_MS;
--- a/src/test/java/dillfront/dataplane/DataPlaneHarness.java
+++ b/src/test/java/dillfront/dataplane/DataPlaneHarness.java
@@ -297,9 +297,13 @@
 
     /** Starts the data plane; one that was started before is no longer used. */
     void startNode(NodeSettings nodeSettings) throws Exception {
+        startNode(nodeSettings, MemoryBudget.ofHeap());
+    }
+
+    void startNode(NodeSettings nodeSettings, MemoryBudget memory) throws Exception {
         settings = nodeSettings;
         sentRegistryVersion = 0;
-        node = new DataPlaneNode(environment, nodeSettings);
+        node = new DataPlaneNode(environment, nodeSettings, memory);
         node.onConfiguration(
                 Configuration.parse(
                         ("{\"revision_number\":1,\"routes\":["
@@ -354,6 +358,7 @@
         final ClientSession session = (ClientSession) node.accept();
         final List<String> received = new ArrayList<>();
         final List<String> connectReply;
+        boolean isReading = true;
         private int lastId;
 
         ClientStub(String database) {
@@ -381,6 +386,11 @@
                             : received.get(0).split(" ")[0];
         }
 
+        @Override
+        public void setReading(boolean reading) {
+            isReading = reading;
+        }
+
         @Override
         public void send(byte[] message) {
             received.addAll(
