A read is a sample of the primary's position only if it was sent to the primary

Cause: the position in any response counted as one of the primary's if the server was the confirmed primary when the response arrived. A replica that ran a read before its promotion, and whose response was late, gave an old position as the bound of later reads.

Change: the server must have been the confirmed primary when the read was sent.

--- a/src/main/java/dillfront/dataplane/StatementExecution.java
+++ b/src/main/java/dillfront/dataplane/StatementExecution.java
@@ -218,6 +218,7 @@
             ServerPool server, ServerConnection serverConnection, LogPosition minPosition) {
         connection = serverConnection;
         long sentMillis = now();
+        boolean confirmedWhenSent = service().isConfirmedPrimary(server);
         LogPosition requestPosition = server.knownPosition;
         serverConnection.query(
                 session.variables(),
@@ -243,7 +244,7 @@
                         return;
                     }
                     if (result.isCompleted()) {
-                        onRead(server, serverConnection, sentMillis, result);
+                        onRead(server, serverConnection, sentMillis, confirmedWhenSent, result);
                         return;
                     }
                     returnConnection(serverConnection, result);
@@ -253,13 +254,21 @@
                 });
     }
 
+    /**
+     * Completes a read.
+     *
+     * @param confirmedWhenSent whether the server was the confirmed primary when the read was sent,
+     *     so that its position covers all commits acknowledged before; a replica that has become
+     *     the primary since may have run the read before it had them
+     */
     private void onRead(
             ServerPool server,
             ServerConnection serverConnection,
             long sentMillis,
+            boolean confirmedWhenSent,
             QueryResult result) {
         server.decayLagBackoff();
-        if (service().isConfirmedPrimary(server)) {
+        if (confirmedWhenSent) {
             service().primaryPositions.onPrimaryPosition(result.position(), sentMillis);
         }
         returnConnection(serverConnection, result);
--- a/src/test/java/dillfront/dataplane/ClientSessionTest.java
+++ b/src/test/java/dillfront/dataplane/ClientSessionTest.java
@@ -160,6 +160,31 @@
         assertEquals(null, node.service("db").primaryPositions.lowestPositionSince(commitMillis));
     }
 
+    /**
+     * A replica answers a read late, and is the primary by then. Guards against its old position as
+     * a bound of later reads (STALE).
+     */
+    @Test
+    void readThatRanOnAReplicaRecordsNoPrimaryPosition() {
+        ClientStub writer = new ClientStub("new");
+        writer.queryAndWait("WRITE k d");
+        serverR.unanswered = text -> text.endsWith("READ k");
+        ClientStub reader = new ClientStub("old");
+        long readMillis = environment.nowMillis();
+        reader.query("READ k");
+        advance(20);
+        assertEquals(1, serverR.countReceived("READ k"));
+        recordNumber++;
+        recordedPrimary = "r";
+        serverR.isPrimary = true;
+        advance(400);
+        ServerConnectionStub connection = serverR.openConnections.get(0);
+        connection.respond("ROW x", "COMPLETE stamp", "READY I 1.5");
+        advance(20);
+        assertReceived("ROW x", reader);
+        assertEquals(null, node.service("db").primaryPositions.lowestPositionSince(readMillis));
+    }
+
     /**
      * Guards against a read of the newest data at a former primary while the control plane is
      * unreachable.
