Check departing replicas at the same interval where none is due

Cause: FailoverCoordinator polls each service at each tick, and DepartureGuard listed the service's servers each time, also where no replica leaves. Change: the interval of the next check is set before the list.

--- a/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
@@ -61,6 +61,7 @@
                 || !context.mayAct()) {
             return;
         }
+        nextCheckMillis = context.now() + CHECK_INTERVAL_MS;
         List<DatabaseServer> draining = new ArrayList<>();
         List<DatabaseServer> departed = new ArrayList<>();
         for (DatabaseServer server : context.state().registry().knownServersOf(service)) {
@@ -77,7 +78,6 @@
             return;
         }
         checkPending = true;
-        nextCheckMillis = context.now() + CHECK_INTERVAL_MS;
         check(record, primary, draining, departed).whenComplete((done, error) -> onChecked());
     }
 
