--- a/src/main/java/dillfront/common/protocol/ServerRow.java
+++ b/src/main/java/dillfront/common/protocol/ServerRow.java
@@ -38,7 +38,7 @@
     private static final String CALL_SEQUENCE = "q";
     private static final String DRAIN_AGE = "da";
 
-    /** Creates the row of a server's own call, which does not tell the age of a drain. */
+    /** Creates the row of a server's own call, which has no age of a drain. */
     public ServerRow(
             String id,
             String service,
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -246,13 +246,13 @@
         return changed;
     }
 
-    /** Returns whether the server left without an announcement, as far as the row tells. */
+    /** Returns whether the server left without an announcement, according to the row. */
     private static boolean leftUnannounced(ServerRow row) {
         return row.state() == ServerState.LEFT && row.drainAgeMillis() < 0;
     }
 
     /**
-     * Returns when the drain of a row began. If the row does not tell, a recorded time stays, a
+     * Returns when the drain of a row began. Without an age in the row, a recorded time stays, a
      * drain of a server that was known as ready begins now, and any other may have begun at any
      * time.
      */
--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -431,8 +431,8 @@
     }
 
     /**
-     * Returns how long ago a drain began. If the control process does not tell, as an earlier
-     * version, a drain of a known server begins now, and any other one may be over.
+     * Returns how long ago a drain began. Without an age, as from an earlier version, a drain of a
+     * known server begins now, and any other one may be over.
      */
     private static long drainAgeMillis(ServerRow row, boolean known) {
         if (row.drainAgeMillis() >= 0) {
--- a/src/test/java/dillfront/dataplane/DrainAgeTest.java
+++ b/src/test/java/dillfront/dataplane/DrainAgeTest.java
@@ -7,7 +7,7 @@
 
 /**
  * A data plane starts while a primary drains. Guards against statements that reach the primary
- * after its drain time, because the data plane counts from when it heard of the drain (DRAIN).
+ * after its drain time, because the data plane counts from when it learned of the drain (DRAIN).
  */
 class DrainAgeTest extends DataPlaneHarness {
 
@@ -36,7 +36,7 @@
         assertEquals(0, serverP.countReceived("WRITE k d"));
     }
 
-    /** An earlier version of the control plane does not tell the age. */
+    /** An earlier version of the control plane sends no age. */
     @Test
     void doesNotUsePrimaryWithDrainOfUnknownAge() throws Exception {
         ClientStub client = restartWhileDraining(ServerRow.UNKNOWN_AGE);
