A server that left as a primary needs no proof of its departure

Cause: its departure counted as one of a replica, and nothing could prove it once it had led.

Change: a primary's commits are acknowledged once a replica has them, so its own departure takes none along, and no proof is asked for.

--- a/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
@@ -50,11 +50,12 @@
     }
 
     /**
-     * Returns whether the departure of this server cannot take a commit along. A server that is
-     * replaced without an announcement is not asked for: it was lost, or returned with its log.
+     * Returns whether the departure of this server cannot take a commit along. No proof is needed
+     * of a primary, whose commits are acknowledged once a replica has them, and of a server that is
+     * replaced without an announcement: it was lost, or returned with its log.
      */
     boolean isProven(DatabaseServer server) {
-        return proven.contains(server.id()) || !isRecentAnnouncement(server);
+        return server.isPrimary() || proven.contains(server.id()) || !isRecentAnnouncement(server);
     }
 
     private boolean isRecentAnnouncement(DatabaseServer server) {
