The end of a move revokes the proofs of replicas that have not left

Cause: the guard proves the departure of a paused replica. A failover resumes all replicas, and for some 4 s afterwards the guard pauses and checks none. A replica that left within that time left as proven, though commits had been acknowledged by way of it again.

Change: DepartureProofs.onMoveCompleted revokes the proof of each server that is present. The guard proves it again where it stays paused.

The recorded messages are unchanged.

--- a/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
@@ -38,12 +38,15 @@
     }
 
     /**
-     * Handles a new primary: what servers that left before took along is in its log, or was given
-     * up by an operator.
+     * Handles the end of a move. Replicas are resumed, so one that has not left yet may receive
+     * again, and its proof is revoked. If the primary changed, what servers that left before took
+     * along is in the log of the new one, or was given up by an operator.
      */
-    void onPrimaryChanged(String service) {
+    void onMoveCompleted(String service, boolean primaryChanged) {
         for (DatabaseServer server : context.state().registry().knownServersOf(service)) {
-            if (server.hasLeft()) {
+            if (!server.hasLeft()) {
+                proven.remove(server.id());
+            } else if (primaryChanged) {
                 proven.add(server.id());
             }
         }
--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -178,9 +178,8 @@
     @Override
     public void onCompleted(PrimaryMove move, PrimaryRecord record) {
         moves.remove(move.service());
-        if (!record.primary().equals(move.record().primary())) {
-            context.departures().onPrimaryChanged(move.service());
-        }
+        boolean primaryChanged = !record.primary().equals(move.record().primary());
+        context.departures().onMoveCompleted(move.service(), primaryChanged);
         context.storeRecord(record);
         state.peerUpdates().request();
         if (record.replicationPaused()) {
