--- a/src/main/java/dillfront/common/protocol/PrimaryRecord.java
+++ b/src/main/java/dillfront/common/protocol/PrimaryRecord.java
@@ -84,7 +84,7 @@
                 acceptedLoss);
     }
 
-    /** Returns the record of the same move after which the old primary's commits do not count. */
+    /** Returns the record of the same move that ends the drain of open transactions. */
     public PrimaryRecord endTransactionDrain(long nextNumber) {
         return renumbered(nextNumber);
     }
--- a/src/main/java/dillfront/common/protocol/ServerRow.java
+++ b/src/main/java/dillfront/common/protocol/ServerRow.java
@@ -29,6 +29,9 @@
     /** The age of a drain whose start is unknown. */
     public static final long UNKNOWN_AGE = -1;
 
+    /** Bound of the age of a drain; no drain lasts as long. */
+    public static final long MAX_DRAIN_AGE_MS = 3_600_000;
+
     private static final String ID = "i";
     private static final String SERVICE = "v";
     private static final String ADDRESS = "a";
@@ -55,6 +58,18 @@
         return role.equals(PRIMARY_ROLE);
     }
 
+    /**
+     * Returns how long ago the drain of a row began, also if the row has no age, as from a server
+     * itself or from an earlier version: a drain of a server that was known as ready begins now,
+     * and any other may have begun at any time, at most {@link #MAX_DRAIN_AGE_MS} ago.
+     */
+    public long drainAgeMillis(boolean knownAsReady) {
+        if (drainAgeMillis >= 0) {
+            return drainAgeMillis;
+        }
+        return knownAsReady ? 0 : MAX_DRAIN_AGE_MS;
+    }
+
     /** Returns the fields of the row in a message. */
     public Map<String, Object> toFields() {
         Map<String, Object> fields = new LinkedHashMap<>();
--- a/src/main/java/dillfront/controlplane/failover/ServerStatus.java
+++ b/src/main/java/dillfront/common/protocol/ServerStatus.java
@@ -1,7 +1,6 @@
-package dillfront.controlplane.failover;
+package dillfront.common.protocol;
 
 import dillfront.common.database.LogPosition;
-import dillfront.common.protocol.ServerRow;
 
 /**
  * A database server's answer to STATUS.
@@ -12,21 +11,23 @@
  * @param pauseTerm the term of the PAUSE command under which the server does not receive; 0 if the
  *     server receives
  */
-record ServerStatus(String role, long term, LogPosition position, long pauseTerm) {
+public record ServerStatus(String role, long term, LogPosition position, long pauseTerm) {
 
     private static final int MIN_FIELDS = 4;
     private static final String NO_LOG = "-";
 
-    boolean isPrimary() {
+    /** Returns whether the server accepts writes. */
+    public boolean isPrimary() {
         return role.equals(ServerRow.PRIMARY_ROLE);
     }
 
-    boolean isPaused() {
+    /** Returns whether the server receives nothing because of a PAUSE command. */
+    public boolean isPaused() {
         return pauseTerm != 0;
     }
 
     /** Returns a term above all terms known to the server. */
-    long nextTerm() {
+    public long nextTerm() {
         return Math.max(Math.max(term, pauseTerm), position.term()) + 1;
     }
 
@@ -35,7 +36,7 @@
      *
      * @return null if the row is not a status
      */
-    static ServerStatus parse(String row) {
+    public static ServerStatus parse(String row) {
         String[] fields = row.split(" ");
         if (fields.length < MIN_FIELDS) {
             return null;
--- a/src/main/java/dillfront/controlplane/failover/CommitCoverage.java
+++ b/src/main/java/dillfront/controlplane/failover/CommitCoverage.java
@@ -3,6 +3,7 @@
 import dillfront.common.config.Configuration;
 import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,15 +66,11 @@
      * data planes report are no proof. The log of a primary that stepped down is one.
      */
     private boolean hasUnprovenDeparture(LogPosition logEnd) {
-        if (isLossAccepted() || move.finalPosition != null && logEnd.covers(move.finalPosition)) {
+        if (move.finalPosition != null && logEnd.covers(move.finalPosition)) {
             return false;
         }
-        for (DatabaseServer server : context.state().registry().knownServersOf(move.service())) {
-            if (isUnprovenDeparture(server, logEnd)) {
-                return true;
-            }
-        }
-        return false;
+        return context.state().registry().knownServersOf(move.service()).stream()
+                .anyMatch(server -> isUnprovenDeparture(server, logEnd));
     }
 
     private boolean isUnprovenDeparture(DatabaseServer server, LogPosition logEnd) {
@@ -81,15 +78,10 @@
         return server.hasLeft()
                 && !server.id().equals(move.record.primary())
                 && !context.departures().isProven(server)
+                && !move.isLossAccepted()
                 && (stopped == null || !logEnd.covers(stopped.position()));
     }
 
-    /** Returns whether an operator accepted in this move that commits are lost. */
-    private boolean isLossAccepted() {
-        return move.record.acceptedLoss() != null
-                && move.record.acceptedLoss().moveNumber() == move.record.moveNumber();
-    }
-
     /** Returns whether the service acknowledges a commit only after a replica has received it. */
     private boolean replicatesSynchronously() {
         Configuration.Service service =
@@ -111,19 +103,10 @@
     private boolean isMissing(DatabaseServer server, LogPosition logEnd) {
         ServerStatus stopped = move.stoppedStatuses.get(server.id());
         if (stopped == null) {
-            return !hasEnded(server) || isUnprovenDeparture(server, logEnd) && !isLossAccepted();
+            // The data planes know of a departure once the server has ended, and the lower bound
+            // covers what they had acknowledged before.
+            return !context.hasEnded(server) || isUnprovenDeparture(server, logEnd);
         }
         return !logEnd.covers(stopped.position());
     }
-
-    /**
-     * Returns whether the server left long enough ago. The data planes know of its departure by
-     * then, and the lower bound covers what they had acknowledged before.
-     */
-    private boolean hasEnded(DatabaseServer server) {
-        return server.hasLeft()
-                && context.now() - server.departureMillis()
-                        >= AcknowledgedCommits.DEPARTURE_HEARTBEAT_INTERVALS
-                                * context.heartbeatIntervalMillis();
-    }
 }
--- a/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
@@ -1,8 +1,8 @@
 package dillfront.controlplane.failover;
 
-import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
 import dillfront.common.protocol.PrimaryRecord;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.ArrayList;
@@ -68,7 +68,7 @@
             if (server.id().equals(record.primary())) {
                 continue;
             }
-            if (server.hasLeft() && !context.departures().isProven(server) && hasEnded(server)) {
+            if (context.hasEnded(server) && !context.departures().isProven(server)) {
                 departed.add(server);
             } else if (server.isDraining() && mayBePaused(server)) {
                 draining.add(server);
@@ -92,13 +92,6 @@
         return server.drainAgeMillis(context.now()) >= context.state().settings().drainMillis();
     }
 
-    /** Returns whether the server receives nothing any more. */
-    private boolean hasEnded(DatabaseServer server) {
-        return context.now() - server.departureMillis()
-                >= AcknowledgedCommits.DEPARTURE_HEARTBEAT_INTERVALS
-                        * context.heartbeatIntervalMillis();
-    }
-
     private CompletableFuture<Void> check(
             PrimaryRecord record,
             DatabaseServer primary,
@@ -110,18 +103,22 @@
                         ? CompletableFuture.completedFuture(null)
                         : logEnd(primary, ServerStatus::isPrimary);
         return primaryLogEnd.thenCompose(
-                primaryEnd ->
-                        longestStayingLog(record)
-                                .thenCompose(
-                                        longest -> {
-                                            if (primaryEnd != null && covers(longest, primaryEnd)) {
-                                                departed.forEach(
-                                                        server ->
-                                                                context.departures()
-                                                                        .add(server.id()));
-                                            }
-                                            return pauseAll(record, draining, longest);
-                                        }));
+                primaryEnd -> compare(record, primaryEnd, draining, departed));
+    }
+
+    private CompletableFuture<Void> compare(
+            PrimaryRecord record,
+            LogPosition primaryEnd,
+            List<DatabaseServer> draining,
+            List<DatabaseServer> departed) {
+        return longestStayingLog(record)
+                .thenCompose(
+                        longest -> {
+                            if (primaryEnd != null && covers(longest, primaryEnd)) {
+                                departed.forEach(server -> context.departures().add(server.id()));
+                            }
+                            return pauseAll(record, draining, longest);
+                        });
     }
 
     private static boolean covers(LogPosition log, LogPosition position) {
--- a/src/main/java/dillfront/controlplane/failover/FailoverContext.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverContext.java
@@ -1,7 +1,9 @@
 package dillfront.controlplane.failover;
 
+import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.environment.Environment;
 import dillfront.common.protocol.PrimaryRecord;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.FencingTokens;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.peer.PeerState;
@@ -141,6 +143,17 @@
         return server != null && !server.hasLeft();
     }
 
+    /**
+     * Returns whether the server left long enough ago to receive nothing any more, and for the data
+     * planes to know of its departure.
+     */
+    boolean hasEnded(DatabaseServer server) {
+        return server.hasLeft()
+                && now() - server.departureMillis()
+                        >= AcknowledgedCommits.DEPARTURE_HEARTBEAT_INTERVALS
+                                * heartbeatIntervalMillis();
+    }
+
     CompletableFuture<ServerStatus> queryStatus(DatabaseServer server, long timeoutMillis) {
         return query(server, timeoutMillis, null);
     }
--- a/src/main/java/dillfront/controlplane/failover/MoveQueries.java
+++ b/src/main/java/dillfront/controlplane/failover/MoveQueries.java
@@ -1,5 +1,6 @@
 package dillfront.controlplane.failover;
 
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.Map;
 import java.util.TreeMap;
--- a/src/main/java/dillfront/controlplane/failover/MoveState.java
+++ b/src/main/java/dillfront/controlplane/failover/MoveState.java
@@ -1,8 +1,10 @@
 package dillfront.controlplane.failover;
 
+import dillfront.common.database.AcceptedDataLoss;
 import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
 import dillfront.common.protocol.PrimaryRecord;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.primary.AcknowledgedCommitsTable;
 import dillfront.controlplane.primary.MissingCommits;
@@ -133,6 +135,12 @@
         return !planned || pausesReplicas;
     }
 
+    /** Returns whether an operator accepted in this move that commits are lost. */
+    boolean isLossAccepted() {
+        AcceptedDataLoss loss = record.acceptedLoss();
+        return loss != null && loss.moveNumber() == record.moveNumber();
+    }
+
     /** Discards the statuses, so that all servers are stopped and queried again. */
     void restartStopping() {
         stoppedStatuses.clear();
--- a/src/main/java/dillfront/controlplane/failover/PrimaryMonitor.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMonitor.java
@@ -1,6 +1,7 @@
 package dillfront.controlplane.failover;
 
 import dillfront.common.protocol.PrimaryRecord;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.primary.PrimaryObservation;
 import dillfront.controlplane.registry.DatabaseServer;
--- a/src/main/java/dillfront/controlplane/failover/ReplicaResumer.java
+++ b/src/main/java/dillfront/controlplane/failover/ReplicaResumer.java
@@ -1,6 +1,7 @@
 package dillfront.controlplane.failover;
 
 import dillfront.common.protocol.PrimaryRecord;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.Map;
 import java.util.TreeMap;
--- a/src/main/java/dillfront/controlplane/failover/ReplicationStopper.java
+++ b/src/main/java/dillfront/controlplane/failover/ReplicationStopper.java
@@ -1,7 +1,7 @@
 package dillfront.controlplane.failover;
 
-import dillfront.common.database.AcceptedDataLoss;
 import dillfront.common.database.LogPosition;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.primary.MissingCommits;
 import dillfront.controlplane.registry.DatabaseServer;
@@ -242,10 +242,8 @@
      * replica is in contact again.
      */
     private boolean isExcludedByOperator(DatabaseServer replica) {
-        AcceptedDataLoss loss = move.record.acceptedLoss();
-        return loss != null
-                && loss.moveNumber() == move.record.moveNumber()
-                && loss.unreachableServers().contains(replica.id())
+        return move.isLossAccepted()
+                && move.record.acceptedLoss().unreachableServers().contains(replica.id())
                 && context.hasMissedHeartbeats(replica);
     }
 
--- a/src/main/java/dillfront/controlplane/failover/ServerQuery.java
+++ b/src/main/java/dillfront/controlplane/failover/ServerQuery.java
@@ -4,6 +4,7 @@
 import dillfront.common.database.ServerResponseReader.ProtocolViolationException;
 import dillfront.common.database.ServerResponseReader.ServerResponse;
 import dillfront.common.environment.Environment;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/dillfront/controlplane/failover/SuccessorSelector.java
+++ b/src/main/java/dillfront/controlplane/failover/SuccessorSelector.java
@@ -2,6 +2,7 @@
 
 import dillfront.common.database.AcknowledgedCommits;
 import dillfront.common.database.LogPosition;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.primary.MissingCommits;
 import dillfront.controlplane.registry.DatabaseServer;
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -14,9 +14,6 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
     private static final long NOT_RECORDED = Long.MAX_VALUE / 2;
 
-    /** Bound of the reported age of a drain; no drain lasts as long. */
-    private static final long MAX_DRAIN_AGE_MS = 3_600_000;
-
     private final String id;
     private final String service;
 
@@ -136,7 +133,8 @@
     public long drainAgeMillis(long nowMillis) {
         return drainingSinceMillis == NOT_RECORDED
                 ? UNKNOWN
-                : Math.min(MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis));
+                : Math.min(
+                        ServerRow.MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis));
     }
 
     /** Returns whether the server reported that it accepts writes. */
@@ -229,8 +227,11 @@
     boolean merge(ServerRow row, boolean acceptsOlderState, long nowMillis) {
         boolean changed = false;
         boolean announced = row.state().isAfter(ServerState.READY) && !leftUnannounced(row);
-        if (announced) {
-            recordDrain(drainStartMillis(row, nowMillis));
+        // A row without an age says nothing about a drain whose start is recorded.
+        boolean knowsLess = drainingSinceMillis != NOT_RECORDED && row.drainAgeMillis() < 0;
+        if (announced && !knowsLess) {
+            boolean knownAsReady = address != null && state == ServerState.READY;
+            recordDrain(nowMillis - row.drainAgeMillis(knownAsReady));
         }
         if (row.callSequence() >= callSequence || address == null) {
             callSequence = Math.max(callSequence, row.callSequence());
@@ -251,22 +252,6 @@
         return row.state() == ServerState.LEFT && row.drainAgeMillis() < 0;
     }
 
-    /**
-     * Returns when the drain of a row began. Without an age in the row, a recorded time stays, a
-     * drain of a server that was known as ready begins now, and any other may have begun at any
-     * time.
-     */
-    private long drainStartMillis(ServerRow row, long nowMillis) {
-        if (row.drainAgeMillis() >= 0) {
-            return nowMillis - row.drainAgeMillis();
-        }
-        if (drainingSinceMillis != NOT_RECORDED) {
-            return drainingSinceMillis;
-        }
-        boolean wasReady = address != null && state == ServerState.READY;
-        return wasReady ? nowMillis : NEVER;
-    }
-
     // ---- stored form
 
     String encode() {
--- a/src/main/java/dillfront/dataplane/ClientSession.java
+++ b/src/main/java/dillfront/dataplane/ClientSession.java
@@ -42,8 +42,8 @@
     private final SessionMemory memory;
     private final ArrayDeque<String> pipelinedLines = new ArrayDeque<>();
 
-    /** The bytes of the waiting lines. */
-    private long pipelinedBytes;
+    /** The memory of the lines that wait behind a running statement. */
+    private final MemoryReservation pipelinedMemory;
 
     private Environment.Connection clientConnection;
 
@@ -79,6 +79,7 @@
     ClientSession(DataPlaneNode node) {
         this.node = node;
         memory = new SessionMemory(node.memory());
+        pipelinedMemory = new MemoryReservation(node.memory());
     }
 
     // ---- state for the executions
@@ -137,18 +138,16 @@
 
     /** Reserves the memory of a line that has to wait; returns whether there is enough. */
     private boolean queue(long bytes) {
-        if (!memory.tryReserve(bytes)) {
+        if (!pipelinedMemory.tryAdd(bytes)) {
             return false;
         }
-        pipelinedBytes += bytes;
-        clientConnection.setReading(pipelinedBytes <= MAX_READ_AHEAD_BYTES);
+        clientConnection.setReading(pipelinedMemory.bytes() <= MAX_READ_AHEAD_BYTES);
         return true;
     }
 
     private String nextLine() {
-        if (pipelinedBytes > 0 && pipelinedLines.size() == 1) {
-            memory.release(pipelinedBytes);
-            pipelinedBytes = 0;
+        if (pipelinedMemory.bytes() > 0 && pipelinedLines.size() == 1) {
+            pipelinedMemory.releaseAll();
             clientConnection.setReading(true);
         }
         return pipelinedLines.poll();
@@ -366,7 +365,7 @@
     private void run(StatementExecution statement) {
         runningStatement = statement;
         hasRunOperation = true;
-        if (!statement.reserveMemory(memory)) {
+        if (!statement.reserveMemory()) {
             refuse(statement, NO_MEMORY_RETRY_AFTER_MS);
             return;
         }
@@ -427,7 +426,6 @@
 
     private void finish(StatementExecution statement) {
         statement.finish();
-        statement.releaseMemory(memory);
         runningStatement = null;
     }
 
@@ -518,6 +516,7 @@
             endTransaction();
         }
         memory.releaseAll();
+        pipelinedMemory.releaseAll();
         node.onSessionClosed(this);
     }
 
--- a/src/main/java/dillfront/dataplane/CommitConfirmation.java
+++ b/src/main/java/dillfront/dataplane/CommitConfirmation.java
@@ -1,5 +1,7 @@
 package dillfront.dataplane;
 
+import dillfront.common.database.LogPosition;
+import dillfront.common.protocol.ServerStatus;
 import java.util.function.Consumer;
 
 /**
@@ -27,16 +29,19 @@
     private final StatementExecution statement;
     private final ServerPool server;
     private final ServerConnection connection;
+    private final LogPosition requestPosition;
     private final QueryResult commit;
     private final Consumer<Outcome> onOutcome;
 
     private CommitConfirmation(
             StatementExecution statement,
             ServerConnection connection,
+            LogPosition requestPosition,
             QueryResult commit,
             Consumer<Outcome> onOutcome) {
         this.statement = statement;
         this.connection = connection;
+        this.requestPosition = requestPosition;
         this.commit = commit;
         this.onOutcome = onOutcome;
         server = connection.pool;
@@ -44,22 +49,27 @@
 
     /**
      * Confirms a completed commit, at once while the server is certain to be the primary. The
-     * connection remains the statement's until then, so that its time-out applies.
+     * connection remains the statement's until then, so that its time-out applies. A confirmed
+     * commit is recorded as acknowledged.
      *
+     * @param requestPosition the last known log position when the commit was sent
      * @param onOutcome called once
      */
     static void await(
             StatementExecution statement,
             ServerConnection connection,
+            LogPosition requestPosition,
             QueryResult commit,
             Consumer<Outcome> onOutcome) {
+        CommitConfirmation confirmation =
+                new CommitConfirmation(statement, connection, requestPosition, commit, onOutcome);
         if (connection.pool.service.mayAcknowledgeCommitsOf(connection.pool)) {
-            onOutcome.accept(Outcome.CONFIRMED);
+            confirmation.finish(Outcome.CONFIRMED);
             return;
         }
         statement.node.counters.unconfirmedCommits++;
         statement.connection = connection;
-        new CommitConfirmation(statement, connection, commit, onOutcome).check();
+        confirmation.check();
     }
 
     private void check() {
@@ -76,12 +86,12 @@
     }
 
     /** The server may have lost the lead meanwhile, and gained it again in a later term. */
-    private void onStatus(QueryResult status) {
+    private void onStatus(QueryResult result) {
         if (!statement.isActive()) {
             finish(Outcome.ABANDONED);
-        } else if (status.hasFailedWith(ServerError.BUSY)) {
+        } else if (result.hasFailedWith(ServerError.BUSY)) {
             server.service.addWaiter(this::check);
-        } else if (!leadsSinceCommit(status)) {
+        } else if (!leadsSinceCommit(result.serverStatus())) {
             finish(Outcome.UNCERTAIN);
         } else if (server.service.mayAcknowledgeCommitsOf(server)) {
             finish(Outcome.CONFIRMED);
@@ -90,12 +100,18 @@
         }
     }
 
-    private boolean leadsSinceCommit(QueryResult status) {
-        return commit.position() != null && status.primaryTerm() == commit.position().term();
+    private boolean leadsSinceCommit(ServerStatus status) {
+        return status != null
+                && status.isPrimary()
+                && commit.position() != null
+                && status.term() == commit.position().term();
     }
 
     private void finish(Outcome outcome) {
         statement.connection = null;
+        if (outcome == Outcome.CONFIRMED) {
+            server.service.onAcknowledged(server, requestPosition, commit.position());
+        }
         onOutcome.accept(outcome);
     }
 }
--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -54,9 +54,6 @@
     /** The same for a source that reported its isolation from the majority. */
     private static final long ISOLATED_COOLDOWN_MS = 2_000;
 
-    /** The age of a drain that began at an unknown time: longer than any drain lasts. */
-    private static final long UNKNOWN_DRAIN_AGE_MS = 3_600_000;
-
     private static final String ISOLATED_REASON = "alone";
     private static final long UNSET = -1;
 
@@ -426,19 +423,8 @@
         if (row.state() == ServerState.LEFT) {
             service.removeServer(server);
         } else if (!server.draining && row.state() != ServerState.READY) {
-            server.startDraining(drainAgeMillis(row, known));
-        }
-    }
-
-    /**
-     * Returns how long ago a drain began. Without an age, as from an earlier version, a drain of a
-     * known server begins now, and any other one may be over.
-     */
-    private static long drainAgeMillis(ServerRow row, boolean known) {
-        if (row.drainAgeMillis() >= 0) {
-            return row.drainAgeMillis();
+            server.startDraining(row.drainAgeMillis(known));
         }
-        return known ? 0 : UNKNOWN_DRAIN_AGE_MS;
     }
 
     private void applyRecord(PrimaryRecord record) {
--- a/src/main/java/dillfront/dataplane/QueryResult.java
+++ b/src/main/java/dillfront/dataplane/QueryResult.java
@@ -2,6 +2,7 @@
 
 import dillfront.common.database.LogPosition;
 import dillfront.common.database.ServerResponseReader.ServerResponse;
+import dillfront.common.protocol.ServerStatus;
 import java.util.List;
 
 /**
@@ -23,8 +24,6 @@
 
     static final char IDLE = 'I';
     static final char IN_TRANSACTION = 'T';
-    private static final String PRIMARY_STATUS_PREFIX = "primary ";
-    private static final long NO_TERM = -1;
 
     /** How the statement ended. */
     enum Outcome {
@@ -69,22 +68,15 @@
         return transactionStatus == IDLE;
     }
 
-    /** Returns whether this is the response of a primary to STATUS. */
-    boolean isPrimaryStatus() {
-        return isCompleted() && !rows.isEmpty() && rows.get(0).startsWith(PRIMARY_STATUS_PREFIX);
+    /** Returns the status in the response to STATUS; null if there is none. */
+    ServerStatus serverStatus() {
+        return isCompleted() && !rows.isEmpty() ? ServerStatus.parse(rows.get(0)) : null;
     }
 
-    /** Returns the term in the response of a primary to STATUS; -1 if there is none. */
-    long primaryTerm() {
-        if (!isPrimaryStatus()) {
-            return NO_TERM;
-        }
-        String[] fields = rows.get(0).split(" ");
-        try {
-            return Long.parseLong(fields[1]);
-        } catch (NumberFormatException malformed) {
-            return NO_TERM;
-        }
+    /** Returns whether this is the response of a primary to STATUS. */
+    boolean isPrimaryStatus() {
+        ServerStatus status = serverStatus();
+        return status != null && status.isPrimary();
     }
 
     /** Returns whether the server responded with this error code. */
--- a/src/main/java/dillfront/dataplane/ServerConnection.java
+++ b/src/main/java/dillfront/dataplane/ServerConnection.java
@@ -52,14 +52,15 @@
     private Environment.Connection socket;
     private boolean closed;
 
-    /** The reserved bytes of the response that is being received. */
-    private long responseBytes;
+    /** The memory of the large lines of the response that is being received. */
+    private final MemoryReservation responseMemory;
 
     /** The status in the last response. */
     private char lastTransactionStatus = QueryResult.IDLE;
 
     ServerConnection(ServerPool pool) {
         this.pool = pool;
+        responseMemory = new MemoryReservation(pool.node.memory());
     }
 
     private long now() {
@@ -247,27 +248,10 @@
 
     // ---- responses
 
-    /** Accounts for a large line until its response is complete; returns whether it fits. */
-    private boolean reserve(long bytes) {
-        if (bytes <= MemoryBudget.SMALL_BYTES) {
-            return true;
-        }
-        if (!pool.node.memory().tryReserve(bytes)) {
-            return false;
-        }
-        responseBytes += bytes;
-        return true;
-    }
-
-    private void releaseResponse() {
-        pool.node.memory().release(responseBytes);
-        responseBytes = 0;
-    }
-
     @Override
     public void onMessage(byte[] line) {
         pool.onResponse();
-        if (!reserve(line.length)) {
+        if (!responseMemory.tryAddLarge(line.length)) {
             abort("response exceeds the memory");
             return;
         }
@@ -288,7 +272,7 @@
         if (response == null) {
             return;
         }
-        releaseResponse();
+        responseMemory.releaseAll();
         lastTransactionStatus = response.transactionStatus();
         pool.knownPosition = LogPosition.max(pool.knownPosition, response.logPosition());
         if (wasConnected) {
@@ -333,7 +317,7 @@
             return;
         }
         closed = true;
-        releaseResponse();
+        responseMemory.releaseAll();
         boolean wasConnected = responses.isConnected();
         if (!wasConnected) {
             pool.connectsInProgress--;
--- a/src/main/java/dillfront/dataplane/SessionMemory.java
+++ b/src/main/java/dillfront/dataplane/SessionMemory.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 
-/** The bytes that one session has reserved of the process's {@link MemoryBudget}. */
+/** Bounds the values and prepared statements of one session by the {@link MemoryBudget}. */
 final class SessionMemory {
 
     /** Whether an entry was stored. */
@@ -20,24 +20,21 @@
     /** No client can send a larger message, so one entry of this size must fit. */
     private static final long MAX_MESSAGE_BYTES = 1 << 20;
 
-    private final MemoryBudget budget;
-    private long reservedBytes;
+    private final MemoryReservation reservation;
+    private final long maxBytes;
 
     SessionMemory(MemoryBudget budget) {
-        this.budget = budget;
-    }
-
-    private long maxBytes() {
-        return Math.max(MAX_MESSAGE_BYTES, budget.limitBytes() / MAX_SESSION_DIVISOR);
+        reservation = new MemoryReservation(budget);
+        maxBytes = Math.max(MAX_MESSAGE_BYTES, budget.limitBytes() / MAX_SESSION_DIVISOR);
     }
 
     /** Stores an entry if it fits; the entry that it replaces is released. */
     Result put(Map<String, String> entries, String name, String value) {
         long growth = size(name, value) - size(name, entries.get(name));
-        if (growth > 0 && reservedBytes + growth > maxBytes()) {
+        if (growth > 0 && reservation.bytes() + growth > maxBytes) {
             return Result.SESSION_FULL;
         }
-        if (!tryReserve(growth)) {
+        if (!reservation.tryAdd(growth)) {
             return Result.PROCESS_FULL;
         }
         entries.put(name, value);
@@ -47,27 +44,13 @@
     /** Removes an entry; returns its value, null if there was none. */
     String remove(Map<String, String> entries, String name) {
         String removed = entries.remove(name);
-        release(size(name, removed));
+        reservation.release(size(name, removed));
         return removed;
     }
 
-    /** Reserves the bytes of a line or statement, and returns whether they fit. */
-    boolean tryReserve(long bytes) {
-        if (!budget.tryReserve(bytes)) {
-            return false;
-        }
-        reservedBytes += bytes;
-        return true;
-    }
-
-    void release(long bytes) {
-        reservedBytes -= bytes;
-        budget.release(bytes);
-    }
-
     /** Releases all, because the session is closed. */
     void releaseAll() {
-        release(reservedBytes);
+        reservation.releaseAll();
     }
 
     private static long size(String name, String value) {
--- a/src/main/java/dillfront/dataplane/StatementExecution.java
+++ b/src/main/java/dillfront/dataplane/StatementExecution.java
@@ -37,7 +37,7 @@
     private final String preparedDefinition;
 
     private final boolean writes;
-    private long reservedBytes;
+    private final MemoryReservation memory = new MemoryReservation(node.memory());
     private Environment.Timer timeout;
 
     /** The registered waiter for a change of the service; null if there is none. */
@@ -100,20 +100,8 @@
      * Reserves the memory of a large statement, and returns whether there is enough. A small one
      * needs no reservation: it would be refused for the memory of others.
      */
-    boolean reserveMemory(SessionMemory memory) {
-        long bytes = (long) COPIES_OF_TEXT * clientStatement.length();
-        if (bytes > MemoryBudget.SMALL_BYTES) {
-            if (!memory.tryReserve(bytes)) {
-                return false;
-            }
-            reservedBytes = bytes;
-        }
-        return true;
-    }
-
-    void releaseMemory(SessionMemory memory) {
-        memory.release(reservedBytes);
-        reservedBytes = 0;
+    boolean reserveMemory() {
+        return memory.tryAddLarge((long) COPIES_OF_TEXT * clientStatement.length());
     }
 
     /** Starts the time-out of the statement. */
@@ -122,9 +110,10 @@
         timeout = node.environment.schedule(Math.max(1, replyDeadlineMillis - now()), onTimeout);
     }
 
-    /** Marks the statement as finished; cancels its timer and its waiter. */
+    /** Marks the statement as finished; releases its memory, its timer and its waiter. */
     void finish() {
         finished = true;
+        memory.releaseAll();
         if (timeout != null) {
             timeout.cancel();
         }
@@ -228,28 +217,25 @@
                 deadlineMillis(),
                 result -> {
                     connection = null;
-                    if (result.isCompleted() && writes) {
-                        updateSlowdown(server, sentMillis);
+                    if (!result.isCompleted()) {
+                        returnConnection(serverConnection, result);
+                        if (isActive()) {
+                            onFailed(server, result);
+                        }
+                        return;
+                    }
+                    server.decayLagBackoff();
+                    updateSlowdown(server, sentMillis);
+                    if (writes) {
                         CommitConfirmation.await(
                                 this,
                                 serverConnection,
+                                requestPosition,
                                 result,
                                 outcome ->
-                                        onWritten(
-                                                serverConnection,
-                                                sentMillis,
-                                                requestPosition,
-                                                result,
-                                                outcome));
-                        return;
-                    }
-                    if (result.isCompleted()) {
-                        onRead(server, serverConnection, sentMillis, confirmedWhenSent, result);
-                        return;
-                    }
-                    returnConnection(serverConnection, result);
-                    if (isActive()) {
-                        onFailed(server, result);
+                                        onWritten(serverConnection, sentMillis, result, outcome));
+                    } else {
+                        onRead(serverConnection, sentMillis, confirmedWhenSent, result);
                     }
                 });
     }
@@ -262,17 +248,14 @@
      *     the primary since may have run the read before it had them
      */
     private void onRead(
-            ServerPool server,
             ServerConnection serverConnection,
             long sentMillis,
             boolean confirmedWhenSent,
             QueryResult result) {
-        server.decayLagBackoff();
         if (confirmedWhenSent) {
             service().primaryPositions.onPrimaryPosition(result.position(), sentMillis);
         }
         returnConnection(serverConnection, result);
-        updateSlowdown(server, sentMillis);
         if (isActive()) {
             session.complete(this, result);
         }
@@ -281,11 +264,9 @@
     private void onWritten(
             ServerConnection serverConnection,
             long sentMillis,
-            LogPosition requestPosition,
             QueryResult result,
             CommitConfirmation.Outcome outcome) {
         if (outcome == CommitConfirmation.Outcome.CONFIRMED) {
-            service().onAcknowledged(serverConnection.pool, requestPosition, result.position());
             service().primaryPositions.onPrimaryPosition(result.position(), sentMillis);
         }
         returnConnection(serverConnection, result);
--- a/src/main/java/dillfront/dataplane/Transaction.java
+++ b/src/main/java/dillfront/dataplane/Transaction.java
@@ -243,15 +243,9 @@
                         CommitConfirmation.await(
                                 statement,
                                 serverConnection,
+                                requestPosition,
                                 result,
-                                outcome ->
-                                        onCommitted(
-                                                statement,
-                                                serverConnection,
-                                                sentMillis,
-                                                requestPosition,
-                                                result,
-                                                outcome));
+                                outcome -> onCommitted(statement, sentMillis, result, outcome));
                         return;
                     }
                     if (!statement.isActive() || !session.isCurrentTransaction(this)) {
@@ -289,14 +283,9 @@
 
     private void onCommitted(
             StatementExecution statement,
-            ServerConnection serverConnection,
             long sentMillis,
-            LogPosition requestPosition,
             QueryResult result,
             CommitConfirmation.Outcome outcome) {
-        if (outcome == CommitConfirmation.Outcome.CONFIRMED) {
-            service().onAcknowledged(serverConnection.pool, requestPosition, result.position());
-        }
         if (!statement.isActive() || !session.isCurrentTransaction(this)) {
             return;
         }
--- a/src/test/java/dillfront/controlplane/DrainAgeReplicationTest.java
+++ b/src/test/java/dillfront/controlplane/DrainAgeReplicationTest.java
@@ -12,7 +12,7 @@
 
 /**
  * The age of a drain travels with the row of the server. Guards against a process that counts a
- * drain from when it heard of it (DRAIN).
+ * drain from when it learned of it (DRAIN).
  */
 class DrainAgeReplicationTest {
 
@@ -40,7 +40,7 @@
     }
 
     @Test
-    void tellsTheAgeOfADrain() throws Exception {
+    void sendsAgeOfDrain() throws Exception {
         drain();
         nowMillis += 4_500;
         second.merge(rowOf(first), 0);
@@ -61,7 +61,7 @@
         second.merge(row(ServerState.READY, 1), 0);
         drain();
         nowMillis += 2_000;
-        // The second process hears the server itself before it hears of the first call.
+        // The second process receives a heartbeat before the row of the first process.
         second.merge(row(ServerState.DRAINING, 3), 0);
         assertEquals(0, rowOf(second).drainAgeMillis());
         second.merge(rowOf(first), 0);
@@ -69,12 +69,12 @@
     }
 
     @Test
-    void tellsNoAgeOfReadyServer() throws Exception {
+    void sendsNoAgeOfReadyServer() throws Exception {
         first.merge(row(ServerState.READY, 1), nowMillis);
         assertEquals(ServerRow.UNKNOWN_AGE, rowOf(first).drainAgeMillis());
     }
 
-    /** A process that restarts, or hears of a server first, cannot tell when the drain began. */
+    /** A process that restarts, or first learns of a server by a drain, has no start of it. */
     @Test
     void takesUnknownAgeAsLong() throws Exception {
         first.restore(Map.of("server:i-1", "db\n10.0.0.9:80\nz\ndraining\nprimary\n2"), nowMillis);
--- a/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
+++ b/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
@@ -7,6 +7,7 @@
 import dillfront.common.environment.ScriptedEnvironment;
 import dillfront.common.protocol.ServerRow;
 import dillfront.common.protocol.ServerState;
+import dillfront.common.protocol.ServerStatus;
 import dillfront.controlplane.SingleNode;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.registry.DatabaseServer;
