--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -122,6 +122,10 @@
         context.startLease(number);
         moves.clear();
         serviceMonitors.clear();
+        if (number != 0) {
+            // The peers answer at once, so that the records of earlier holders are known soon.
+            state.peerUpdates().request();
+        }
     }
 
     /**
@@ -178,8 +182,9 @@
     @Override
     public void onCompleted(PrimaryMove move, PrimaryRecord record) {
         moves.remove(move.service());
-        boolean primaryChanged = !record.primary().equals(move.record().primary());
-        context.departures().onMoveCompleted(move.service(), primaryChanged);
+        if (!record.primary().equals(move.record().primary())) {
+            context.departures().onPrimaryReplaced(move.service());
+        }
         context.storeRecord(record);
         state.peerUpdates().request();
         if (record.replicationPaused()) {
