--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -122,10 +122,6 @@
         context.startLease(number);
         moves.clear();
         serviceMonitors.clear();
-        if (number != 0) {
-            // The peers answer at once, so that the records of earlier holders are known soon.
-            state.peerUpdates().request();
-        }
     }
 
     /**
@@ -182,9 +178,8 @@
     @Override
     public void onCompleted(PrimaryMove move, PrimaryRecord record) {
         moves.remove(move.service());
-        if (!record.primary().equals(move.record().primary())) {
-            context.departures().onPrimaryReplaced(move.service());
-        }
+        boolean primaryChanged = !record.primary().equals(move.record().primary());
+        context.departures().onMoveCompleted(move.service(), primaryChanged);
         context.storeRecord(record);
         state.peerUpdates().request();
         if (record.replicationPaused()) {
--- a/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
@@ -5,6 +5,7 @@
 import dillfront.common.protocol.PrimaryRecord;
 import dillfront.controlplane.failover.MoveState.Step;
 import dillfront.controlplane.failover.PlatformClient.PromotionResult;
+import dillfront.controlplane.peer.PeerState;
 import dillfront.controlplane.primary.MissingCommits;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.List;
@@ -35,6 +36,9 @@
     /** Time for open transactions to end before a planned move continues. */
     private static final long DRAIN_TIMEOUT_MS = 900;
 
+    /** Margin added to the trust period of the old primary record. */
+    private static final long CERTAINTY_MARGIN_MS = 100;
+
     /** Delay from the platform's acceptance to the first query of the successor. */
     private static final long FIRST_PRIMARY_QUERY_DELAY_MS = 350;
 
@@ -55,8 +59,6 @@
     private final MoveQueries queries;
     private final ReplicationStopper replicationStopper;
     private final SuccessorSelector successorSelector;
-    private final ReportedPrimary reportedPrimary;
-    private final OldPrimaryTrust trust;
 
     /** Whether servers were queried again after calls of earlier holders were fenced off. */
     private boolean restartedAfterFencing;
@@ -79,8 +81,6 @@
         replicationStopper =
                 new ReplicationStopper(context, state, queries, this::onPrimaryFound, owner::poll);
         successorSelector = new SuccessorSelector(context, state);
-        reportedPrimary = new ReportedPrimary(context);
-        trust = new OldPrimaryTrust(context, record);
     }
 
     String service() {
@@ -105,11 +105,18 @@
         if (!context.mayAct() || !isRecordedByMajority() || state.logEndQueryPending) {
             return;
         }
-        if (reportedPrimary.isPending(state.record, this::onReportConfirmed)
-                || !isActive()
+        DatabaseServer primary = context.server(state.record.primary());
+        DatabaseServer reported = context.reportedPrimary(service());
+        if (reported != null
+                && !reported.id().equals(state.record.primary())
+                && (!FailoverContext.isPresent(primary) || !primary.isPrimary())) {
+            onPrimaryFound(reported.id());
+        }
+        if (!isActive()
                 || state.logEndQueryPending
                 || !state.isPromoting() && mayPlatformStillPromote()) {
-            // The move has ended or may end with the reported primary: no other server is promoted.
+            // The move has ended or is about to end with the reported primary: no other server is
+            // promoted.
             return;
         }
         if (state.formerCallsFenced && !restartedAfterFencing && !state.isPromoting()) {
@@ -118,14 +125,7 @@
             restartedAfterFencing = true;
             state.restartStopping();
         }
-        runStep(context.server(state.record.primary()));
-    }
-
-    private void onReportConfirmed() {
-        if (isActive() && context.isActing()) {
-            onPrimaryFound(reportedPrimary.serverId());
-            owner.poll();
-        }
+        runStep(primary);
     }
 
     private void runStep(DatabaseServer primary) {
@@ -178,7 +178,7 @@
     /** Records that commits of open transactions are not acknowledged any more. */
     private void endTransactionDrain() {
         state.record = state.record.endTransactionDrain(context.nextFencingToken());
-        trust.start(state.record);
+        state.trustEndRecordedMillis = context.now();
         context.storeRecord(state.record);
         context.state().peerUpdates().request();
     }
@@ -201,9 +201,46 @@
                 && context.observation(service(), state.record.primary()).openTransactions() == 0;
     }
 
-    /** Returns whether no data plane acknowledges commits of the old primary any more. */
+    /**
+     * Returns whether no data plane can still trust the old primary: each has confirmed the record,
+     * or its trust has expired. A data plane acknowledges a commit only while it trusts the
+     * primary.
+     */
     private boolean hasNoTrustInOldPrimary() {
-        return trust.hasEnded(state.record);
+        // Trust based on an earlier lease holder's messages ends at most this long after that
+        // holder's lease.
+        long formerTrustEndMillis =
+                Math.max(context.leaseStartMillis(), context.state().lease().formerLeaseEndMillis())
+                        + PrimaryCertainty.MAX_AFTER_LEASE_MS
+                        + CERTAINTY_MARGIN_MS;
+        long latestExpiredMillis =
+                context.now() - PrimaryCertainty.MAX_DURATION_MS - CERTAINTY_MARGIN_MS;
+        if (context.now() < formerTrustEndMillis
+                || state.trustEndRecordedMillis > latestExpiredMillis
+                        && !context.dataPlanes().allHaveRecord(state.record.number())) {
+            return false;
+        }
+        for (PeerState peer : context.state().cluster().peers()) {
+            if (!hasNoTrustAtPeer(peer, latestExpiredMillis)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Returns whether the data planes of a peer no longer trust the old primary. The trust that a
+     * peer passes on derives from its last message to this process and expires with it. The same
+     * applies to messages of the peer's former incarnation, for whose data planes the peer cannot
+     * vouch.
+     */
+    private boolean hasNoTrustAtPeer(PeerState peer, long latestExpiredMillis) {
+        boolean confirmed = peer.acknowledgedMove(service()) >= state.record.number();
+        return (confirmed
+                        || Math.min(peer.lastContactMillis(), state.trustEndRecordedMillis)
+                                <= latestExpiredMillis)
+                && Math.min(peer.previousIncarnationContactMillis(), state.trustEndRecordedMillis)
+                        <= latestExpiredMillis;
     }
 
     // ---- promoting
--- a/src/main/java/dillfront/controlplane/failover/ServerQuery.java
+++ b/src/main/java/dillfront/controlplane/failover/ServerQuery.java
@@ -5,7 +5,6 @@
 import dillfront.common.database.ServerResponseReader.ServerResponse;
 import dillfront.common.environment.Environment;
 import dillfront.common.protocol.ServerStatus;
-import dillfront.controlplane.failover.ServerQueryException.Evidence;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.nio.charset.StandardCharsets;
@@ -65,18 +64,17 @@
                 environment.connect(
                         server.address(), Environment.Framing.LINES, (int) timeoutMillis, query);
         environment.schedule(
-                timeoutMillis,
-                () -> query.fail("no answer in " + timeoutMillis + " ms", Evidence.NONE));
+                timeoutMillis, () -> query.fail("no answer in " + timeoutMillis + " ms", false));
         return query.result;
     }
 
-    private void fail(String message, Evidence evidence) {
+    private void fail(String message, boolean serverAlive) {
         if (!result.isDone()) {
             if (responses.isConnected()) {
                 sendLine("GOODBYE");
             }
             connection.close();
-            result.completeExceptionally(new ServerQueryException(message, evidence));
+            result.completeExceptionally(new ServerQueryException(message, serverAlive));
         }
     }
 
@@ -105,7 +103,7 @@
         try {
             response = responses.read(message);
         } catch (ProtocolViolationException exception) {
-            fail(exception.getMessage(), Evidence.ALIVE);
+            fail(exception.getMessage(), true);
             return;
         }
         if (response == null) {
@@ -116,12 +114,10 @@
             // running there.
             fail(
                     response.errorCode() + " " + response.errorMessage(),
-                    response.errorCode().equals(SERVER_MISMATCH_CODE)
-                            ? Evidence.ENDED
-                            : Evidence.ALIVE);
+                    !response.errorCode().equals(SERVER_MISMATCH_CODE));
         } else if (environment.nowMillis() >= deadlineMillis) {
             // The process was paused, so a command would be based on an outdated decision.
-            fail("answer arrived after the timeout", Evidence.ALIVE);
+            fail("answer arrived after the timeout", true);
         } else if (!wasConnected) {
             sendStatement("STATUS");
         } else {
@@ -135,7 +131,7 @@
 
     private void onStatus(ServerStatus status) {
         if (status == null) {
-            fail("server answer contains no valid status", Evidence.ALIVE);
+            fail("server answer contains no valid status", true);
             return;
         }
         String next = commandSent || command == null ? null : command.apply(status);
@@ -144,7 +140,7 @@
             connection.close();
             result.complete(status);
         } else if (lease.number() != leaseNumber || !lease.isHeld()) {
-            fail("lease lost during the query", Evidence.ALIVE);
+            fail("lease lost during the query", true);
         } else {
             commandSent = true;
             sendStatement(next);
@@ -153,8 +149,6 @@
 
     @Override
     public void onClose(String reason) {
-        boolean refused = reason.equals(Environment.REFUSED);
-        result.completeExceptionally(
-                new ServerQueryException(reason, refused ? Evidence.ENDED : Evidence.NONE));
+        result.completeExceptionally(new ServerQueryException(reason, false));
     }
 }
--- a/src/main/java/dillfront/simulation/system/Simulator.java
+++ b/src/main/java/dillfront/simulation/system/Simulator.java
@@ -331,7 +331,7 @@
                         if (acceptor == null) {
                             Simulator.this.scheduleAfter(
                                     latencyMillis(this, target),
-                                    () -> localEnd.closeWith(Environment.REFUSED));
+                                    () -> localEnd.closeWith("refused"));
                             return;
                         }
                         ConnectionEnd remoteEnd = new ConnectionEnd(target, framing, null);
--- a/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
+++ b/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
@@ -115,10 +115,7 @@
                     error -> {
                         assertEquals(
                                 Boolean.parseBoolean(refusal[1]),
-                                ServerQueryException.showsServerAlive(error));
-                        assertEquals(
-                                !Boolean.parseBoolean(refusal[1]),
-                                ServerQueryException.showsServerEnded(error));
+                                ((ServerQueryException) error).isServerAlive());
                         return null;
                     });
             assertTrue(result.isCompletedExceptionally());
--- a/src/test/java/dillfront/dataplane/DataPlaneHarness.java
+++ b/src/test/java/dillfront/dataplane/DataPlaneHarness.java
@@ -176,9 +176,6 @@
 
         @Override
         public void send(byte[] message) {
-            if (controlSilent) {
-                return;
-            }
             Map<String, Object> response = new HashMap<>();
             boolean delayed = respondsLate;
             try {
@@ -264,9 +261,6 @@
      */
     boolean respondsLate;
 
-    /** Whether the control process answers nothing. */
-    boolean controlSilent;
-
     final List<String> incarnations = new ArrayList<>();
     final DatabaseServerStub serverP = new DatabaseServerStub("p", "10.0.1.1:1");
     final DatabaseServerStub serverR = new DatabaseServerStub("r", "10.0.1.2:1");
@@ -351,8 +345,7 @@
                         ServerState.parse(state),
                         server.isPrimary ? "primary" : "replica",
                         1,
-                        drainAgeMillis,
-                        false));
+                        drainAgeMillis));
         registryVersion++;
     }
 
