A departure is proven only after the replica has ended, and its row keeps the proof

What callers would see: acknowledged commits missing after a promotion (LOST), where the data plane that acknowledged them is lost as well.

Cause: a paused replica that drains counted as proven, and a restart ends the pause; the next lease holder took departures for proven by their age; after a restart of the control plane no proof was asked for at all.

Change: DepartureGuard proves a departure once the replica has ended (no process at its address, or three heartbeats) and a replica that stays has what the primary has then. The proof is a field of the server's row (dp), replicated; announced departures without one are on disk as entries of their own. Why this works: after the end of the replica nothing is acknowledged by way of it, and the primary has all that was.

--- a/src/main/java/dillfront/common/environment/Environment.java
+++ b/src/main/java/dillfront/common/environment/Environment.java
@@ -11,6 +11,9 @@
  */
 public interface Environment {
 
+    /** The reason of a connection that was not opened because no process listens at the address. */
+    String REFUSED = "refused";
+
     /** How messages are delimited in the byte stream of a connection. */
     enum Framing {
         /** Lines that end in CR LF, the protocol of database servers and clients. */
--- a/src/main/java/dillfront/common/environment/NettyEnvironment.java
+++ b/src/main/java/dillfront/common/environment/NettyEnvironment.java
@@ -219,7 +219,7 @@
                                                 && !(done.cause()
                                                         instanceof
                                                         io.netty.channel.ConnectTimeoutException)
-                                        ? "refused"
+                                        ? REFUSED
                                         : "unreachable");
                     }
                 });
--- a/src/main/java/dillfront/common/protocol/ServerRow.java
+++ b/src/main/java/dillfront/common/protocol/ServerRow.java
@@ -12,6 +12,8 @@
  * @param callSequence the sequence number of the newest call of the server; -1 for none
  * @param drainAgeMillis how long ago the server announced its shutdown, in milliseconds; {@link
  *     #UNKNOWN_AGE} if it did not, or if the sender does not know
+ * @param departureProven whether the server has left, and a server that stays has all that it took
+ *     along
  */
 public record ServerRow(
         String id,
@@ -21,7 +23,8 @@
         ServerState state,
         String role,
         long callSequence,
-        long drainAgeMillis) {
+        long drainAgeMillis,
+        boolean departureProven) {
 
     /** The role of a server that accepts writes. */
     public static final String PRIMARY_ROLE = "primary";
@@ -40,6 +43,7 @@
     private static final String ROLE = "ro";
     private static final String CALL_SEQUENCE = "q";
     private static final String DRAIN_AGE = "da";
+    private static final String DEPARTURE_PROVEN = "dp";
 
     /** Creates the row of a server's own call, which has no age of a drain. */
     public ServerRow(
@@ -50,7 +54,7 @@
             ServerState state,
             String role,
             long callSequence) {
-        this(id, service, address, zoneName, state, role, callSequence, UNKNOWN_AGE);
+        this(id, service, address, zoneName, state, role, callSequence, UNKNOWN_AGE, false);
     }
 
     /** Returns whether the server reported that it accepts writes. */
@@ -83,6 +87,9 @@
         if (drainAgeMillis >= 0) {
             fields.put(DRAIN_AGE, drainAgeMillis);
         }
+        if (departureProven) {
+            fields.put(DEPARTURE_PROVEN, true);
+        }
         return fields;
     }
 
@@ -96,6 +103,7 @@
                 ServerState.parse(fields.string(STATE)),
                 fields.string(ROLE),
                 fields.number(CALL_SEQUENCE, -1),
-                fields.number(DRAIN_AGE, UNKNOWN_AGE));
+                fields.number(DRAIN_AGE, UNKNOWN_AGE),
+                fields.flag(DEPARTURE_PROVEN));
     }
 }
--- a/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureGuard.java
@@ -18,18 +18,24 @@
  *
  * <p>A commit is acknowledged once one replica has received it, and a replica that drains counts
  * until it ends. The guard therefore pauses a draining replica in the later part of its drain time,
- * provided that a replica that stays receives, and then waits until such a replica has all that the
- * paused one has. From then on its departure is proven: it takes nothing along. A replica that left
- * without such a proof is proven once a replica that stays has all that the primary had after the
- * departure.
+ * provided that a replica that stays has its log, so that replicas that stay receive what is
+ * acknowledged from then on. The pause is no proof: it ends with a restart of the replica. The
+ * departure is proven once the replica has ended and a replica that stays has all that the primary
+ * had after that.
  */
 final class DepartureGuard {
 
     private static final long CHECK_INTERVAL_MS = 500;
 
-    /** Interval of the checks while a paused replica is ahead of those that stay. */
+    /**
+     * Interval of the checks shortly after a departure, or while a paused replica is ahead of those
+     * that stay.
+     */
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 60;
 
+    /** Time after a departure in which replicas that stay are expected to catch up. */
+    private static final long EXPECTED_PROOF_MS = 3_000;
+
     /**
      * Time for a replica that stays to catch up with the paused one. After that the paused replica
      * is resumed, as commits may wait for it.
@@ -53,10 +59,8 @@
     /** Checks the replicas that leave. Called periodically while no move is in progress. */
     void poll(PrimaryRecord record) {
         DatabaseServer primary = context.server(record.primary());
-        // While replicas are resumed after a move, a PAUSE would only be undone.
         if (checkPending
                 || context.now() < nextCheckMillis
-                || record.replicationPaused()
                 || !FailoverContext.isPresent(primary)
                 || !context.mayAct()) {
             return;
@@ -68,9 +72,9 @@
             if (server.id().equals(record.primary())) {
                 continue;
             }
-            if (context.hasEnded(server) && !context.departures().isProven(server)) {
+            if (server.hasLeft() && !context.departures().isProven(server)) {
                 departed.add(server);
-            } else if (server.isDraining() && mayBePaused(server)) {
+            } else if (server.isDraining() && mayBePaused(server, record)) {
                 draining.add(server);
             }
         }
@@ -78,77 +82,89 @@
             return;
         }
         checkPending = true;
-        check(record, primary, draining, departed).whenComplete((done, error) -> onChecked());
+        CompletableFuture.allOf(
+                        proveDepartures(record, primary, departed), pauseAll(record, draining))
+                .whenComplete((done, error) -> onChecked(departed));
     }
 
-    private void onChecked() {
+    private void onChecked(List<DatabaseServer> departed) {
         checkPending = false;
-        if (!pausedSinceMillis.isEmpty()) {
+        boolean expectsProof = departed.stream().anyMatch(this::expectsProof);
+        if (expectsProof || !pausedSinceMillis.isEmpty()) {
             nextCheckMillis = context.now() + CATCH_UP_CHECK_INTERVAL_MS;
         }
     }
 
-    private boolean mayBePaused(DatabaseServer server) {
-        return server.drainAgeMillis(context.now()) >= context.state().settings().drainMillis();
+    private boolean expectsProof(DatabaseServer departed) {
+        return !context.departures().isProven(departed)
+                && context.now() - departed.departureMillis() < EXPECTED_PROOF_MS;
     }
 
-    private CompletableFuture<Void> check(
-            PrimaryRecord record,
-            DatabaseServer primary,
-            List<DatabaseServer> draining,
-            List<DatabaseServer> departed) {
-        // The primary is queried first: those that stay then have time to receive what it had.
-        CompletableFuture<LogPosition> primaryLogEnd =
-                departed.isEmpty()
-                        ? CompletableFuture.completedFuture(null)
-                        : logEnd(primary, ServerStatus::isPrimary);
-        return primaryLogEnd.thenCompose(
-                primaryEnd -> compare(record, primaryEnd, draining, departed));
+    /** While replicas are resumed after a move, a PAUSE would only be undone. */
+    private boolean mayBePaused(DatabaseServer server, PrimaryRecord record) {
+        return !record.replicationPaused()
+                && server.drainAgeMillis(context.now()) >= context.state().settings().drainMillis();
     }
 
-    private CompletableFuture<Void> compare(
-            PrimaryRecord record,
-            LogPosition primaryEnd,
-            List<DatabaseServer> draining,
-            List<DatabaseServer> departed) {
-        return longestStayingLog(record)
+    // ---- replicas that have left
+
+    /**
+     * Proves departures, in this order: the replica has ended, the primary has a log, a replica
+     * that stays has that log.
+     */
+    private CompletableFuture<Void> proveDepartures(
+            PrimaryRecord record, DatabaseServer primary, List<DatabaseServer> departed) {
+        List<DatabaseServer> ended = new ArrayList<>();
+        List<CompletableFuture<Void>> queries = new ArrayList<>();
+        for (DatabaseServer server : departed) {
+            queries.add(
+                    hasEnded(server)
+                            .thenAccept(
+                                    hasEnded -> {
+                                        if (hasEnded) {
+                                            ended.add(server);
+                                        }
+                                    }));
+        }
+        return CompletableFuture.allOf(queries.toArray(CompletableFuture[]::new))
                 .thenCompose(
-                        longest -> {
-                            if (primaryEnd != null && covers(longest, primaryEnd)) {
-                                departed.forEach(server -> context.departures().add(server.id()));
-                            }
-                            return pauseAll(record, draining, longest);
-                        });
+                        done ->
+                                ended.isEmpty()
+                                        ? CompletableFuture.completedFuture(null)
+                                        : proveEnded(record, primary, ended));
     }
 
-    private static boolean covers(LogPosition log, LogPosition position) {
-        return log != null && log.covers(position);
+    /** Determines whether a server that left receives nothing any more. */
+    private CompletableFuture<Boolean> hasEnded(DatabaseServer server) {
+        if (context.hasEnded(server)) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return context.queryStatus(server, FailoverContext.QUERY_TIMEOUT_MS)
+                .handle((status, error) -> ServerQueryException.showsServerEnded(error));
     }
 
-    /** Returns the end of a server's log; null if the server did not answer as expected. */
-    private CompletableFuture<LogPosition> logEnd(
-            DatabaseServer server, Predicate<ServerStatus> isExpected) {
-        return context.queryStatus(server, FailoverContext.QUERY_TIMEOUT_MS)
-                .handle(
-                        (status, error) ->
-                                error == null && isExpected.test(status)
-                                        ? status.position()
-                                        : null);
+    private CompletableFuture<Void> proveEnded(
+            PrimaryRecord record, DatabaseServer primary, List<DatabaseServer> ended) {
+        return logEnd(primary, ServerStatus::isPrimary)
+                .thenCompose(
+                        primaryEnd ->
+                                longestStayingLog(record)
+                                        .thenAccept(
+                                                longest -> {
+                                                    if (covers(longest, primaryEnd)) {
+                                                        context.departures().prove(ended);
+                                                    }
+                                                }));
     }
 
-    /** Returns the end of the longest log of the replicas that stay; null if there is none. */
-    private CompletableFuture<LogPosition> longestStayingLog(PrimaryRecord record) {
-        CompletableFuture<LogPosition> longest = CompletableFuture.completedFuture(null);
-        for (DatabaseServer server : context.state().registry().serversOf(service)) {
-            if (!server.id().equals(record.primary())
-                    && !server.isDraining()
-                    && context.isInContactWithin(server, 2)) {
-                longest =
-                        longest.thenCombine(
-                                logEnd(server, status -> !status.isPaused()), LogPosition::max);
-            }
+    // ---- replicas that drain
+
+    private CompletableFuture<Void> pauseAll(PrimaryRecord record, List<DatabaseServer> draining) {
+        if (draining.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
         }
-        return longest;
+        return longestStayingLog(record)
+                .thenCompose(longest -> pauseAll(record, draining, longest));
     }
 
     private CompletableFuture<Void> pauseAll(
@@ -183,19 +199,43 @@
     }
 
     private Void onStatus(DatabaseServer server, ServerStatus status, LogPosition longestStaying) {
-        if (status == null) {
-            // The server may have restarted, which ends the pause, or be gone by now. A proof stays
-            // until it is seen to receive.
-            pausedSinceMillis.remove(server.id());
-        } else if (!status.isPaused()) {
-            pausedSinceMillis.remove(server.id());
-            context.departures().remove(server.id());
-        } else if (covers(longestStaying, status.position())) {
-            pausedSinceMillis.remove(server.id());
-            context.departures().add(server.id());
-        } else {
+        if (status != null && status.isPaused() && !covers(longestStaying, status.position())) {
             pausedSinceMillis.putIfAbsent(server.id(), context.now());
+        } else {
+            pausedSinceMillis.remove(server.id());
         }
         return null;
     }
+
+    // ---- logs
+
+    private static boolean covers(LogPosition log, LogPosition position) {
+        return log != null && position != null && log.covers(position);
+    }
+
+    /** Returns the end of a server's log; null if the server did not answer as expected. */
+    private CompletableFuture<LogPosition> logEnd(
+            DatabaseServer server, Predicate<ServerStatus> isExpected) {
+        return context.queryStatus(server, FailoverContext.QUERY_TIMEOUT_MS)
+                .handle(
+                        (status, error) ->
+                                error == null && isExpected.test(status)
+                                        ? status.position()
+                                        : null);
+    }
+
+    /** Returns the end of the longest log of the replicas that stay; null if there is none. */
+    private CompletableFuture<LogPosition> longestStayingLog(PrimaryRecord record) {
+        CompletableFuture<LogPosition> longest = CompletableFuture.completedFuture(null);
+        for (DatabaseServer server : context.state().registry().serversOf(service)) {
+            if (!server.id().equals(record.primary())
+                    && !server.isDraining()
+                    && context.isInContactWithin(server, 2)) {
+                longest =
+                        longest.thenCombine(
+                                logEnd(server, status -> !status.isPaused()), LogPosition::max);
+            }
+        }
+        return longest;
+    }
 }
--- a/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
+++ b/src/main/java/dillfront/controlplane/failover/DepartureProofs.java
@@ -1,55 +1,45 @@
 package dillfront.controlplane.failover;
 
 import dillfront.controlplane.registry.DatabaseServer;
-import java.util.TreeSet;
+import java.util.List;
 
 /**
- * Remembers which replicas have left, or are leaving, without an acknowledged commit that no other
- * replica has. A log must not be promoted while a departure is unproven: the only data plane that
- * knew of a commit may be gone as well.
+ * Tells whether a replica that has left may have taken the only copy of an acknowledged commit
+ * along. A log must not be promoted while a departure is unproven: the only data plane that knew of
+ * a commit may be gone as well.
+ *
+ * <p>A departure is proven once the replica has ended and a replica that stays has all that the
+ * primary had after that end. A proof holds for good, so it is part of the server's row, which the
+ * control processes replicate and store; the next lease holder needs no proof of its own.
  */
 final class DepartureProofs {
 
-    /**
-     * The age of a drain at the start of a lease from which on the departure counts as proven: the
-     * former lease holder has had the time to prove it.
-     */
-    private static final long MAX_AGE_AT_LEASE_START_MS = 20_000;
-
     private final FailoverContext context;
-    private final TreeSet<String> proven = new TreeSet<>();
 
     DepartureProofs(FailoverContext context) {
         this.context = context;
     }
 
-    /** Forgets all proofs, because a lease starts. */
-    void clear() {
-        proven.clear();
-    }
-
-    void add(String serverId) {
-        proven.add(serverId);
-    }
-
-    /** Revokes the proof of a server that receives again before it has left. */
-    void remove(String serverId) {
-        proven.remove(serverId);
+    /** Records that the departures of these servers are proven. */
+    void prove(List<DatabaseServer> departed) {
+        boolean changed = false;
+        for (DatabaseServer server : departed) {
+            changed |= context.state().registry().proveDeparture(server.id());
+        }
+        if (changed) {
+            context.state().requestUpdates();
+        }
     }
 
     /**
-     * Handles the end of a move. Replicas are resumed, so one that has not left yet may receive
-     * again, and its proof is revoked. If the primary changed, what servers that left before took
-     * along is in the log of the new one, or was given up by an operator.
+     * Handles the end of a move that replaced the primary. What servers that left before took along
+     * is in the log of the new primary, or was given up by an operator.
      */
-    void onMoveCompleted(String service, boolean primaryChanged) {
-        for (DatabaseServer server : context.state().registry().knownServersOf(service)) {
-            if (!server.hasLeft()) {
-                proven.remove(server.id());
-            } else if (primaryChanged) {
-                proven.add(server.id());
-            }
-        }
+    void onPrimaryReplaced(String service) {
+        prove(
+                context.state().registry().knownServersOf(service).stream()
+                        .filter(server -> server.hasLeft() && !isProven(server))
+                        .toList());
     }
 
     /**
@@ -58,13 +48,6 @@
      * replaced without an announcement: it was lost, or returned with its log.
      */
     boolean isProven(DatabaseServer server) {
-        return server.isPrimary() || proven.contains(server.id()) || !isRecentAnnouncement(server);
-    }
-
-    private boolean isRecentAnnouncement(DatabaseServer server) {
-        long drainAgeMillis = server.drainAgeMillis(context.now());
-        return drainAgeMillis >= 0
-                && context.now() - drainAgeMillis
-                        > context.leaseStartMillis() - MAX_AGE_AT_LEASE_START_MS;
+        return server.isDepartureProven() || server.isPrimary() || !server.isAnnounced();
     }
 }
--- a/src/main/java/dillfront/controlplane/failover/FailoverContext.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverContext.java
@@ -91,7 +91,6 @@
     void startLease(long number) {
         leaseNumber = number;
         recordsTakenOver = false;
-        departures.clear();
         if (number != 0) {
             leaseStartMillis = now();
             tokens.startLease(number);
--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -178,8 +178,9 @@
     @Override
     public void onCompleted(PrimaryMove move, PrimaryRecord record) {
         moves.remove(move.service());
-        boolean primaryChanged = !record.primary().equals(move.record().primary());
-        context.departures().onMoveCompleted(move.service(), primaryChanged);
+        if (!record.primary().equals(move.record().primary())) {
+            context.departures().onPrimaryReplaced(move.service());
+        }
         context.storeRecord(record);
         state.peerUpdates().request();
         if (record.replicationPaused()) {
--- a/src/main/java/dillfront/controlplane/failover/ServerQuery.java
+++ b/src/main/java/dillfront/controlplane/failover/ServerQuery.java
@@ -5,6 +5,7 @@
 import dillfront.common.database.ServerResponseReader.ServerResponse;
 import dillfront.common.environment.Environment;
 import dillfront.common.protocol.ServerStatus;
+import dillfront.controlplane.failover.ServerQueryException.Evidence;
 import dillfront.controlplane.lease.LeaseManager;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.nio.charset.StandardCharsets;
@@ -64,17 +65,18 @@
                 environment.connect(
                         server.address(), Environment.Framing.LINES, (int) timeoutMillis, query);
         environment.schedule(
-                timeoutMillis, () -> query.fail("no answer in " + timeoutMillis + " ms", false));
+                timeoutMillis,
+                () -> query.fail("no answer in " + timeoutMillis + " ms", Evidence.NONE));
         return query.result;
     }
 
-    private void fail(String message, boolean serverAlive) {
+    private void fail(String message, Evidence evidence) {
         if (!result.isDone()) {
             if (responses.isConnected()) {
                 sendLine("GOODBYE");
             }
             connection.close();
-            result.completeExceptionally(new ServerQueryException(message, serverAlive));
+            result.completeExceptionally(new ServerQueryException(message, evidence));
         }
     }
 
@@ -103,7 +105,7 @@
         try {
             response = responses.read(message);
         } catch (ProtocolViolationException exception) {
-            fail(exception.getMessage(), true);
+            fail(exception.getMessage(), Evidence.ALIVE);
             return;
         }
         if (response == null) {
@@ -114,10 +116,12 @@
             // running there.
             fail(
                     response.errorCode() + " " + response.errorMessage(),
-                    !response.errorCode().equals(SERVER_MISMATCH_CODE));
+                    response.errorCode().equals(SERVER_MISMATCH_CODE)
+                            ? Evidence.ENDED
+                            : Evidence.ALIVE);
         } else if (environment.nowMillis() >= deadlineMillis) {
             // The process was paused, so a command would be based on an outdated decision.
-            fail("answer arrived after the timeout", true);
+            fail("answer arrived after the timeout", Evidence.ALIVE);
         } else if (!wasConnected) {
             sendStatement("STATUS");
         } else {
@@ -131,7 +135,7 @@
 
     private void onStatus(ServerStatus status) {
         if (status == null) {
-            fail("server answer contains no valid status", true);
+            fail("server answer contains no valid status", Evidence.ALIVE);
             return;
         }
         String next = commandSent || command == null ? null : command.apply(status);
@@ -140,7 +144,7 @@
             connection.close();
             result.complete(status);
         } else if (lease.number() != leaseNumber || !lease.isHeld()) {
-            fail("lease lost during the query", true);
+            fail("lease lost during the query", Evidence.ALIVE);
         } else {
             commandSent = true;
             sendStatement(next);
@@ -149,6 +153,8 @@
 
     @Override
     public void onClose(String reason) {
-        result.completeExceptionally(new ServerQueryException(reason, false));
+        boolean refused = reason.equals(Environment.REFUSED);
+        result.completeExceptionally(
+                new ServerQueryException(reason, refused ? Evidence.ENDED : Evidence.NONE));
     }
 }
--- a/src/main/java/dillfront/controlplane/failover/ServerQueryException.java
+++ b/src/main/java/dillfront/controlplane/failover/ServerQueryException.java
@@ -6,22 +6,23 @@
  */
 final class ServerQueryException extends Exception {
 
+    /** What a failed query shows about the server. */
+    enum Evidence {
+        /** The server is running and responding. */
+        ALIVE,
+        /** No process with the server's id runs at its address. */
+        ENDED,
+        /** The server, the network or this process may be the cause. */
+        NONE
+    }
+
     private static final long serialVersionUID = 1;
 
-    private final boolean serverAlive;
+    private final Evidence evidence;
 
-    /**
-     * Creates an exception.
-     *
-     * @param serverAlive whether the server is running and responding, although the query failed
-     */
-    ServerQueryException(String message, boolean serverAlive) {
+    ServerQueryException(String message, Evidence evidence) {
         super(message);
-        this.serverAlive = serverAlive;
-    }
-
-    boolean isServerAlive() {
-        return serverAlive;
+        this.evidence = evidence;
     }
 
     /**
@@ -29,7 +30,15 @@
      * running.
      */
     static boolean showsServerAlive(Throwable error) {
-        return error == null
-                || error instanceof ServerQueryException query && query.isServerAlive();
+        return error == null || hasEvidence(error, Evidence.ALIVE);
+    }
+
+    /** Returns whether a query with this failure, or null for none, shows that the server ended. */
+    static boolean showsServerEnded(Throwable error) {
+        return hasEvidence(error, Evidence.ENDED);
+    }
+
+    private static boolean hasEvidence(Throwable error, Evidence expected) {
+        return error instanceof ServerQueryException query && query.evidence == expected;
     }
 }
--- a/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
+++ b/src/main/java/dillfront/controlplane/registry/DatabaseServer.java
@@ -37,6 +37,8 @@
     /** When this process learned that the server left. */
     private long leftSinceMillis = NOT_RECORDED;
 
+    private boolean departureProven;
+
     private long lastChangeVersion;
 
     DatabaseServer(String id, String service) {
@@ -131,10 +133,19 @@
      * is unknown, and a negative number if it did not announce it.
      */
     public long drainAgeMillis(long nowMillis) {
-        return drainingSinceMillis == NOT_RECORDED
-                ? UNKNOWN
-                : Math.min(
-                        ServerRow.MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis));
+        return isAnnounced()
+                ? Math.min(ServerRow.MAX_DRAIN_AGE_MS, Math.max(0, nowMillis - drainingSinceMillis))
+                : UNKNOWN;
+    }
+
+    /** Returns whether the server announced its shutdown. */
+    public boolean isAnnounced() {
+        return drainingSinceMillis != NOT_RECORDED;
+    }
+
+    /** Returns whether the server left, and a server that stays has all that it took along. */
+    public boolean isDepartureProven() {
+        return departureProven;
     }
 
     /** Returns whether the server reported that it accepts writes. */
@@ -152,7 +163,8 @@
                 state,
                 role,
                 callSequence,
-                drainAgeMillis(nowMillis));
+                drainAgeMillis(nowMillis),
+                departureProven);
     }
 
     // ---- changes
@@ -204,6 +216,10 @@
         leftSinceMillis = Math.min(leftSinceMillis, millis);
     }
 
+    void proveDeparture() {
+        departureProven = true;
+    }
+
     /** Completes a placeholder for a server of which only the leave call was received. */
     void completePlaceholder() {
         address = "";
@@ -228,7 +244,7 @@
         boolean changed = false;
         boolean announced = row.state().isAfter(ServerState.READY) && !leftUnannounced(row);
         // A row without an age says nothing about a drain whose start is recorded.
-        boolean knowsLess = drainingSinceMillis != NOT_RECORDED && row.drainAgeMillis() < 0;
+        boolean knowsLess = isAnnounced() && row.drainAgeMillis() < 0;
         if (announced && !knowsLess) {
             boolean knownAsReady = address != null && state == ServerState.READY;
             recordDrain(nowMillis - row.drainAgeMillis(knownAsReady));
@@ -244,6 +260,10 @@
             state = row.state();
             changed = true;
         }
+        if (row.departureProven() && !departureProven) {
+            departureProven = true;
+            changed = true;
+        }
         return changed;
     }
 
@@ -254,6 +274,11 @@
 
     // ---- stored form
 
+    /** Records that the stored server had left after an announcement, and lacks a proof. */
+    void restoreUnprovenDeparture() {
+        recordDrain(NEVER);
+    }
+
     String encode() {
         return String.join(
                 "\n",
--- a/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
+++ b/src/main/java/dillfront/controlplane/registry/ServerRegistry.java
@@ -20,6 +20,14 @@
     private static final int MAX_SERVERS = 20_000;
     private static final String STORAGE_PREFIX = "server:";
 
+    /**
+     * Prefix of the keys of announced departures without a proof. These are entries of their own,
+     * which earlier versions ignore.
+     */
+    private static final String UNPROVEN_DEPARTURE_PREFIX = "departure:";
+
+    private static final String UNPROVEN = "unproven";
+
     private final TreeMap<String, DatabaseServer> servers = new TreeMap<>();
     private final TreeMap<String, TreeMap<String, DatabaseServer>> serversByService =
             new TreeMap<>();
@@ -201,6 +209,20 @@
         return changed;
     }
 
+    /**
+     * Records that servers that stay have all that a server took along when it left, and returns
+     * whether that was unknown.
+     */
+    public boolean proveDeparture(String id) {
+        DatabaseServer server = servers.get(id);
+        if (server == null || !server.hasLeft() || server.isDepartureProven()) {
+            return false;
+        }
+        server.proveDeparture();
+        recordChange(server);
+        return true;
+    }
+
     private boolean markLeft(String id) {
         DatabaseServer server = servers.get(id);
         if (server == null || server.hasLeft()) {
@@ -278,6 +300,9 @@
                     DatabaseServer server =
                             DatabaseServer.decode(key.substring(STORAGE_PREFIX.length()), encoded);
                     if (server != null) {
+                        if (entries.containsKey(UNPROVEN_DEPARTURE_PREFIX + server.id())) {
+                            server.restoreUnprovenDeparture();
+                        }
                         server.resetContact(nowMillis);
                         add(server);
                         recordChange(server);
@@ -286,14 +311,23 @@
     }
 
     /**
-     * Returns the stored form of the changes after this version; an evicted row is an empty string.
+     * Returns the stored form of the changes after this version; a removed entry is an empty
+     * string.
      */
     Map<String, String> encodeSince(long since) {
         Map<String, String> entries = new TreeMap<>();
         for (DatabaseServer server : serversByChange.tailMap(since, false).values()) {
             entries.put(STORAGE_PREFIX + server.id(), server.encode());
+            if (server.hasLeft() && server.isAnnounced()) {
+                entries.put(
+                        UNPROVEN_DEPARTURE_PREFIX + server.id(),
+                        server.isDepartureProven() ? "" : UNPROVEN);
+            }
+        }
+        for (String id : evicted) {
+            entries.putIfAbsent(STORAGE_PREFIX + id, "");
+            entries.putIfAbsent(UNPROVEN_DEPARTURE_PREFIX + id, "");
         }
-        evicted.forEach(id -> entries.putIfAbsent(STORAGE_PREFIX + id, ""));
         evicted.clear();
         return entries;
     }
--- a/src/main/java/dillfront/simulation/system/DatabaseFaultInjector.java
+++ b/src/main/java/dillfront/simulation/system/DatabaseFaultInjector.java
@@ -36,6 +36,10 @@
                 DatabaseCluster database = simulation.database(args[1]);
                 crash(database, select(database, args[2]), args[0].equals("dark"), millis);
             }
+            case "restart" -> {
+                DatabaseCluster database = simulation.database(args[1]);
+                restart(database, select(database, args[2]), millis);
+            }
             case "release" -> {
                 DatabaseCluster database = simulation.database(args[1]);
                 drainAndStop(
@@ -49,6 +53,7 @@
                 DatabaseCluster database = simulation.database(args[1]);
                 removePermanently(database, select(database, args[2]), line.contains(" same"));
             }
+            case "add" -> addReplica(simulation.database(args[1]), args[2]);
             case "lag" -> slowReplication(simulation.database(args[1]), args[2], millis);
             case "promotes" ->
                     simulation.database(args[1]).promotionDelayMillis = Double.parseDouble(args[2]);
@@ -163,6 +168,27 @@
                 });
     }
 
+    /**
+     * Restarts a replica, which keeps its log, its address and its id, and is not paused any more.
+     */
+    private void restart(DatabaseCluster database, DatabaseCluster.Server server, long downMillis) {
+        if (server == null || server.isPrimary) {
+            return;
+        }
+        int port = Integer.parseInt(server.address.substring(server.address.indexOf(':') + 1));
+        simulation.logEvent("restart " + server.id + " with its id");
+        server.stop(false);
+        simulator.scheduleAfter(
+                downMillis,
+                () -> {
+                    if (database.servers.contains(server)) {
+                        server.host.up();
+                        server.open(port);
+                        servers.startHeartbeats(database, server);
+                    }
+                });
+    }
+
     /**
      * Removes a server and its log permanently; an empty replacement starts after 2 s, at another
      * address or at the same.
@@ -224,6 +250,19 @@
                 });
     }
 
+    /** Adds an empty replica in a zone, which copies the log of the primary. */
+    private void addReplica(DatabaseCluster database, String zone) {
+        String address = database.servers.get(0).address;
+        DatabaseCluster.Server replica =
+                servers.createServer(
+                        database,
+                        zone,
+                        100 + ++replacementCount,
+                        Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+        replica.copiedAtMillis = simulator.millis() + 300 + simulator.random.nextInt(1_200);
+        simulation.logEvent("start " + replica.id);
+    }
+
     /**
      * Lets all replicas but the draining ones and one other receive this number of commits, and
      * then nothing.
--- a/src/main/java/dillfront/simulation/system/Simulator.java
+++ b/src/main/java/dillfront/simulation/system/Simulator.java
@@ -331,7 +331,7 @@
                         if (acceptor == null) {
                             Simulator.this.scheduleAfter(
                                     latencyMillis(this, target),
-                                    () -> localEnd.closeWith("refused"));
+                                    () -> localEnd.closeWith(Environment.REFUSED));
                             return;
                         }
                         ConnectionEnd remoteEnd = new ConnectionEnd(target, framing, null);
--- a/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
+++ b/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
@@ -115,7 +115,10 @@
                     error -> {
                         assertEquals(
                                 Boolean.parseBoolean(refusal[1]),
-                                ((ServerQueryException) error).isServerAlive());
+                                ServerQueryException.showsServerAlive(error));
+                        assertEquals(
+                                !Boolean.parseBoolean(refusal[1]),
+                                ServerQueryException.showsServerEnded(error));
                         return null;
                     });
             assertTrue(result.isCompletedExceptionally());
--- a/src/test/java/dillfront/dataplane/DataPlaneHarness.java
+++ b/src/test/java/dillfront/dataplane/DataPlaneHarness.java
@@ -176,6 +176,9 @@
 
         @Override
         public void send(byte[] message) {
+            if (controlSilent) {
+                return;
+            }
             Map<String, Object> response = new HashMap<>();
             boolean delayed = respondsLate;
             try {
@@ -261,6 +264,9 @@
      */
     boolean respondsLate;
 
+    /** Whether the control process answers nothing. */
+    boolean controlSilent;
+
     final List<String> incarnations = new ArrayList<>();
     final DatabaseServerStub serverP = new DatabaseServerStub("p", "10.0.1.1:1");
     final DatabaseServerStub serverR = new DatabaseServerStub("r", "10.0.1.2:1");
@@ -345,7 +351,8 @@
                         ServerState.parse(state),
                         server.isPrimary ? "primary" : "replica",
                         1,
-                        drainAgeMillis));
+                        drainAgeMillis,
+                        false));
         registryVersion++;
     }
 
--- a/src/test/java/dillfront/simulation/system/DepartedReplicaTest.java
+++ b/src/test/java/dillfront/simulation/system/DepartedReplicaTest.java
@@ -103,6 +103,27 @@
         }
     }
 
+    /**
+     * Guards against the same if the replica departs after another one was promoted, and before
+     * that one acknowledges a commit; also if the data plane is lost in between.
+     */
+    @Test
+    void keepsCommitsIfReplicaDepartsAfterPromotion() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, DURATION_MILLIS);
+            simulation.scheduleFault(6, "release db0 db0-b1");
+            scheduleWrites(simulation, "db0-c2", WRITE_SECONDS);
+            simulation.scheduleFault(11, "crash db0 primary for 21");
+            if (seed % 2 == 0) {
+                simulation.scheduleFault(14.5, "power front-a0 for 17");
+            }
+            simulation.scheduleFault(15.2 + seed * 0.1, "crash db0 primary for 9");
+            simulation.run();
+            assertEquals(List.of(), simulation.violations(), seed + "\n" + details(simulation));
+            assertTrue(simulation.promotions() > 0, seed + "\n" + details(simulation));
+        }
+    }
+
     /** Opens connections with writes before, so that the writes at this time run concurrently. */
     private static void scheduleWrites(
             SystemSimulation simulation, String receivingReplica, int seconds) {
