A returning lease holder delays no failover of the next one; the end of trust is final

Change: the end of former leases is taken when the lease begins. A member that promised a number answers its new holder at once, so records are known after a round trip instead of up to 800 ms. OldPrimaryTrust keeps the end of the trust, which nothing undoes, instead of asking again in each step, and notes who is waited for (trust-awaited).

JoinDuringFailoverTest has two more cases: a replica that restarts with its id, and one that restarts before the end of trust; the latter is the first test that fails without the order of PrimaryMove.stopReplication.

--- a/src/main/java/dillfront/controlplane/PeerMessenger.java
+++ b/src/main/java/dillfront/controlplane/PeerMessenger.java
@@ -273,6 +273,10 @@
                 peer.lease(),
                 message.lease().abandonedNumber(),
                 message.lease().abandonedWasHeld());
+        if (holder == null && lease.isPromisedTo(peer.lease())) {
+            // A new holder waits for an answer before it acts.
+            state.peerUpdates().request();
+        }
         if (holder != null && acknowledgesThisIncarnation && promised >= lease.promisedNumber()) {
             certainty.onHolderMessage(
                     message.header().echoClockMillis(), holder.leaseRemainingMillis());
--- a/src/main/java/dillfront/controlplane/failover/FailoverContext.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverContext.java
@@ -39,6 +39,7 @@
     private long leaseNumber;
 
     private long leaseStartMillis;
+    private long formerLeaseEndMillis = LeaseManager.NEVER_MILLIS;
     private boolean recordsTakenOver;
     private long resumedMillis = LeaseManager.NEVER_MILLIS;
 
@@ -93,10 +94,21 @@
         recordsTakenOver = false;
         if (number != 0) {
             leaseStartMillis = now();
+            formerLeaseEndMillis = state.lease().formerLeaseEndMillis();
             tokens.startLease(number);
         }
     }
 
+    /**
+     * Returns the latest time at which former holders may have claimed that their leases end, as
+     * known when this lease began. Each former lease had the promise of a member among those whose
+     * promises assigned this one. What a member reports that promises later, such as one that
+     * restarted and does not know which lease was in use, adds nothing.
+     */
+    long formerLeaseEndMillis() {
+        return formerLeaseEndMillis;
+    }
+
     boolean hasTakenOverRecords() {
         return recordsTakenOver;
     }
--- a/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
+++ b/src/main/java/dillfront/controlplane/failover/FailoverCoordinator.java
@@ -122,6 +122,10 @@
         context.startLease(number);
         moves.clear();
         serviceMonitors.clear();
+        if (number != 0) {
+            // The peers answer at once, so that the records of earlier holders are known soon.
+            state.peerUpdates().request();
+        }
     }
 
     /**
--- a/src/main/java/dillfront/controlplane/failover/MoveState.java
+++ b/src/main/java/dillfront/controlplane/failover/MoveState.java
@@ -42,9 +42,6 @@
 
     final long startedMillis;
 
-    /** When the record was stored that ends the trust in the old primary. */
-    long trustEndRecordedMillis;
-
     Step step = Step.DRAIN_TRANSACTIONS;
 
     /** Whether a call or command is in progress that the next step must wait for. */
@@ -118,7 +115,6 @@
         this.inherited = inherited;
         replicationPaused = record.replicationPaused() || inherited;
         startedMillis = nowMillis;
-        trustEndRecordedMillis = nowMillis;
     }
 
     String service() {
--- a/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
@@ -5,7 +5,6 @@
 import dillfront.common.protocol.PrimaryRecord;
 import dillfront.controlplane.failover.MoveState.Step;
 import dillfront.controlplane.failover.PlatformClient.PromotionResult;
-import dillfront.controlplane.peer.PeerState;
 import dillfront.controlplane.primary.MissingCommits;
 import dillfront.controlplane.registry.DatabaseServer;
 import java.util.List;
@@ -36,9 +35,6 @@
     /** Time for open transactions to end before a planned move continues. */
     private static final long DRAIN_TIMEOUT_MS = 900;
 
-    /** Margin added to the trust period of the old primary record. */
-    private static final long CERTAINTY_MARGIN_MS = 100;
-
     /** Delay from the platform's acceptance to the first query of the successor. */
     private static final long FIRST_PRIMARY_QUERY_DELAY_MS = 350;
 
@@ -59,6 +55,7 @@
     private final MoveQueries queries;
     private final ReplicationStopper replicationStopper;
     private final SuccessorSelector successorSelector;
+    private final OldPrimaryTrust trust;
 
     /** Whether servers were queried again after calls of earlier holders were fenced off. */
     private boolean restartedAfterFencing;
@@ -81,6 +78,7 @@
         replicationStopper =
                 new ReplicationStopper(context, state, queries, this::onPrimaryFound, owner::poll);
         successorSelector = new SuccessorSelector(context, state);
+        trust = new OldPrimaryTrust(context, record);
     }
 
     String service() {
@@ -115,8 +113,7 @@
         if (!isActive()
                 || state.logEndQueryPending
                 || !state.isPromoting() && mayPlatformStillPromote()) {
-            // The move has ended or is about to end with the reported primary: no other server is
-            // promoted.
+            // The move has ended or may end with the reported primary: no other server is promoted.
             return;
         }
         if (state.formerCallsFenced && !restartedAfterFencing && !state.isPromoting()) {
@@ -178,7 +175,7 @@
     /** Records that commits of open transactions are not acknowledged any more. */
     private void endTransactionDrain() {
         state.record = state.record.endTransactionDrain(context.nextFencingToken());
-        state.trustEndRecordedMillis = context.now();
+        trust.start(state.record);
         context.storeRecord(state.record);
         context.state().peerUpdates().request();
     }
@@ -201,46 +198,9 @@
                 && context.observation(service(), state.record.primary()).openTransactions() == 0;
     }
 
-    /**
-     * Returns whether no data plane can still trust the old primary: each has confirmed the record,
-     * or its trust has expired. A data plane acknowledges a commit only while it trusts the
-     * primary.
-     */
+    /** Returns whether no data plane acknowledges commits of the old primary any more. */
     private boolean hasNoTrustInOldPrimary() {
-        // Trust based on an earlier lease holder's messages ends at most this long after that
-        // holder's lease.
-        long formerTrustEndMillis =
-                Math.max(context.leaseStartMillis(), context.state().lease().formerLeaseEndMillis())
-                        + PrimaryCertainty.MAX_AFTER_LEASE_MS
-                        + CERTAINTY_MARGIN_MS;
-        long latestExpiredMillis =
-                context.now() - PrimaryCertainty.MAX_DURATION_MS - CERTAINTY_MARGIN_MS;
-        if (context.now() < formerTrustEndMillis
-                || state.trustEndRecordedMillis > latestExpiredMillis
-                        && !context.dataPlanes().allHaveRecord(state.record.number())) {
-            return false;
-        }
-        for (PeerState peer : context.state().cluster().peers()) {
-            if (!hasNoTrustAtPeer(peer, latestExpiredMillis)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * Returns whether the data planes of a peer no longer trust the old primary. The trust that a
-     * peer passes on derives from its last message to this process and expires with it. The same
-     * applies to messages of the peer's former incarnation, for whose data planes the peer cannot
-     * vouch.
-     */
-    private boolean hasNoTrustAtPeer(PeerState peer, long latestExpiredMillis) {
-        boolean confirmed = peer.acknowledgedMove(service()) >= state.record.number();
-        return (confirmed
-                        || Math.min(peer.lastContactMillis(), state.trustEndRecordedMillis)
-                                <= latestExpiredMillis)
-                && Math.min(peer.previousIncarnationContactMillis(), state.trustEndRecordedMillis)
-                        <= latestExpiredMillis;
+        return trust.hasEnded(state.record);
     }
 
     // ---- promoting
--- a/src/main/java/dillfront/controlplane/lease/LeaseManager.java
+++ b/src/main/java/dillfront/controlplane/lease/LeaseManager.java
@@ -252,6 +252,11 @@
                 abandonedWasHeld());
     }
 
+    /** Returns whether this process has promised the number that the peer requests or holds. */
+    public boolean isPromisedTo(Voter peer) {
+        return promisedNumber > 0 && isPromiseTo(promisedNumber, promisedTo, peer);
+    }
+
     private boolean hasOwnPromise() {
         return promisedNumber == ownNumber && promisedTo.equals(context.selfId());
     }
--- a/src/test/java/dillfront/simulation/system/JoinDuringFailoverTest.java
+++ b/src/test/java/dillfront/simulation/system/JoinDuringFailoverTest.java
@@ -24,6 +24,32 @@
         }
     }
 
+    /**
+     * Guards against the same if the restarted replica keeps its id, and so is known as stopped.
+     */
+    @Test
+    void keepsCommitsReceivedByReplicaThatRestartsWithItsId() {
+        for (int afterMillis = 1_200; afterMillis < 2_000; afterMillis += 20) {
+            checkJoin(afterMillis, "restart db0 last for 0.1");
+        }
+    }
+
+    /**
+     * A data plane that no control process reaches trusts the old primary for longer. Guards
+     * against pausing and comparing replicas before the end of that trust: one that restarts in
+     * between receives commits that are acknowledged.
+     */
+    @Test
+    void keepsCommitsAcknowledgedUntilEndOfTrust() {
+        for (int afterMillis = 600; afterMillis < 3_400; afterMillis += 40) {
+            SystemSimulation simulation = cutPrimary(afterMillis);
+            for (String zone : SystemSimulation.ZONES) {
+                simulation.scheduleFault(CUT_SECONDS + 0.2, "cut core-" + zone + " front-c0 for 7");
+            }
+            checkCommits(simulation, afterMillis, "restart db0 last for 0.1");
+        }
+    }
+
     /** Guards against acknowledgements through a paused replica that restarts. */
     @Test
     void keepsCommitsReceivedByRestartedReplica() {
@@ -33,6 +59,11 @@
     }
 
     private static void checkJoin(int afterMillis, String fault) {
+        checkCommits(cutPrimary(afterMillis), afterMillis, fault);
+    }
+
+    /** Schedules writes through the only data plane that reaches the primary. */
+    private static SystemSimulation cutPrimary(int afterMillis) {
         SystemSimulation simulation = new SystemSimulation(400 + afterMillis, 1, 1, 40, 22_000);
         String primary = simulation.database("db0").primary().id;
         simulation.scheduleFault(1, "promotes db0 600");
@@ -46,6 +77,10 @@
                     CUT_SECONDS + writeMillis / 1e3,
                     "writes db0 " + CONCURRENT_WRITES + " front-c0");
         }
+        return simulation;
+    }
+
+    private static void checkCommits(SystemSimulation simulation, int afterMillis, String fault) {
         simulation.scheduleFault(CUT_SECONDS + afterMillis / 1e3, fault);
         simulation.run();
         String details =
--- a/src/test/java/dillfront/simulation/system/RecordedMessages.java
+++ b/src/test/java/dillfront/simulation/system/RecordedMessages.java
@@ -22,7 +22,8 @@
  * src/test/resources/messages were written by {@link #main} on revision 6ff1719; the digests were
  * written again when data planes began to report acknowledged commits after a departure, when
  * commits came to be acknowledged only while the primary is certain, when rows came to tell the age
- * of a drain, and when draining replicas came to be paused. They are written again only for an
+ * of a drain, when draining replicas came to be paused, and when departures came to be proven by
+ * their rows and members to answer a new lease holder at once. They are written again only for an
  * intended change of the protocol or of decisions.
  */
 final class RecordedMessages {
