A server that reports itself as the primary is asked before a record rests on it

What callers would see: statements for the primary go to a crashed server, until the next failover.

Cause: reports of the last three heartbeats were taken as the present state. A crashed primary was recorded again by its last heartbeat, once the replica that was promoted in its place had left.

Change: ReportedPrimary asks the server (STATUS) before a record, or the end of a move, rests on its report; meanwhile no other server is promoted. Why this works: the platform leaves one primary a service, and it answers now.

--- a/src/main/java/dillfront/controlplane/failover/PrimaryMonitor.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMonitor.java
@@ -49,9 +49,12 @@
     private long comparedMillis = LeaseManager.NEVER_MILLIS;
     private long compareGapMillis = COMPARE_GAP_MS;
 
+    private final ReportedPrimary reportedPrimary;
+
     PrimaryMonitor(FailoverContext context, MoveStarter mover) {
         this.context = context;
         this.mover = mover;
+        reportedPrimary = new ReportedPrimary(context);
     }
 
     /** Resets the count of unanswered queries, because a move starts. */
@@ -66,20 +69,8 @@
      */
     boolean poll(PrimaryRecord record) {
         DatabaseServer primary = context.server(record.primary());
-        DatabaseServer reported = context.reportedPrimary(record.service());
         boolean present = FailoverContext.isPresent(primary);
-        if (reported != null
-                && !reported.id().equals(record.primary())
-                && (!present || !primary.isPrimary())) {
-            // A delayed call of an earlier holder promoted this server, so it is recorded as the
-            // primary.
-            context.storeRecord(
-                    new PrimaryRecord(
-                            record.service(),
-                            context.nextFencingToken(),
-                            reported.id(),
-                            false,
-                            record.replicationPaused()));
+        if (reportedPrimary.isPending(record, () -> onReportConfirmed(record))) {
             return false;
         }
         if (!present) {
@@ -103,6 +94,26 @@
         return true;
     }
 
+    /** Records a server that a delayed call of an earlier holder promoted. */
+    private void onReportConfirmed(PrimaryRecord record) {
+        if (context.isActing() && context.isCurrent(record)) {
+            context.environment()
+                    .trace(
+                            "primary service="
+                                    + record.service()
+                                    + " server="
+                                    + reportedPrimary.serverId()
+                                    + " reported");
+            context.storeRecord(
+                    new PrimaryRecord(
+                            record.service(),
+                            context.nextFencingToken(),
+                            reportedPrimary.serverId(),
+                            false,
+                            record.replicationPaused()));
+        }
+    }
+
     private void query(PrimaryRecord record, DatabaseServer primary) {
         queryPending = true;
         queriedMillis = context.now();
--- a/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
+++ b/src/main/java/dillfront/controlplane/failover/PrimaryMove.java
@@ -55,6 +55,7 @@
     private final MoveQueries queries;
     private final ReplicationStopper replicationStopper;
     private final SuccessorSelector successorSelector;
+    private final ReportedPrimary reportedPrimary;
     private final OldPrimaryTrust trust;
 
     /** Whether servers were queried again after calls of earlier holders were fenced off. */
@@ -78,6 +79,7 @@
         replicationStopper =
                 new ReplicationStopper(context, state, queries, this::onPrimaryFound, owner::poll);
         successorSelector = new SuccessorSelector(context, state);
+        reportedPrimary = new ReportedPrimary(context);
         trust = new OldPrimaryTrust(context, record);
     }
 
@@ -103,14 +105,8 @@
         if (!context.mayAct() || !isRecordedByMajority() || state.logEndQueryPending) {
             return;
         }
-        DatabaseServer primary = context.server(state.record.primary());
-        DatabaseServer reported = context.reportedPrimary(service());
-        if (reported != null
-                && !reported.id().equals(state.record.primary())
-                && (!FailoverContext.isPresent(primary) || !primary.isPrimary())) {
-            onPrimaryFound(reported.id());
-        }
-        if (!isActive()
+        if (reportedPrimary.isPending(state.record, this::onReportConfirmed)
+                || !isActive()
                 || state.logEndQueryPending
                 || !state.isPromoting() && mayPlatformStillPromote()) {
             // The move has ended or may end with the reported primary: no other server is promoted.
@@ -122,7 +118,14 @@
             restartedAfterFencing = true;
             state.restartStopping();
         }
-        runStep(primary);
+        runStep(context.server(state.record.primary()));
+    }
+
+    private void onReportConfirmed() {
+        if (isActive() && context.isActing()) {
+            onPrimaryFound(reportedPrimary.serverId());
+            owner.poll();
+        }
     }
 
     private void runStep(DatabaseServer primary) {
