A data plane without contact to the control plane is not ready

Change: without a response of a control process in contact with a majority for 2 s, a data plane is not ready, unless a service promises nothing on other machines. Sessions that are open stay.

Two new tests in ClientSessionTest.

--- a/src/main/java/dillfront/dataplane/ControlPlaneClient.java
+++ b/src/main/java/dillfront/dataplane/ControlPlaneClient.java
@@ -45,6 +45,12 @@
     private static final long RECONNECT_DELAY_MS = 100;
     private static final int MAX_RECONNECT_DELAY_FACTOR = 4;
 
+    /**
+     * Silence after which a data plane has lost contact with the control plane: three responses
+     * without an update are missing.
+     */
+    private static final long CONTACT_TIMEOUT_MS = 2_000;
+
     /** A configuration that cannot be parsed is requested again after this delay. */
     private static final long UNREADABLE_RETRY_MS = 1_000;
 
@@ -84,6 +90,9 @@
     private long requestId;
     private long lastRequestMillis;
 
+    /** When the last response arrived of a control process in contact with a majority. */
+    private long lastResponseMillis = UNSET;
+
     /** When the acknowledged commits of services with a departing server were last reported. */
     private long acknowledgedReportMillis = -ACKNOWLEDGED_INTERVAL_MS;
 
@@ -128,6 +137,12 @@
         return primariesConfirmedUntilMillis;
     }
 
+    /** Returns whether a control process in contact with a majority has responded recently. */
+    boolean isInContact() {
+        return lastResponseMillis != UNSET
+                && node.environment.nowMillis() - lastResponseMillis < CONTACT_TIMEOUT_MS;
+    }
+
     /** The number of data planes that share the connection limits, including this one. */
     int dataPlanes() {
         return dataPlanes;
@@ -314,6 +329,9 @@
         } else {
             startResponseTimer(RESPONSE_TIMEOUT_MS);
         }
+        if (!response.isolated()) {
+            lastResponseMillis = node.environment.nowMillis();
+        }
         if (response.registry() != null) {
             applyRegistry(response.registry());
         }
--- a/src/main/java/dillfront/dataplane/DataPlaneNode.java
+++ b/src/main/java/dillfront/dataplane/DataPlaneNode.java
@@ -178,14 +178,16 @@
     /**
      * Returns whether clients can be served: there is a configuration, and the primary of some
      * service is known or is being moved. During a move, no other data plane knows more, and
-     * replicas still serve reads.
+     * replicas still serve reads. Without contact to the control plane, commits of a service with
+     * synchronous replicas cannot be acknowledged, and another data plane may be in contact.
      */
     public boolean isReady() {
         if (shuttingDown || configuration == Configuration.NONE) {
             return false;
         }
         for (DatabaseService service : services.values()) {
-            if (service.primary() != null || service.moving) {
+            boolean mayCommit = controlPlane.isInContact() || !service.replicatesSynchronously;
+            if (mayCommit && (service.primary() != null || service.moving)) {
                 return true;
             }
         }
--- a/src/test/java/dillfront/dataplane/ClientSessionTest.java
+++ b/src/test/java/dillfront/dataplane/ClientSessionTest.java
@@ -384,6 +384,32 @@
         assertTrue(exited[0]);
     }
 
+    /**
+     * Guards against new sessions at a data plane that is cut off from the control plane, and so
+     * acknowledges no commit, while others are in contact.
+     */
+    @Test
+    void isNotReadyWithoutContactToControlPlane() {
+        assertTrue(node.isReady());
+        controlSilent = true;
+        advance(1_500);
+        assertTrue(node.isReady(), "a short silence");
+        advance(1_000);
+        assertFalse(node.isReady());
+        controlSilent = false;
+        advance(3_000);
+        assertTrue(node.isReady(), "in contact again");
+    }
+
+    /** A service without synchronous replicas needs no contact for its commits. */
+    @Test
+    void staysReadyWithoutContactIfCommitsNeedNone() {
+        node.service("db").replicatesSynchronously = false;
+        controlSilent = true;
+        advance(4_000);
+        assertTrue(node.isReady());
+    }
+
     /**
      * Guards against all data planes becoming unready at once during a move, although none of them
      * knows more and replicas still serve reads.
