--- a/src/test/java/dillfront/simulation/system/UnreportedCommitsTest.java
+++ b/src/test/java/dillfront/simulation/system/UnreportedCommitsTest.java
@@ -96,14 +96,8 @@
     @Test
     void waitsForPrimaryIfNextLeaseHolderKnowsNoProof() {
         for (long seed = 1; seed <= 6; seed++) {
-            SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, 60_000);
-            simulation.scheduleFault(6, "release db0 replica");
-            simulation.scheduleFault(8, WRITES);
-            simulation.scheduleFault(10, "receive db0 0 none for 48");
-            simulation.scheduleFault(10.01, WRITES);
-            simulation.scheduleFault(10.15, "power front-a0 for 45");
+            SystemSimulation simulation = scheduleUnprovenDeparture(seed);
             simulation.scheduleFault(36, "holder for 3");
-            simulation.scheduleFault(42, "crash db0 primary for 9");
             simulation.run();
             assertEquals(List.of(), simulation.violations(), details(simulation, seed));
         }
@@ -113,16 +107,10 @@
     @Test
     void waitsForPrimaryIfControlPlaneRestartsAfterUnprovenDeparture() {
         for (long seed = 1; seed <= 6; seed++) {
-            SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, 60_000);
-            simulation.scheduleFault(6, "release db0 replica");
-            simulation.scheduleFault(8, WRITES);
-            simulation.scheduleFault(10, "receive db0 0 none for 48");
-            simulation.scheduleFault(10.01, WRITES);
-            simulation.scheduleFault(10.15, "power front-a0 for 45");
+            SystemSimulation simulation = scheduleUnprovenDeparture(seed);
             for (String zone : SystemSimulation.ZONES) {
                 simulation.scheduleFault(30, "kill core-" + zone + " for 1");
             }
-            simulation.scheduleFault(42, "crash db0 primary for 9");
             simulation.run();
             assertEquals(List.of(), simulation.violations(), details(simulation, seed));
         }
@@ -168,6 +156,21 @@
         }
     }
 
+    /**
+     * Schedules a departure with the only copy of commits, which no replica receives afterwards,
+     * and the loss of the primary long after it.
+     */
+    private static SystemSimulation scheduleUnprovenDeparture(long seed) {
+        SystemSimulation simulation = new SystemSimulation(seed, 1, 1, 0, 60_000);
+        simulation.scheduleFault(6, "release db0 replica");
+        simulation.scheduleFault(8, WRITES);
+        simulation.scheduleFault(10, "receive db0 0 none for 48");
+        simulation.scheduleFault(10.01, WRITES);
+        simulation.scheduleFault(10.15, "power front-a0 for 45");
+        simulation.scheduleFault(42, "crash db0 primary for 9");
+        return simulation;
+    }
+
     /** Schedules the scene. */
     private static SystemSimulation scheduleLosses(
             long seed, double deafSeconds, double writeSeconds) {
