--- a/src/test/java/dillfront/common/environment/ScriptedEnvironment.java
+++ b/src/test/java/dillfront/common/environment/ScriptedEnvironment.java
@@ -46,9 +46,14 @@
 
         /** Breaks the connection. */
         public void reset() {
+            fail("broken");
+        }
+
+        /** Ends the connection, or the attempt to open it, for this reason. */
+        public void fail(String reason) {
             if (!closed) {
                 closed = true;
-                listener.onClose("broken");
+                listener.onClose(reason);
             }
         }
 
--- a/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
+++ b/src/test/java/dillfront/controlplane/failover/ServerQueryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dillfront.common.environment.Environment;
 import dillfront.common.environment.ScriptedEnvironment;
 import dillfront.common.protocol.ServerRow;
 import dillfront.common.protocol.ServerState;
@@ -105,24 +106,40 @@
                 failureMessage(missingCommandResponse));
     }
 
+    /** Returns the error of a query that has failed. */
+    private static Throwable error(CompletableFuture<ServerStatus> result) {
+        assertTrue(result.isCompletedExceptionally());
+        return result.handle((status, failure) -> failure).join();
+    }
+
     @Test
     void reportsWhetherRefusingServerIsAlive() {
         for (String[] refusal :
                 new String[][] {{"ERROR WRONGNODE i-2", "false"}, {"ERROR TOOMANY", "true"}}) {
             CompletableFuture<ServerStatus> result = new CompletableFuture<>();
             startQuery(null, result).receive(refusal[0]);
-            result.exceptionally(
-                    error -> {
-                        assertEquals(
-                                Boolean.parseBoolean(refusal[1]),
-                                ServerQueryException.showsServerAlive(error));
-                        assertEquals(
-                                !Boolean.parseBoolean(refusal[1]),
-                                ServerQueryException.showsServerEnded(error));
-                        return null;
-                    });
-            assertTrue(result.isCompletedExceptionally());
+            boolean alive = Boolean.parseBoolean(refusal[1]);
+            assertEquals(alive, ServerQueryException.showsServerAlive(error(result)), refusal[0]);
+            assertEquals(!alive, ServerQueryException.showsServerEnded(error(result)), refusal[0]);
         }
+    }
+
+    /** Only a refused connection shows that no process is there: a server may be out of reach. */
+    @Test
+    void takesOnlyRefusedConnectionForEndOfServer() {
+        for (String reason : new String[] {Environment.REFUSED, "unreachable", "broken"}) {
+            CompletableFuture<ServerStatus> result = new CompletableFuture<>();
+            startQuery(null, result).fail(reason);
+            assertFalse(ServerQueryException.showsServerAlive(error(result)), reason);
+            assertEquals(
+                    reason.equals(Environment.REFUSED),
+                    ServerQueryException.showsServerEnded(error(result)),
+                    reason);
+        }
+    }
+
+    @Test
+    void sendsNoCommandToBusyServer() {
         CompletableFuture<ServerStatus> busy = new CompletableFuture<>();
         ScriptedEnvironment.ScriptedConnection connection = startQuery(status -> "PAUSE 4", busy);
         connection.receive("READY I -", "ERROR BUSY later", "READY I -");
